--- /dev/null
+++ b/pkg/chain/request.go
@@ -0,0 +1,148 @@
+package chain
+
+import (
+	"time"
+
+	"github.com/baobabtally/baobabtally/pkg/label"
+	"github.com/baobabtally/baobabtally/pkg/policy"
+)
+
+// Kind is what a request asks for.
+type Kind uint8
+
+const (
+	// Chat is a chat completion.
+	Chat Kind = iota
+	// Text is a completion of plain text.
+	Text
+	// Service is a call of a plain service.
+	Service
+)
+
+var kindNames = [...]string{"chat", "text", "service"}
+
+// String returns the kind as it stands in labels and logs.
+func (k Kind) String() string { return kindNames[k%3] }
+
+// Request is one call of a caller. It is passed by value; filters derive new
+// requests with the With methods.
+type Request struct {
+	// ID is unique to the request over all instances.
+	ID string
+	// Kind is what the request asks for.
+	Kind Kind
+	// Secret is the caller's API key. It is never logged.
+	Secret string
+	// Team is the team of the caller, set by the identify filter.
+	Team string
+	// Labels are those of the caller and of the work.
+	Labels label.Set
+	// Model is the model or the service that is asked for.
+	Model string
+	// Prompt is the text that endpoints cache by prefix.
+	Prompt []byte
+	// Tokens is the estimated length of the prompt.
+	Tokens int
+	// Output is the most tokens that the answer may have.
+	Output int
+	// Stream tells whether the caller reads the answer as it is made.
+	Stream bool
+	// Body is the encoded call, understood by front ends and clients alone.
+	Body []byte
+	// Type is the content type of Body.
+	Type string
+	// Method and Path are those of a call to a plain service.
+	Method string
+	// Path has no host and starts with a slash.
+	Path string
+	// Idempotent tells whether the call may run more than once.
+	Idempotent bool
+	// Key is the caller's idempotency key, or empty.
+	Key string
+	// Resume is where a resumed stream goes on, or the zero value.
+	Resume Resume
+	// Arrived is when the request came in.
+	Arrived time.Time
+	// Policy is the policy that covers the request, set by the match filter.
+	Policy policy.Policy
+	// Hashes are the block hashes of the prompt, set by the match filter.
+	Hashes []uint64
+}
+
+// Resume names a stream and the offset of the next chunk that the caller wants.
+type Resume struct {
+	// Endpoint is the endpoint that makes the stream.
+	Endpoint string
+	// Attempt is the id under which the endpoint knows the stream.
+	Attempt string
+	// Offset is the number of chunks that the caller has.
+	Offset int
+}
+
+// Active tells whether r resumes a stream.
+func (r Resume) Active() bool { return r.Attempt != "" }
+
+// WithCaller returns a copy of r that belongs to team and carries its labels.
+func (r Request) WithCaller(team string, labels label.Set) Request {
+	r.Team = team
+	r.Labels = labels
+	return r
+}
+
+// WithPolicy returns a copy of r that p covers.
+func (r Request) WithPolicy(p policy.Policy) Request {
+	r.Policy = p
+	return r
+}
+
+// WithHashes returns a copy of r with the block hashes of its prompt.
+func (r Request) WithHashes(h []uint64) Request {
+	r.Hashes = h
+	return r
+}
+
+// Cost returns the tokens that the request may take, by which limits and
+// fair shares are counted.
+func (r Request) Cost() float64 { return float64(r.Tokens + r.Output + 1) }
+
+// Head is the start of an answer.
+type Head struct {
+	// Status is the endpoint's status in the sense of HTTP.
+	Status int
+	// Type is the content type of the answer.
+	Type string
+	// Endpoint is the endpoint that answers.
+	Endpoint string
+	// Attempt is the id of the attempt that answers.
+	Attempt string
+}
+
+// Chunk is a part of an answer.
+type Chunk struct {
+	// Offset counts the chunks of a stream from 0.
+	Offset int
+	// Data is the encoded part as the caller gets it.
+	Data []byte
+	// Text is the generated text of the part.
+	Text string
+	// End tells that no chunk follows.
+	End bool
+}
+
+// Result is what is known of a request after it was served.
+type Result struct {
+	// Endpoint is the endpoint that answered.
+	Endpoint string
+	// First is the time from arrival to the first chunk.
+	First time.Duration
+	// Cached is how many tokens of the prompt the endpoint had cached.
+	Cached int
+	// Prompt is how many tokens the endpoint counted in the prompt.
+	Prompt int
+	// Output is how many tokens were generated.
+	Output int
+	// Attempts is how many times the request was sent to an endpoint.
+	Attempts int
+	// Answer is the whole answer where a filter kept it for a later caller.
+	Answer []byte
+}
