--- /dev/null
+++ b/internal/admin/drain.go
@@ -0,0 +1,42 @@
+package admin
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/baobabtally/baobabtally/internal/api"
+	"github.com/baobabtally/baobabtally/internal/client"
+	"github.com/baobabtally/baobabtally/pkg/invar"
+)
+
+// orderLimit is how long an order may take. It must end within the lease.
+const orderLimit = 1500 * time.Millisecond
+
+// Drain orders an endpoint to take no new work.
+func (s Server) Drain(ctx context.Context, t *api.Target) (*api.Nothing, error) {
+	st := s.loop.View()
+	n, ok := st.Members.Find(t.GetName())
+	if !ok {
+		return nil, twirp.NotFoundError("no endpoint is called " + t.GetName() + ": status lists them")
+	}
+	deadline := s.now().Add(orderLimit)
+	if !st.Lease.Valid(s.now(), deadline) {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "this instance holds no lease for orders: send it to "+st.Lease.Holder())
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	now := s.now()
+	invar.That(st.Lease.Valid(now, now), invar.Fence, "order to %s after the lease lapsed", t.GetName())
+	err := s.orders.Order(ctx, n.Node, client.Order{
+		Fence: st.Lease.Fence(),
+		Leave: true,
+	})
+	s.log.Info().Str("event", "order").Str("endpoint", t.GetName()).Str("order", "leave").
+		Int64("fence", st.Lease.Fence()).AnErr("error", err).Send()
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &api.Nothing{}, nil
+}
--- /dev/null
+++ b/internal/ctrl/cache.go
@@ -0,0 +1,70 @@
+package ctrl
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/member"
+)
+
+// Cache looks after the prefix index.
+type Cache struct{}
+
+// Step returns the state after e.
+func (c Cache) Step(s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
+	switch e := e.(type) {
+	case state.Tick:
+		return s, c.polls(s)
+	case state.Reported:
+		if e.Failed {
+			return s, nil
+		}
+		return s.WithIndex(s.Index.WithEpoch(e.Endpoint, e.Report.Epoch)), nil
+	case state.Learned:
+		ix := s.Index.WithOutcome(e.Endpoint, e.Epoch, e.Hashes, e.Expected, e.Actual)
+		return s.WithIndex(ix.WithStored(e.Endpoint, e.Epoch, e.Hashes, now)), nil
+	case state.Cached:
+		return c.cached(s, e, now)
+	}
+	return s, nil
+}
+
+// polls asks every engine whose epoch is known for its events.
+func (Cache) polls(s state.State) []state.Action {
+	var actions []state.Action
+	for _, n := range s.Members.Nodes(member.Engine) {
+		if n.Report.Epoch == "" {
+			continue
+		}
+		actions = append(actions, state.AskCache{
+			Endpoint: n,
+			After:    s.Index.Seq(n.Node.Name),
+		})
+	}
+	return actions
+}
+
+func (Cache) cached(s state.State, e state.Cached, now time.Time) (state.State, []state.Action) {
+	ix := s.Index
+	var actions []state.Action
+	for _, ev := range e.Events {
+		if ev.Seq <= ix.Seq(e.Endpoint) {
+			continue
+		}
+		next, lost := ix.WithSeq(e.Endpoint, e.Epoch, ev.Seq, now)
+		ix = next
+		if lost {
+			actions = append(actions, state.Note{
+				Event: "gap",
+				Pairs: []string{"endpoint", e.Endpoint, "seq", strconv.FormatInt(ev.Seq, 10)},
+			})
+		}
+		if ev.Removed {
+			ix = ix.WithRemoved(e.Endpoint, e.Epoch, ev.Hashes)
+			continue
+		}
+		ix = ix.WithStored(e.Endpoint, e.Epoch, ev.Hashes, now.Add(1))
+	}
+	return s.WithIndex(ix), actions
+}
--- /dev/null
+++ b/internal/ctrl/step.go
@@ -0,0 +1,36 @@
+package ctrl
+
+import (
+	"time"
+
+	"github.com/baobabtally/baobabtally/internal/state"
+)
+
+// Controller looks after one part of the state. A step reads no clock, starts
+// no goroutine and calls nobody.
+type Controller interface {
+	// Step returns the state after e and what is to be done.
+	Step(s state.State, e state.Event, now time.Time) (state.State, []state.Action)
+}
+
+// Controllers returns all controllers in the order in which they step.
+func Controllers() []Controller {
+	return []Controller{
+		Promises{},
+		Members{},
+		Config{},
+		Cache{},
+		Leases{},
+	}
+}
+
+// Step has each controller step in turn.
+func Step(cs []Controller, s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
+	var actions []state.Action
+	for _, c := range cs {
+		next, more := c.Step(s, e, now)
+		s = next
+		actions = append(actions, more...)
+	}
+	return s, actions
+}
--- /dev/null
+++ b/internal/daemon/demo.go
@@ -0,0 +1,150 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/baobabtally/baobabtally/internal/admin"
+	"github.com/baobabtally/baobabtally/internal/api"
+	"github.com/baobabtally/baobabtally/internal/peer"
+	"github.com/baobabtally/baobabtally/internal/plat"
+	"github.com/baobabtally/baobabtally/internal/setup"
+	"github.com/baobabtally/baobabtally/internal/stand"
+)
+
+const (
+	// demoKey is the API key of an instance that serves without settings.
+	demoKey = "demo-key"
+	// demoSecret is its operators' secret, which is no secret.
+	demoSecret = "demo-secret-demo-secret"
+	demoEnv    = "BAOBABTALLY_SECRET"
+)
+
+// demoPolicies are in force where there are no settings.
+const demoPolicies = `[[policy]]
+name = "checks"
+cover = "kind=check"
+rank = "urgent"
+target = "900ms"
+within = 95
+
+[[policy]]
+name = "usual"
+cover = ""
+rank = "normal"
+floor = 0.2
+`
+
+// Demo runs stand-ins for endpoints and the platform in this process and
+// returns the settings for an instance in front of them.
+type Demo struct {
+	// Settings are those of the instance.
+	Settings setup.Settings
+	servers  []*http.Server
+}
+
+// NewDemo starts the stand-ins on loopback addresses.
+func NewDemo(listen string) (*Demo, error) {
+	d := &Demo{
+		Settings: setup.Defaults(),
+	}
+	if os.Getenv(demoEnv) == "" {
+		if err := os.Setenv(demoEnv, demoSecret); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	if err := d.start(listen); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Demo) start(listen string) error {
+	var failed error
+	serve := func(h http.Handler) string {
+		addr, err := d.serve(h)
+		if err != nil {
+			failed = err
+		}
+		return addr
+	}
+	models := []string{"small"}
+	nodes := []plat.Entry{
+		entry("i1", "instance", listen, nil),
+		entry("e1", "engine", serve(stand.NewEngine("1", models)), models),
+		entry("e2", "engine", serve(stand.NewEngine("1", models)), models),
+		entry("b1", "service", serve(stand.NewService()), []string{"billing"}),
+	}
+	table := stand.NewTable()
+	if err := seed(table); err != nil {
+		return err
+	}
+	s := &d.Settings
+	s.Name = "i1"
+	s.Domain = "a"
+	s.Listen = listen
+	s.Linger = setup.Duration(200 * time.Millisecond)
+	s.Table = "http://" + serve(table)
+	s.Object = "http://" + serve(stand.NewObject())
+	s.List = "http://" + serve(stand.NewList(nodes...))
+	s.Secret.Env = demoEnv
+	s.Callers = []setup.Caller{
+		{
+			Hash: HashKey(demoKey),
+			Team: "loom",
+		},
+	}
+	return failed
+}
+
+// Close stops the stand-ins.
+func (d *Demo) Close() {
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+}
+
+func (d *Demo) serve(h http.Handler) (string, error) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Annotate(err, "a stand-in can't listen on loopback: free some ports")
+	}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerLimit,
+	}
+	d.servers = append(d.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// seed puts the first policies into the table.
+func seed(t *stand.Table) error {
+	value, err := peer.MarshalDocument(&api.Document{
+		Version: 1,
+		Change:  "demo",
+		Author:  "demo",
+		Text:    demoPolicies,
+	})
+	if err != nil {
+		return err
+	}
+	t.Seed(admin.Key, value)
+	return nil
+}
+
+func entry(name, role, addr string, models []string) plat.Entry {
+	return plat.Entry{
+		Name:   name,
+		Role:   role,
+		Addr:   addr,
+		Domain: "a",
+		Models: models,
+	}
+}
--- /dev/null
+++ b/internal/filter/dispatch.go
@@ -0,0 +1,207 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"math"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/baobabtally/baobabtally/internal/call"
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/chain"
+	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/invar"
+	"github.com/baobabtally/baobabtally/pkg/load"
+	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/policy"
+	"github.com/baobabtally/baobabtally/pkg/prefix"
+	"github.com/baobabtally/baobabtally/pkg/retry"
+	"github.com/baobabtally/baobabtally/pkg/route"
+)
+
+const (
+	// maxAttempts is how often one request is sent at most.
+	maxAttempts = 5
+	// onceLimit bounds a non-idempotent call, which goes on without its caller.
+	onceLimit = 30 * time.Second
+	// unavailableRetry is when a caller may try again where no endpoint answers.
+	unavailableRetry = 1 * time.Second
+)
+
+// opener sends attempts to endpoints.
+type opener interface {
+	Open(ctx context.Context, a call.Attempt) (call.Reply, error)
+}
+
+// Dispatch chooses endpoints and has them serve requests. It is the end of
+// the chain.
+type Dispatch struct {
+	view     viewer
+	post     poster
+	client   opener
+	gauge    *load.Gauge
+	budget   *retry.Budget
+	now      clock
+	newID    func() string
+	distance time.Duration
+	log      zerolog.Logger
+}
+
+// DispatchOption changes a Dispatch.
+type DispatchOption func(*Dispatch)
+
+// WithDistance sets the added time to reach another failure domain.
+func WithDistance(d time.Duration) DispatchOption {
+	return func(f *Dispatch) { f.distance = d }
+}
+
+// WithClock has the filter read the time from now.
+func WithClock(now func() time.Time) DispatchOption {
+	return func(f *Dispatch) { f.now = now }
+}
+
+// WithLog has the filter log to l.
+func WithLog(l zerolog.Logger) DispatchOption {
+	return func(f *Dispatch) { f.log = l }
+}
+
+// controller is the control thread as traffic sees it.
+type controller interface {
+	viewer
+	poster
+}
+
+// NewDispatch returns the end of the chain. The function newID must return a
+// new value at each call.
+func NewDispatch(c controller, client opener, g *load.Gauge, newID func() string, opts ...DispatchOption) Dispatch {
+	f := Dispatch{
+		view:   c,
+		post:   c,
+		client: client,
+		gauge:  g,
+		budget: &retry.Budget{},
+		now:    time.Now,
+		newID:  newID,
+		log:    zerolog.Nop(),
+	}
+	for _, o := range opts {
+		o(&f)
+	}
+	return f
+}
+
+// Handle has an endpoint serve r.
+func (f Dispatch) Handle(ctx context.Context, r chain.Request, w chain.Writer) (chain.Result, error) {
+	f.budget.Fresh()
+	if r.Kind == chain.Service {
+		return f.service(ctx, r, w)
+	}
+	return f.generate(ctx, r, w)
+}
+
+// choose picks an endpoint for r and logs the decision. Endpoints that were
+// tried come last.
+func (f Dispatch) choose(r chain.Request, tried []string) (route.Choice, error) {
+	c, ok := f.pick(r, tried)
+	if !ok && len(tried) > 0 {
+		c, ok = f.pick(r, nil)
+	}
+	if !ok {
+		return c, fault.New(fault.Unavailable, "no endpoint of %q takes work: retry later", r.Model).WithRetry(unavailableRetry)
+	}
+	f.log.Info().Str("event", "route").Str("request", r.ID).Str("team", r.Team).
+		Str("policy", r.Policy.Name).Str("rank", r.Policy.Rank.String()).
+		Str("endpoint", c.Endpoint.Node.Name).Str("reason", c.Reason.String()).
+		Int("cached", c.Cached).Int("missed", c.Missed).Dur("wait", c.Wait).
+		Int("considered", c.Considered).Int("attempt", len(tried)+1).Send()
+	invar.That(!c.Endpoint.Report.Leaving, invar.Drain, "%s was chosen for %s and is leaving", c.Endpoint.Node.Name, r.ID)
+	return c, nil
+}
+
+func (f Dispatch) pick(r chain.Request, tried []string) (route.Choice, bool) {
+	s := f.view.View()
+	now := f.now()
+	return route.Choose(route.Query{
+		Hashes: r.Hashes,
+		Tokens: r.Tokens,
+		Domain: s.Self.Domain,
+		Serve:  r.Policy.Endpoints,
+		Tried:  tried,
+		Now:    now,
+		Seed:   uint64(now.UnixNano()),
+	}, s.Members.Pool(r.Model), route.View{
+		Cache:    s.Index,
+		Loads:    s.Loads,
+		Own:      f.gauge,
+		Distance: f.distance,
+	})
+}
+
+// attempt returns the attempt of r at e.
+func (f Dispatch) attempt(r chain.Request, e member.Endpoint) call.Attempt {
+	priority := 1
+	if r.Policy.Rank == policy.Urgent {
+		priority = 0
+	}
+	return call.Attempt{
+		ID:       f.newID(),
+		Endpoint: e,
+		Request:  r,
+		Salt:     prefix.Salt(r.Team, r.Model, e.Report.Version),
+		Priority: priority,
+	}
+}
+
+// report tells the control thread how a call ended, where that is news.
+func (f Dispatch) report(e member.Endpoint, err error) {
+	failed := false
+	var failure call.Failure
+	if errors.As(err, &failure) {
+		failed = failure.Cause == call.Broken || failure.Cause == call.Silent || failure.Cause == call.Refused
+	}
+	if failed || !e.Suspect.IsZero() {
+		f.post.Post(state.Called{
+			Endpoint: e.Node.Name,
+			Failed:   failed,
+		})
+	}
+}
+
+// again waits before the next attempt, or returns why there is none.
+func (f Dispatch) again(ctx context.Context, n int, last error) error {
+	run := fault.NotRun
+	if failure := failureOf(last); failure.Sent {
+		run = fault.Unknown
+	}
+	if n >= maxAttempts || !f.budget.Take() {
+		return fault.New(fault.Unavailable, "%d endpoints failed, the last with %v: retry later", n, last).
+			WithRun(run).WithRetry(unavailableRetry)
+	}
+	if err := retry.Pause(ctx, n-1); err != nil {
+		return fault.New(fault.Unavailable, "the caller left after %v: send it again", last).WithRun(run)
+	}
+	return nil
+}
+
+// failureOf returns the failure in err; one that is not typed may have been sent.
+func failureOf(err error) call.Failure {
+	var f call.Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	return call.Failure{
+		Cause:  call.Broken,
+		Sent:   true,
+		Detail: err.Error(),
+	}
+}
+
+// firstOf returns the time to first chunk, or a time beyond every target.
+func firstOf(r chain.Request, at time.Time) time.Duration {
+	if at.IsZero() {
+		return math.MaxInt64
+	}
+	return at.Sub(r.Arrived)
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,242 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/chain"
+	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/label"
+	"github.com/baobabtally/baobabtally/pkg/stream"
+)
+
+const (
+	// maxBody is the longest body of a call, in bytes.
+	maxBody = 4 << 20
+	// maxKey is the longest idempotency key, in bytes.
+	maxKey = 200
+	// maxLabels is the longest list of work labels, in bytes.
+	maxLabels = 2048
+
+	headerKey    = "Idempotency-Key"
+	headerLabels = "X-Labels"
+	headerEvent  = "Last-Event-ID"
+)
+
+// viewer gives the control state as of the last step.
+type viewer interface {
+	View() *state.State
+}
+
+// Front decodes calls and encodes answers.
+type Front struct {
+	handler chain.Handler
+	view    viewer
+	signer  stream.Signer
+}
+
+// Mount has e serve callers through h.
+func Mount(e *echo.Echo, h chain.Handler, v viewer, s stream.Signer) {
+	f := Front{
+		handler: h,
+		view:    v,
+		signer:  s,
+	}
+	e.POST("/v1/chat/completions", f.chat)
+	e.POST("/v1/completions", f.text)
+	e.GET("/v1/models", f.models)
+	e.Any("/svc/:name", f.service)
+	e.Any("/svc/:name/*", f.service)
+	e.GET("/healthz", f.healthz)
+	e.GET("/readyz", f.readyz)
+}
+
+func (f Front) chat(c echo.Context) error { return f.generate(c, chain.Chat) }
+
+func (f Front) text(c echo.Context) error { return f.generate(c, chain.Text) }
+
+// generate serves a completion.
+func (f Front) generate(c echo.Context, kind chain.Kind) error {
+	r, err := f.request(c)
+	if err != nil {
+		return problem(c, r.ID, err)
+	}
+	r, err = decode(r, kind)
+	if err != nil {
+		return problem(c, r.ID, err)
+	}
+	r, err = f.resumed(c, r)
+	if err != nil {
+		return problem(c, r.ID, err)
+	}
+	if r.Stream {
+		w := &streamWriter{
+			c:       c,
+			signer:  f.signer,
+			request: r,
+		}
+		_, err := f.handler.Handle(c.Request().Context(), r, w)
+		return w.finish(err)
+	}
+	w := &wholeWriter{}
+	result, err := f.handler.Handle(c.Request().Context(), r, w)
+	if err != nil {
+		return problem(c, r.ID, err)
+	}
+	return c.JSON(http.StatusOK, w.body(r, result))
+}
+
+// service serves a call to a plain service.
+func (f Front) service(c echo.Context) error {
+	r, err := f.request(c)
+	if err != nil {
+		return problem(c, r.ID, err)
+	}
+	req := c.Request()
+	r.Kind = chain.Service
+	r.Model = c.Param("name")
+	r.Method = req.Method
+	r.Path = "/" + strings.TrimPrefix(req.URL.EscapedPath(), "/svc/"+c.Param("name"))
+	r.Path = "/" + strings.TrimLeft(r.Path, "/")
+	if req.URL.RawQuery != "" {
+		r.Path += "?" + req.URL.RawQuery
+	}
+	r.Key = req.Header.Get(headerKey)
+	r.Idempotent = idempotent(req.Method)
+	if len(r.Key) > maxKey || strings.ContainsAny(r.Key, "/\x00") {
+		return problem(c, r.ID, fault.New(fault.Invalid, "the %s is too long or has a slash: send at most %d bytes", headerKey, maxKey))
+	}
+	r.Labels = r.Labels.With("method", req.Method)
+	w := &serviceWriter{
+		c: c,
+	}
+	if _, err := f.handler.Handle(req.Context(), r, w); err != nil && !w.begun {
+		return problem(c, r.ID, err)
+	}
+	return nil
+}
+
+// request reads what all calls have in common.
+func (f Front) request(c echo.Context) (chain.Request, error) {
+	req := c.Request()
+	r := chain.Request{
+		ID:      uuid.NewString(),
+		Secret:  secretOf(req),
+		Type:    req.Header.Get("Content-Type"),
+		Arrived: time.Now(),
+	}
+	c.Response().Header().Set("X-Request-Id", r.ID)
+	labels, err := labelsOf(req.Header.Get(headerLabels))
+	if err != nil {
+		return r, err
+	}
+	r.Labels = labels
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), req.Body, maxBody))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return r, fault.New(fault.Large, "the body is over %d bytes: send less", maxBody)
+	case err != nil:
+		return r, fault.New(fault.Invalid, "the body ended early: send the whole call again")
+	}
+	r.Body = body
+	return r, nil
+}
+
+// resumed reads where a stream is to go on.
+func (f Front) resumed(c echo.Context, r chain.Request) (chain.Request, error) {
+	id := c.Request().Header.Get(headerEvent)
+	if id == "" {
+		return r, nil
+	}
+	t, err := f.signer.Parse(id)
+	if err != nil {
+		return r, fault.New(fault.Invalid, "%v", err)
+	}
+	r.Resume = chain.Resume{
+		Endpoint: t.Endpoint,
+		Attempt:  t.Attempt,
+		Offset:   t.Offset,
+		Team:     t.Team,
+	}
+	return r, nil
+}
+
+func (f Front) models(c echo.Context) error {
+	s := f.view.View()
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+		Owner  string `json:"owned_by"`
+	}
+	list := []model{}
+	for _, m := range s.Members.Models() {
+		list = append(list, model{
+			ID:     m,
+			Object: "model",
+			Owner:  "baobabtally",
+		})
+	}
+	return c.JSON(http.StatusOK, map[string]any{
+		"object": "list",
+		"data":   list,
+	})
+}
+
+func (f Front) healthz(c echo.Context) error { return c.String(http.StatusOK, "ok\n") }
+
+// readyz tells the balancer whether to send calls here.
+func (f Front) readyz(c echo.Context) error {
+	s := f.view.View()
+	ok, why := s.Ready(time.Now())
+	switch {
+	case s.Leaving:
+		return c.String(http.StatusServiceUnavailable, "the instance is stopping\n")
+	case !ok:
+		return c.String(http.StatusServiceUnavailable, why+"\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func secretOf(req *http.Request) string {
+	if s, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer "); ok {
+		return s
+	}
+	return req.Header.Get("X-Api-Key")
+}
+
+// labelsOf reads work labels such as kind=check,batch=yes.
+func labelsOf(text string) (label.Set, error) {
+	var set label.Set
+	if text == "" {
+		return set, nil
+	}
+	if len(text) > maxLabels || !utf8.ValidString(text) {
+		return set, fault.New(fault.Invalid, "%s is too long or no UTF-8: send at most %d bytes", headerLabels, maxLabels)
+	}
+	for _, part := range strings.Split(text, ",") {
+		key, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok || key == "" {
+			return set, fault.New(fault.Invalid, "%s %q is malformed: send key=value pairs with commas", headerLabels, text)
+		}
+		set = set.With(key, value)
+	}
+	return set, nil
+}
+
+// idempotent tells whether HTTP allows a call to be repeated.
+func idempotent(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/front/write.go
@@ -0,0 +1,272 @@
+package front
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/baobabtally/baobabtally/pkg/chain"
+	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/stream"
+)
+
+var statuses = map[fault.Kind]int{
+	fault.Internal:    http.StatusInternalServerError,
+	fault.Invalid:     http.StatusBadRequest,
+	fault.Denied:      http.StatusUnauthorized,
+	fault.Missing:     http.StatusNotFound,
+	fault.Large:       http.StatusRequestEntityTooLarge,
+	fault.Uncovered:   http.StatusForbidden,
+	fault.Mismatch:    http.StatusUnprocessableEntity,
+	fault.Busy:        http.StatusConflict,
+	fault.Limited:     http.StatusTooManyRequests,
+	fault.Overload:    http.StatusServiceUnavailable,
+	fault.Stale:       http.StatusServiceUnavailable,
+	fault.Unavailable: http.StatusServiceUnavailable,
+	fault.Lost:        http.StatusBadGateway,
+	fault.Conflict:    http.StatusConflict,
+}
+
+// Problem is a problem document (RFC 9457).
+type Problem struct {
+	// Type names the kind of the fault.
+	Type string `json:"type"`
+	// Title is the kind in words.
+	Title string `json:"title"`
+	// Status is the HTTP status.
+	Status int `json:"status"`
+	// Detail says what happened and names the remedy.
+	Detail string `json:"detail"`
+	// Run is not_run or unknown.
+	Run string `json:"run"`
+	// Request is the request's id.
+	Request string `json:"request"`
+}
+
+func problemOf(id string, err error) (Problem, fault.Error) {
+	f := fault.From(err)
+	return Problem{
+		Type:    "urn:baobabtally:" + f.Kind.String(),
+		Title:   f.Kind.String(),
+		Status:  statuses[f.Kind],
+		Detail:  f.Detail,
+		Run:     f.Run.String(),
+		Request: id,
+	}, f
+}
+
+// problem answers with the problem document for err.
+func problem(c echo.Context, id string, err error) error {
+	p, f := problemOf(id, err)
+	h := c.Response().Header()
+	if f.Retry > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.Retry.Seconds()))))
+	}
+	data, err := json.Marshal(p)
+	if err != nil {
+		return err
+	}
+	return c.Blob(p.Status, "application/problem+json", data)
+}
+
+// streamWriter writes an answer as server-sent events.
+type streamWriter struct {
+	c       echo.Context
+	signer  stream.Signer
+	request chain.Request
+	begun   bool
+}
+
+// Begin writes the headers.
+func (w *streamWriter) Begin(chain.Head) error {
+	w.begun = true
+	h := w.c.Response().Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	w.c.Response().WriteHeader(http.StatusOK)
+	return nil
+}
+
+// event is the data of an event.
+type event struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices json.RawMessage `json:"choices"`
+}
+
+// Write writes one event, whose id lets the caller resume after it.
+func (w *streamWriter) Write(c chain.Chunk) error {
+	id := w.signer.Sign(stream.Token{
+		Endpoint: c.Next.Endpoint,
+		Attempt:  c.Next.Attempt,
+		Team:     c.Next.Team,
+		Offset:   c.Next.Offset,
+	})
+	data := []byte("[DONE]")
+	if !c.End {
+		raw, err := json.Marshal(event{
+			ID:      "cmpl-" + w.request.ID,
+			Object:  objects[w.request.Kind].event,
+			Created: w.request.Arrived.Unix(),
+			Model:   w.request.Model,
+			Choices: c.Data,
+		})
+		if err != nil {
+			return err
+		}
+		data = raw
+	}
+	if _, err := fmt.Fprintf(w.c.Response(), "id: %s\ndata: %s\n\n", id, data); err != nil {
+		return err
+	}
+	return http.NewResponseController(w.c.Response()).Flush()
+}
+
+// finish answers with a problem. Within a stream it is an error event, after
+// which no end marker follows.
+func (w *streamWriter) finish(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case !w.begun:
+		return problem(w.c, w.request.ID, err)
+	}
+	p, _ := problemOf(w.request.ID, err)
+	data, err := json.Marshal(p)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w.c.Response(), "event: error\ndata: %s\n\n", data)
+	return err
+}
+
+// names are the object names of the OpenAI protocol.
+type names struct {
+	event string
+	whole string
+}
+
+var objects = map[chain.Kind]names{
+	chain.Chat: {
+		event: "chat.completion.chunk",
+		whole: "chat.completion",
+	},
+	chain.Text: {
+		event: "text_completion",
+		whole: "text_completion",
+	},
+}
+
+// wholeWriter gathers an answer that is written at once.
+type wholeWriter struct {
+	text   strings.Builder
+	finish string
+}
+
+// Begin does nothing, since the headers depend on the outcome.
+func (*wholeWriter) Begin(chain.Head) error { return nil }
+
+// Write keeps the chunk.
+func (w *wholeWriter) Write(c chain.Chunk) error {
+	w.text.WriteString(c.Text)
+	var choices []struct {
+		Finish string `json:"finish_reason"`
+	}
+	if err := json.Unmarshal(c.Data, &choices); err == nil && len(choices) > 0 && choices[0].Finish != "" {
+		w.finish = choices[0].Finish
+	}
+	return nil
+}
+
+// whole is the body of an answer that is written at once.
+type whole struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   usage    `json:"usage"`
+}
+
+type choice struct {
+	Index   int      `json:"index"`
+	Message *content `json:"message,omitempty"`
+	Text    *string  `json:"text,omitempty"`
+	Finish  string   `json:"finish_reason"`
+}
+
+type content struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	Prompt  int     `json:"prompt_tokens"`
+	Output  int     `json:"completion_tokens"`
+	Total   int     `json:"total_tokens"`
+	Details details `json:"prompt_tokens_details"`
+}
+
+type details struct {
+	Cached int `json:"cached_tokens"`
+}
+
+func (w *wholeWriter) body(r chain.Request, result chain.Result) whole {
+	text := w.text.String()
+	ch := choice{
+		Finish: w.finish,
+	}
+	if r.Kind == chain.Chat {
+		ch.Message = &content{
+			Role:    "assistant",
+			Content: text,
+		}
+	} else {
+		ch.Text = &text
+	}
+	return whole{
+		ID:      "cmpl-" + r.ID,
+		Object:  objects[r.Kind].whole,
+		Created: time.Now().Unix(),
+		Model:   r.Model,
+		Choices: []choice{ch},
+		Usage: usage{
+			Prompt: result.Prompt,
+			Output: result.Output,
+			Total:  result.Prompt + result.Output,
+			Details: details{
+				Cached: result.Cached,
+			},
+		},
+	}
+}
+
+// serviceWriter passes the answer of a plain service on.
+type serviceWriter struct {
+	c     echo.Context
+	begun bool
+}
+
+// Begin writes the status and the content type.
+func (w *serviceWriter) Begin(h chain.Head) error {
+	w.begun = true
+	if h.Type != "" {
+		w.c.Response().Header().Set("Content-Type", h.Type)
+	}
+	w.c.Response().WriteHeader(h.Status)
+	return nil
+}
+
+// Write writes the chunk.
+func (w *serviceWriter) Write(c chain.Chunk) error {
+	_, err := w.c.Response().Write(c.Data)
+	return err
+}
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,105 @@
+package meter
+
+import (
+	"context"
+	"math"
+	"net/http"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/baobabtally/baobabtally/pkg/chain"
+	"github.com/baobabtally/baobabtally/pkg/invar"
+)
+
+// Meter holds the instruments of one process.
+type Meter struct {
+	handler  http.Handler
+	provider *sdk.MeterProvider
+	requests metric.Int64Counter
+	first    metric.Float64Histogram
+	prompt   metric.Int64Counter
+	cached   metric.Int64Counter
+	missed   metric.Int64Counter
+	output   metric.Int64Counter
+	attempts metric.Int64Counter
+	breaches metric.Int64Counter
+}
+
+// firstBounds are the bounds, in seconds, of the times to first token.
+var firstBounds = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 0.96, 1.2, 1.6, 2.4, 5, 10, 30}
+
+// New returns a meter with a registry of its own.
+func New() (*Meter, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
+	if err != nil {
+		return nil, errors.Annotate(err, "the metrics can't be exported: report this")
+	}
+	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
+	m := &Meter{
+		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		provider: provider,
+	}
+	return m, errors.Trace(m.instruments(provider.Meter("baobabtally")))
+}
+
+func (m *Meter) instruments(p metric.Meter) error {
+	var failed error
+	counter := func(name, about string) metric.Int64Counter {
+		c, err := p.Int64Counter(name, metric.WithDescription(about))
+		if err != nil {
+			failed = err
+		}
+		return c
+	}
+	m.requests = counter("requests", "requests by team, rank and outcome")
+	m.prompt = counter("prompt_tokens", "tokens of prompts by team")
+	m.cached = counter("cached_tokens", "tokens of prompts that the engine had cached; over prompt_tokens this is the hit rate")
+	m.missed = counter("recomputed_tokens", "tokens of prompts that the engine had to read")
+	m.output = counter("output_tokens", "tokens that were generated")
+	m.attempts = counter("extra_attempts", "attempts beyond the first of each request")
+	m.breaches = counter("invariant_breaches", "promises that did not hold, by rule")
+	first, err := p.Float64Histogram("first_token_seconds",
+		metric.WithDescription("time to first token by rank"),
+		metric.WithExplicitBucketBoundaries(firstBounds...))
+	if err != nil {
+		failed = err
+	}
+	m.first = first
+	return failed
+}
+
+// Handler serves the metrics.
+func (m *Meter) Handler() http.Handler { return m.handler }
+
+// Close ends the export.
+func (m *Meter) Close(ctx context.Context) error { return m.provider.Shutdown(ctx) }
+
+// Outcome counts how r ended.
+func (m *Meter) Outcome(r chain.Request, result chain.Result, outcome string) {
+	ctx := context.Background()
+	team := attribute.String("team", r.Team)
+	rank := attribute.String("rank", r.Policy.Rank.String())
+	m.requests.Add(ctx, 1, metric.WithAttributes(team, rank, attribute.String("outcome", outcome)))
+	if result.Attempts > 1 {
+		m.attempts.Add(ctx, int64(result.Attempts-1), metric.WithAttributes(rank))
+	}
+	if result.First > 0 && result.First < math.MaxInt64 {
+		m.first.Record(ctx, result.First.Seconds(), metric.WithAttributes(rank))
+	}
+	m.prompt.Add(ctx, int64(result.Prompt), metric.WithAttributes(team))
+	m.cached.Add(ctx, int64(result.Cached), metric.WithAttributes(team))
+	m.missed.Add(ctx, int64(result.Prompt-result.Cached), metric.WithAttributes(team))
+	m.output.Add(ctx, int64(result.Output), metric.WithAttributes(team))
+}
+
+// Breach counts a promise that did not hold.
+func (m *Meter) Breach(b invar.Breach) {
+	m.breaches.Add(context.Background(), 1, metric.WithAttributes(attribute.String("rule", b.Rule.String())))
+}
--- /dev/null
+++ b/internal/oper/main.go
@@ -0,0 +1,83 @@
+package oper
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/baobabtally/baobabtally/internal/api"
+	"github.com/baobabtally/baobabtally/internal/peer"
+	"github.com/baobabtally/baobabtally/internal/setup"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// command is one subcommand.
+type command interface {
+	run(ctx context.Context, o output) error
+}
+
+// Main runs the command line args and returns the exit status.
+func Main(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app := kingpin.New("baobabtally", "A router for language-model traffic with long shared prompts.")
+	app.Version(Version)
+	app.UsageWriter(stderr)
+	app.ErrorWriter(stderr)
+	commands := map[string]command{}
+	format := app.Flag("output", "How to print: text or json.").Default("text").Enum("text", "json")
+	r := remote(app)
+	addServe(app, commands, stderr)
+	addLint(app, commands)
+	addChange(app, commands, r)
+	addAsk(app, commands, r)
+	name, err := app.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "%v: run baobabtally --help\n", err)
+		return 2
+	}
+	out := output{
+		w:    stdout,
+		json: *format == "json",
+	}
+	if err := commands[name].run(ctx, out); err != nil {
+		_, _ = fmt.Fprintln(stderr, "baobabtally: "+err.Error())
+		return 1
+	}
+	return 0
+}
+
+// target is the instance that is asked.
+type target struct {
+	server *string
+	file   *string
+	env    *string
+}
+
+func remote(app *kingpin.Application) target {
+	return target{
+		server: app.Flag("server", "The IP address and port of an instance.").Default("127.0.0.1:8080").String(),
+		file:   app.Flag("secret-file", "The file with the operators' secret.").String(),
+		env:    app.Flag("secret-env", "The environment variable with the operators' secret.").Default("BAOBABTALLY_SECRET").String(),
+	}
+}
+
+// client returns a client of the instance.
+func (t target) client() (api.Admin, error) {
+	src := setup.Source{
+		File: *t.file,
+		Env:  *t.env,
+	}
+	secret, err := src.Read()
+	if err != nil {
+		return nil, err
+	}
+	return api.NewAdminProtobufClient("http://"+*t.server, peer.HTTP(secret)), nil
+}
--- /dev/null
+++ b/internal/oper/output.go
@@ -0,0 +1,45 @@
+package oper
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+// output prints what a command found.
+type output struct {
+	w    io.Writer
+	json bool
+}
+
+// print prints m as JSON, or the text that write makes.
+func (o output) print(m proto.Message, write func(w io.Writer)) error {
+	if !o.json {
+		t := tabwriter.NewWriter(o.w, 0, 0, 2, ' ', 0)
+		write(t)
+		return t.Flush()
+	}
+	data, err := protojson.MarshalOptions{
+		Multiline:       true,
+		EmitUnpopulated: true,
+	}.Marshal(m)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(o.w, string(data))
+	return err
+}
+
+// row prints one line of columns.
+func row(w io.Writer, columns ...any) {
+	for i, c := range columns {
+		if i > 0 {
+			_, _ = fmt.Fprint(w, "\t")
+		}
+		_, _ = fmt.Fprint(w, c)
+	}
+	_, _ = fmt.Fprintln(w)
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,122 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/baobabtally/baobabtally/internal/api"
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/policy"
+)
+
+// dialLimit is how long a connection to a peer may take.
+const dialLimit = 500 * time.Millisecond
+
+// Client calls other instances. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+	// mu guards peers, by address.
+	mu    sync.Mutex
+	peers map[string]api.Peer
+}
+
+// NewClient returns a client that shows secret to its peers.
+func NewClient(secret []byte) *Client {
+	return &Client{
+		http:  HTTP(secret),
+		peers: map[string]api.Peer{},
+	}
+}
+
+// Close drops the connections that are not in use.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Beat sends a pulse and returns the answer.
+func (c *Client) Beat(ctx context.Context, to member.Node, p state.Pulse) (state.Pulse, error) {
+	m, err := c.peer(to).Beat(ctx, EncodePulse(p))
+	if err != nil {
+		return state.Pulse{}, errors.Annotatef(err, "instance %s does not answer", to.Name)
+	}
+	return DecodePulse(m), nil
+}
+
+// Fetch returns the configuration that a peer holds.
+func (c *Client) Fetch(ctx context.Context, from member.Node) (policy.Document, error) {
+	m, err := c.peer(from).Fetch(ctx, &api.Nothing{})
+	if err != nil {
+		return policy.Document{}, errors.Annotatef(err, "instance %s does not answer", from.Name)
+	}
+	return DecodeDocument(m), nil
+}
+
+// Stage hands a configuration over and returns the version that the peer then holds.
+func (c *Client) Stage(ctx context.Context, to member.Node, m *api.Document) (int64, error) {
+	p, err := c.peer(to).Stage(ctx, m)
+	return p.GetVersion(), errors.Annotatef(err, "instance %s does not answer", to.Name)
+}
+
+func (c *Client) peer(n member.Node) api.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[n.Addr]
+	if p == nil {
+		p = api.NewPeerProtobufClient("http://"+n.Addr, c.http)
+		c.peers[n.Addr] = p
+	}
+	return p
+}
+
+// HTTP returns an HTTP client that shows secret with each call.
+func HTTP(secret []byte) *http.Client {
+	dialer := &net.Dialer{
+		Timeout: dialLimit,
+	}
+	return &http.Client{
+		Transport: bearer{
+			token: tokenOf(secret),
+			next: &http.Transport{
+				DialContext:         dialer.DialContext,
+				MaxIdleConnsPerHost: 2,
+				IdleConnTimeout:     10 * time.Second,
+			},
+		},
+	}
+}
+
+// Guard lets only those calls pass that show secret.
+func Guard(secret []byte, next http.Handler) http.Handler {
+	want := []byte("Bearer " + tokenOf(secret))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), want) != 1 {
+			http.Error(w, "show the operators' secret", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// bearer adds the token to each call.
+type bearer struct {
+	token string
+	next  *http.Transport
+}
+
+// RoundTrip sends r with the token.
+func (b bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+b.token)
+	return b.next.RoundTrip(r)
+}
+
+// CloseIdleConnections drops the connections that are not in use.
+func (b bearer) CloseIdleConnections() { b.next.CloseIdleConnections() }
+
+func tokenOf(secret []byte) string { return hex.EncodeToString(secret) }
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,105 @@
+package peer
+
+import (
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/baobabtally/baobabtally/internal/api"
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/alarm"
+	"github.com/baobabtally/baobabtally/pkg/load"
+	"github.com/baobabtally/baobabtally/pkg/policy"
+)
+
+// EncodePulse returns p as a message.
+func EncodePulse(p state.Pulse) *api.Pulse {
+	m := &api.Pulse{
+		Name:    p.Name,
+		Epoch:   p.Epoch,
+		Version: p.Version,
+		Leaving: p.Leaving,
+		Drained: p.Drained,
+		Beat:    p.Summary.Beat,
+		Work:    make(map[string]*api.Work, len(p.Summary.Work)),
+		Usage:   make(map[string]float32, len(p.Summary.Usage)),
+		Tally:   make(map[string]*api.Tally, len(p.Summary.Tally)),
+	}
+	for k, w := range p.Summary.Work {
+		m.Work[k] = &api.Work{
+			Calls:  uint32(w.Calls),
+			Tokens: uint32(w.Tokens),
+		}
+	}
+	for k, u := range p.Summary.Usage {
+		m.Usage[k] = float32(u)
+	}
+	for k, t := range p.Summary.Tally {
+		m.Tally[k] = &api.Tally{
+			Good: uint32(t.Good),
+			Bad:  uint32(t.Bad),
+		}
+	}
+	return m
+}
+
+// DecodePulse returns the pulse of a message.
+func DecodePulse(m *api.Pulse) state.Pulse {
+	p := state.Pulse{
+		Name:    m.GetName(),
+		Epoch:   m.GetEpoch(),
+		Version: m.GetVersion(),
+		Leaving: m.GetLeaving(),
+		Drained: m.GetDrained(),
+		Summary: state.Summary{
+			Beat:  m.GetBeat(),
+			Work:  make(map[string]load.Work, len(m.GetWork())),
+			Usage: make(map[string]float64, len(m.GetUsage())),
+			Tally: make(map[string]alarm.Tally, len(m.GetTally())),
+		},
+	}
+	for k, w := range m.GetWork() {
+		p.Summary.Work[k] = load.Work{
+			Calls:  int(w.GetCalls()),
+			Tokens: int(w.GetTokens()),
+		}
+	}
+	for k, u := range m.GetUsage() {
+		p.Summary.Usage[k] = float64(u)
+	}
+	for k, t := range m.GetTally() {
+		p.Summary.Tally[k] = alarm.Tally{
+			Good: int64(t.GetGood()),
+			Bad:  int64(t.GetBad()),
+		}
+	}
+	return p
+}
+
+// EncodeDocument returns d as a message.
+func EncodeDocument(d policy.Document) *api.Document {
+	return &api.Document{
+		Version: d.Version,
+		Change:  d.Change,
+		Author:  d.Author,
+		Text:    d.Text(),
+	}
+}
+
+// DecodeDocument returns the document of a message.
+func DecodeDocument(m *api.Document) policy.Document {
+	d, _ := policy.Decode(m.GetVersion(), m.GetChange(), m.GetAuthor(), m.GetText())
+	return d
+}
+
+// MarshalDocument returns m as it is kept in the table and the object store.
+func MarshalDocument(m *api.Document) ([]byte, error) {
+	data, err := proto.Marshal(m)
+	return data, errors.Trace(err)
+}
+
+// UnmarshalDocument reads what MarshalDocument wrote.
+func UnmarshalDocument(data []byte) (*api.Document, error) {
+	m := &api.Document{}
+	err := proto.Unmarshal(data, m)
+	return m, errors.Annotate(err, "the kept configuration is malformed: apply it again")
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/baobabtally/baobabtally/internal/api"
+	"github.com/baobabtally/baobabtally/internal/ctrl"
+	"github.com/baobabtally/baobabtally/internal/state"
+)
+
+// loop is the control thread as peers reach it.
+type loop interface {
+	View() *state.State
+	Post(e state.Event) bool
+	Tell(ctx context.Context, e state.Event) error
+}
+
+// Server answers other instances.
+type Server struct {
+	loop loop
+}
+
+// NewServer returns a server that speaks for l.
+func NewServer(l loop) Server {
+	return Server{
+		loop: l,
+	}
+}
+
+// Beat takes a pulse and answers with this instance's own.
+func (s Server) Beat(_ context.Context, m *api.Pulse) (*api.Pulse, error) {
+	s.loop.Post(DecodePulse(m))
+	return s.pulse(), nil
+}
+
+// Fetch returns the configuration in force.
+func (s Server) Fetch(context.Context, *api.Nothing) (*api.Document, error) {
+	return EncodeDocument(s.loop.View().Config.Document()), nil
+}
+
+// Stage puts a newer configuration in force and answers once it is.
+func (s Server) Stage(ctx context.Context, m *api.Document) (*api.Pulse, error) {
+	if s.loop.View().Config.Document().Version < m.GetVersion() {
+		found := state.NewFound(DecodeDocument(m))
+		if err := s.loop.Tell(ctx, found); err != nil {
+			return nil, err
+		}
+		if err := found.Wait(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return s.pulse(), nil
+}
+
+func (s Server) pulse() *api.Pulse { return EncodePulse(ctrl.PulseOf(*s.loop.View())) }
--- /dev/null
+++ b/internal/plat/list.go
@@ -0,0 +1,83 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"github.com/baobabtally/baobabtally/pkg/label"
+	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/store"
+)
+
+// Entry is a node as the platform's list encodes it.
+type Entry struct {
+	Name   string            `json:"name"`
+	Role   string            `json:"role"`
+	Addr   string            `json:"addr"`
+	Domain string            `json:"domain"`
+	State  string            `json:"state"`
+	Labels map[string]string `json:"labels,omitempty"`
+	Models []string          `json:"models,omitempty"`
+	Fences bool              `json:"fences,omitempty"`
+}
+
+// StateLeaving is the state of a node that is leaving.
+const StateLeaving = "leaving"
+
+// Node returns e as a node, or false where its role is not known.
+func (e Entry) Node() (member.Node, bool) {
+	role, ok := member.ParseRole(e.Role)
+	return member.Node{
+		Name:    e.Name,
+		Role:    role,
+		Addr:    e.Addr,
+		Domain:  e.Domain,
+		Labels:  label.FromMap(e.Labels),
+		Models:  e.Models,
+		Fences:  e.Fences,
+		Leaving: e.State == StateLeaving,
+	}, ok
+}
+
+// List is the platform's list of nodes.
+type List struct {
+	base string
+	http *http.Client
+}
+
+// NewList returns the list at the URL base.
+func NewList(base string) List {
+	return List{
+		base: strings.TrimSuffix(base, "/"),
+		http: newHTTP(),
+	}
+}
+
+// Close drops the connections that are not in use.
+func (l List) Close() { l.http.CloseIdleConnections() }
+
+// Nodes returns the nodes of the list.
+func (l List) Nodes(ctx context.Context) ([]member.Node, error) {
+	resp, _, err := do(ctx, l.http, http.MethodGet, l.base+"/v1/nodes", nil, nil)
+	if err != nil {
+		return nil, errors.Annotate(store.ErrUnavailable, err.Error())
+	}
+	if resp.status != http.StatusOK {
+		return nil, store.ErrUnavailable
+	}
+	var entries []Entry
+	if err := json.Unmarshal(resp.body, &entries); err != nil {
+		return nil, errors.Annotate(err, "the platform's list is malformed: check its address")
+	}
+	nodes := make([]member.Node, 0, len(entries))
+	for _, e := range entries {
+		if n, ok := e.Node(); ok {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes, nil
+}
--- /dev/null
+++ b/internal/plat/table.go
@@ -0,0 +1,149 @@
+package plat
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/baobabtally/baobabtally/pkg/store"
+)
+
+const (
+	// dialLimit is how long a connection may take.
+	dialLimit = 500 * time.Millisecond
+	// callLimit is how long a call may take.
+	callLimit = 1 * time.Second
+	// maxRow is the longest row or object, in bytes.
+	maxRow = 4 << 20
+)
+
+// Table is the platform's table service.
+type Table struct {
+	base string
+	http *http.Client
+}
+
+// NewTable returns the table at the URL base.
+func NewTable(base string) Table {
+	return Table{
+		base: strings.TrimSuffix(base, "/"),
+		http: newHTTP(),
+	}
+}
+
+// Close drops the connections that are not in use.
+func (t Table) Close() { t.http.CloseIdleConnections() }
+
+// Get returns the row key.
+func (t Table) Get(ctx context.Context, key string) (store.Row, error) {
+	resp, _, err := t.call(ctx, http.MethodGet, key, nil, nil)
+	if err != nil {
+		return store.Row{}, errors.Annotate(store.ErrUnavailable, err.Error())
+	}
+	switch resp.status {
+	case http.StatusOK:
+		return store.Row{
+			Key:     key,
+			Value:   resp.body,
+			Version: resp.version,
+		}, nil
+	case http.StatusNotFound:
+		return store.Row{}, store.ErrMissing
+	}
+	return store.Row{}, store.ErrUnavailable
+}
+
+// Put writes row if the table's version is row.Version, where 0 means that
+// there is no such row. It returns the new version.
+func (t Table) Put(ctx context.Context, row store.Row) (int64, error) {
+	header := http.Header{}
+	if row.Version == 0 {
+		header.Set("If-None-Match", "*")
+	} else {
+		header.Set("If-Match", etag(row.Version))
+	}
+	resp, sent, err := t.call(ctx, http.MethodPut, row.Key, header, row.Value)
+	switch {
+	case err != nil && sent:
+		return 0, errors.Annotate(store.ErrLost, err.Error())
+	case err != nil:
+		return 0, errors.Annotate(store.ErrUnavailable, err.Error())
+	}
+	switch resp.status {
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		return resp.version, nil
+	case http.StatusPreconditionFailed:
+		return 0, store.ErrConflict
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return 0, store.ErrUnavailable
+	}
+	return 0, store.ErrLost
+}
+
+// answer is a call's outcome.
+type answer struct {
+	status  int
+	version int64
+	body    []byte
+}
+
+// call returns the answer, or an error and whether any byte may have left.
+func (t Table) call(ctx context.Context, method, key string, header http.Header, body []byte) (answer, bool, error) {
+	return do(ctx, t.http, method, t.base+"/v1/rows/"+url.PathEscape(key), header, body)
+}
+
+func do(ctx context.Context, client *http.Client, method, target string, header http.Header, body []byte) (answer, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return answer{}, false, err
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{}, sent.Load(), err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxRow))
+	if err != nil {
+		return answer{}, true, err
+	}
+	version, _ := strconv.ParseInt(strings.Trim(resp.Header.Get("ETag"), `"`), 10, 64)
+	return answer{
+		status:  resp.StatusCode,
+		version: version,
+		body:    data,
+	}, true, nil
+}
+
+func etag(version int64) string { return `"` + strconv.FormatInt(version, 10) + `"` }
+
+func newHTTP() *http.Client {
+	dialer := &net.Dialer{
+		Timeout: dialLimit,
+	}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: 8,
+			IdleConnTimeout:     10 * time.Second,
+		},
+	}
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,194 @@
+package state
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/baobabtally/baobabtally/pkg/alarm"
+	"github.com/baobabtally/baobabtally/pkg/conf"
+	"github.com/baobabtally/baobabtally/pkg/lease"
+	"github.com/baobabtally/baobabtally/pkg/load"
+	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/prefix"
+)
+
+// Self is what an instance knows of itself from its settings.
+type Self struct {
+	// Name is the instance's name in the platform's list.
+	Name string
+	// Epoch identifies this incarnation of the instance.
+	Epoch string
+	// Domain is the instance's failure domain.
+	Domain string
+}
+
+// Incarnation returns the name and epoch in one word.
+func (s Self) Incarnation() string { return s.Name + "@" + s.Epoch }
+
+// State is all control state of one instance.
+type State struct {
+	// Self is the instance.
+	Self Self
+	// Members is the nodes and which endpoints take work.
+	Members member.Set
+	// Config is the configuration in force.
+	Config conf.State
+	// Index is the prefix index.
+	Index prefix.Index
+	// Loads is the load of endpoints as others report it.
+	Loads load.Table
+	// Alarms is the promises and their alarms.
+	Alarms alarm.Book
+	// Lease is the lease under which one instance gives orders and announces alarms.
+	Lease lease.Lease
+	// Fresh is up to when new work may be taken without hearing more.
+	Fresh time.Time
+	// Leaving tells that the instance takes no new work.
+	Leaving bool
+	// Own is what the instance tells its peers.
+	Own Summary
+	// peers is what is known of other instances. Invariant: never written.
+	peers map[string]Peer
+}
+
+// Peer is what is known of another instance.
+type Peer struct {
+	// Epoch is its incarnation.
+	Epoch string
+	// Heard is when the last call that it answered was sent.
+	Heard time.Time
+	// Beat is the number of its last pulse.
+	Beat uint64
+}
+
+// Summary is what an instance tells its peers of an interval.
+type Summary struct {
+	// Beat counts the summaries of an incarnation.
+	Beat uint64
+	// Work is this instance's work by endpoint.
+	Work map[string]load.Work
+	// Usage is the cost a second that was served, by team.
+	Usage map[string]float64
+	// Tally is the outcomes by policy.
+	Tally map[string]alarm.Tally
+}
+
+// New returns the state of an instance that just started.
+func New(self Self) State {
+	return State{
+		Self:  self,
+		Lease: lease.New("lease/orders", self.Incarnation()),
+	}
+}
+
+// WithMembers returns a copy of s with m.
+func (s State) WithMembers(m member.Set) State {
+	s.Members = m
+	return s
+}
+
+// WithConfig returns a copy of s with c.
+func (s State) WithConfig(c conf.State) State {
+	s.Config = c
+	return s
+}
+
+// WithIndex returns a copy of s with ix.
+func (s State) WithIndex(ix prefix.Index) State {
+	s.Index = ix
+	return s
+}
+
+// WithLoads returns a copy of s with t.
+func (s State) WithLoads(t load.Table) State {
+	s.Loads = t
+	return s
+}
+
+// WithAlarms returns a copy of s with b.
+func (s State) WithAlarms(b alarm.Book) State {
+	s.Alarms = b
+	return s
+}
+
+// WithLease returns a copy of s with l.
+func (s State) WithLease(l lease.Lease) State {
+	s.Lease = l
+	return s
+}
+
+// WithOwn returns a copy of s with the summary o.
+func (s State) WithOwn(o Summary) State {
+	s.Own = o
+	return s
+}
+
+// WithLeaving returns a copy of s that takes no new work.
+func (s State) WithLeaving() State {
+	s.Leaving = true
+	return s
+}
+
+// WithPeer returns a copy of s that knows p of the instance name.
+func (s State) WithPeer(name string, p Peer) State {
+	next := maps.Clone(s.peers)
+	if next == nil {
+		next = map[string]Peer{}
+	}
+	next[name] = p
+	s.peers = next
+	return s
+}
+
+// WithFresh returns a copy of s in which Fresh follows from what was heard.
+func (s State) WithFresh() State {
+	var heard []time.Time
+	for _, n := range s.Others() {
+		heard = append(heard, s.peers[n].Heard)
+	}
+	s.Fresh = s.Config.Until(heard)
+	return s
+}
+
+// Peer returns what is known of the instance name.
+func (s State) Peer(name string) Peer { return s.peers[name] }
+
+// Others returns the names of the other instances in the platform's list, in order.
+func (s State) Others() []string {
+	var out []string
+	for _, n := range s.Members.Nodes(member.Instance) {
+		if n.Node.Name != s.Self.Name {
+			out = append(out, n.Node.Name)
+		}
+	}
+	return out
+}
+
+// Live returns how many instances, this one included, answer.
+func (s State) Live(now time.Time) int { return len(s.Members.Live(s.Self.Name, now)) + 1 }
+
+// Alive tells whether the given incarnation of an instance runs at now.
+func (s State) Alive(incarnation string, now time.Time) bool {
+	if incarnation == s.Self.Incarnation() {
+		return true
+	}
+	for _, name := range s.Others() {
+		if incarnation == name+"@"+s.peers[name].Epoch {
+			return slices.Contains(s.Members.Live(s.Self.Name, now), name)
+		}
+	}
+	return false
+}
+
+// Ready tells whether the instance may take new work at now, and why not. An
+// instance that is stopping still takes what the balancer sends it.
+func (s State) Ready(now time.Time) (bool, string) {
+	switch {
+	case !s.Config.Loaded():
+		return false, "no configuration was found in the table, the object store or at a peer"
+	case !now.Before(s.Fresh):
+		return false, "neither the table nor a majority of the instances was heard lately"
+	}
+	return true, ""
+}
--- a/pkg/chain/request.go
+++ b/pkg/chain/request.go
@@ -67,6 +67,8 @@
 	Policy policy.Policy
 	// Hashes are the block hashes of the prompt, set by the match filter.
 	Hashes []uint64
+	// Version is the version of weights for which Hashes were made.
+	Version string
 }
 
 // Resume names a stream and the offset of the next chunk that the caller wants.
@@ -77,6 +79,8 @@
 	Attempt string
 	// Offset is the number of chunks that the caller has.
 	Offset int
+	// Team is whose stream it is.
+	Team string
 }
 
 // Active tells whether r resumes a stream.
@@ -95,9 +99,11 @@
 	return r
 }
 
-// WithHashes returns a copy of r with the block hashes of its prompt.
-func (r Request) WithHashes(h []uint64) Request {
+// WithHashes returns a copy of r with the block hashes of its prompt for a
+// version of weights.
+func (r Request) WithHashes(h []uint64, version string) Request {
 	r.Hashes = h
+	r.Version = version
 	return r
 }
 
@@ -119,14 +125,15 @@
 
 // Chunk is a part of an answer.
 type Chunk struct {
-	// Offset counts the chunks of a stream from 0.
-	Offset int
-	// Data is the encoded part as the caller gets it.
+	// Data is the encoded part: the choices of a completion, or a part of a
+	// service's body.
 	Data []byte
 	// Text is the generated text of the part.
 	Text string
-	// End tells that no chunk follows.
+	// End tells that no chunk follows. An end chunk may carry no data.
 	End bool
+	// Next is where a resumed stream goes on after this chunk.
+	Next Resume
 }
 
 // Result is what is known of a request after it was served.
--- /dev/null
+++ b/pkg/member/node.go
@@ -0,0 +1,80 @@
+package member
+
+import (
+	"time"
+
+	"github.com/baobabtally/baobabtally/pkg/label"
+)
+
+// Role is what a node does.
+type Role uint8
+
+const (
+	// Instance is an entry instance of the router.
+	Instance Role = iota
+	// Engine is a language-model engine.
+	Engine
+	// Service is an engine of a plain service.
+	Service
+)
+
+// String returns the role as it stands in the platform's list.
+func (r Role) String() string { return [...]string{"instance", "engine", "service"}[r%3] }
+
+// ParseRole reads a role of the platform's list.
+func ParseRole(s string) (Role, bool) {
+	for _, r := range [...]Role{Instance, Engine, Service} {
+		if r.String() == s {
+			return r, true
+		}
+	}
+	return Instance, false
+}
+
+// Node is an instance or an endpoint as the platform's list shows it.
+type Node struct {
+	// Name is unique over all nodes.
+	Name string
+	// Role is what the node does.
+	Role Role
+	// Addr is the node's IP address and port.
+	Addr string
+	// Domain is the node's failure domain.
+	Domain string
+	// Labels are what operators attached to the node.
+	Labels label.Set
+	// Models are the models or the services that an endpoint serves.
+	Models []string
+	// Fences tells whether an endpoint refuses orders with an old fencing number.
+	Fences bool
+	// Leaving is what the list says.
+	Leaving bool
+}
+
+// Report is what a node says of itself.
+type Report struct {
+	// Epoch identifies the incarnation of the node and the version of its weights.
+	Epoch string
+	// Version is the version of an engine's weights.
+	Version string
+	// Leaving tells that the node takes no new work.
+	Leaving bool
+	// Slots is how many calls the node runs at once.
+	Slots int
+	// Prefill is the rate, in tokens a second, at which an engine reads prompts.
+	Prefill float64
+	// Step is the time between two tokens of an engine at its usual load.
+	Step time.Duration
+}
+
+// Endpoint is a node that serves requests, with what it says of itself.
+type Endpoint struct {
+	// Node is the list's view.
+	Node Node
+	// Report is the endpoint's own view; the zero value before the first one.
+	Report Report
+	// Hash places the endpoint in rendezvous hashing.
+	Hash uint64
+	// Suspect is when calls may be sent again after failures.
+	Suspect time.Time
+}
--- /dev/null
+++ b/pkg/member/set.go
@@ -0,0 +1,259 @@
+package member
+
+import (
+	"maps"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// failuresToSuspect is how many failed calls in a row make a suspect.
+	failuresToSuspect = 2
+	// firstSuspicion is how long a new suspect gets no calls; it doubles with
+	// each further failure up to lastSuspicion.
+	firstSuspicion = 500 * time.Millisecond
+	lastSuspicion  = 8 * time.Second
+	// keepShare is the share of a pool that stays although others say it is leaving.
+	keepShare = 0.5
+	// Silence is how long an instance may be unheard before it counts as gone.
+	Silence = 2 * time.Second
+)
+
+// Set is the nodes that are known. The zero value is empty.
+type Set struct {
+	// entries is by name. Invariant: never written once published.
+	entries map[string]entry
+	// pools holds the endpoints that take new work, by model. It is derived
+	// from entries. Invariant: never written once published.
+	pools map[string][]Endpoint
+	// versions is the version of weights that most endpoints of a model have.
+	versions map[string]string
+}
+
+type entry struct {
+	node   Node
+	report Report
+	// heard is when the node last answered.
+	heard time.Time
+	// accused is when a peer last said that the node is leaving.
+	accused time.Time
+	// failures counts failed calls since the last good one.
+	failures int
+	// suspect is when calls may be sent again.
+	suspect time.Time
+}
+
+// WithList returns a copy of s with the nodes of the platform's list. Nodes
+// that the list lacks are dropped.
+func (s Set) WithList(nodes []Node) Set {
+	next := make(map[string]entry, len(nodes))
+	for _, n := range nodes {
+		e := s.entries[n.Name]
+		if e.node.Addr != n.Addr {
+			e = entry{}
+		}
+		e.node = n
+		next[n.Name] = e
+	}
+	return build(next)
+}
+
+// WithReport returns a copy of s in which name said r of itself.
+func (s Set) WithReport(name string, r Report, now time.Time) Set {
+	e, ok := s.entries[name]
+	if !ok {
+		return s
+	}
+	e.report = r
+	e.heard = now
+	e.failures = 0
+	e.suspect = time.Time{}
+	return s.with(name, e)
+}
+
+// WithAccused returns a copy of s in which a peer said that name is leaving.
+func (s Set) WithAccused(name string, now time.Time) Set {
+	e, ok := s.entries[name]
+	if !ok {
+		return s
+	}
+	e.accused = now
+	return s.with(name, e)
+}
+
+// WithFailure returns a copy of s in which a call to name failed.
+func (s Set) WithFailure(name string, now time.Time) Set {
+	e, ok := s.entries[name]
+	if !ok {
+		return s
+	}
+	e.failures++
+	if e.failures >= failuresToSuspect {
+		wait := firstSuspicion << min(e.failures-failuresToSuspect, 4)
+		e.suspect = now.Add(min(wait, lastSuspicion))
+	}
+	return s.with(name, e)
+}
+
+// WithSuccess returns a copy of s in which name answered a call.
+func (s Set) WithSuccess(name string, now time.Time) Set {
+	e, ok := s.entries[name]
+	if !ok {
+		return s
+	}
+	e.heard = now
+	e.failures = 0
+	e.suspect = time.Time{}
+	return s.with(name, e)
+}
+
+// Pool returns the endpoints that take new work for model. The slice must not
+// be written.
+func (s Set) Pool(model string) []Endpoint { return s.pools[model] }
+
+// Version returns the version of weights that most endpoints of model have.
+func (s Set) Version(model string) string { return s.versions[model] }
+
+// Serves tells whether any node of the list, also a leaving one, serves model.
+func (s Set) Serves(model string) bool {
+	for _, e := range s.entries {
+		if e.node.Role != Instance && slices.Contains(e.node.Models, model) {
+			return true
+		}
+	}
+	return false
+}
+
+// Models returns the models and services that some endpoint serves, in order.
+func (s Set) Models() []string { return slices.Sorted(maps.Keys(s.pools)) }
+
+// Find returns the node called name.
+func (s Set) Find(name string) (Endpoint, bool) {
+	e, ok := s.entries[name]
+	return e.endpoint(), ok
+}
+
+// Nodes returns all nodes of role r in the order of their names.
+func (s Set) Nodes(r Role) []Endpoint {
+	var out []Endpoint
+	for _, e := range s.entries {
+		if e.node.Role == r {
+			out = append(out, e.endpoint())
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Node.Name < out[j].Node.Name })
+	return out
+}
+
+// Heard returns when name last answered, or the zero time.
+func (s Set) Heard(name string) time.Time { return s.entries[name].heard }
+
+// Live returns the names of the instances other than self that were heard
+// within Silence and are not leaving, in order.
+func (s Set) Live(self string, now time.Time) []string {
+	var out []string
+	for name, e := range s.entries {
+		if e.node.Role != Instance || name == self || e.report.Leaving {
+			continue
+		}
+		if !e.heard.IsZero() && now.Sub(e.heard) <= Silence {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Leaving returns the names of the endpoints that said they are leaving.
+func (s Set) Leaving() []string {
+	var out []string
+	for name, e := range s.entries {
+		if e.node.Role != Instance && e.report.Leaving {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (s Set) with(name string, e entry) Set {
+	next := maps.Clone(s.entries)
+	next[name] = e
+	return build(next)
+}
+
+func (e entry) endpoint() Endpoint {
+	return Endpoint{
+		Node:    e.node,
+		Report:  e.report,
+		Hash:    xxhash.Sum64String(e.node.Name),
+		Suspect: e.suspect,
+	}
+}
+
+// blamed tells whether others say that the node is leaving, and the node did
+// not say otherwise since.
+func (e entry) blamed() bool {
+	return e.node.Leaving || e.accused.After(e.heard)
+}
+
+// build derives the pools from the entries.
+func build(entries map[string]entry) Set {
+	all := map[string][]entry{}
+	for _, e := range entries {
+		if e.node.Role == Instance || e.report.Leaving {
+			continue
+		}
+		for _, m := range e.node.Models {
+			all[m] = append(all[m], e)
+		}
+	}
+	pools := make(map[string][]Endpoint, len(all))
+	versions := make(map[string]string, len(all))
+	for m, es := range all {
+		pools[m] = pool(es)
+		versions[m] = usual(pools[m])
+	}
+	return Set{
+		entries:  entries,
+		pools:    pools,
+		versions: versions,
+	}
+}
+
+// usual returns the version that most endpoints have, the greatest among equals.
+func usual(es []Endpoint) string {
+	count := map[string]int{}
+	best := ""
+	for _, e := range es {
+		count[e.Report.Version]++
+	}
+	for v, n := range count {
+		if n > count[best] || n == count[best] && v > best {
+			best = v
+		}
+	}
+	return best
+}
+
+// pool leaves out those that others say are leaving, unless too few remain.
+func pool(es []entry) []Endpoint {
+	blamed := 0
+	for _, e := range es {
+		if e.blamed() {
+			blamed++
+		}
+	}
+	keepAll := float64(len(es)-blamed) < keepShare*float64(len(es))
+	out := make([]Endpoint, 0, len(es))
+	for _, e := range es {
+		if keepAll || !e.blamed() {
+			out = append(out, e.endpoint())
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Node.Name < out[j].Node.Name })
+	return out
+}
--- /dev/null
+++ b/pkg/prefix/chain.go
@@ -0,0 +1,45 @@
+package prefix
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// BlockBytes is the length of a block of the prompt.
+	BlockBytes = 256
+	// BlockTokens is the estimated number of tokens in a block.
+	BlockTokens = BlockBytes / TokenBytes
+	// TokenBytes is the estimated length of a token.
+	TokenBytes = 4
+	// maxBlocks bounds the work for one prompt; longer prompts are routed by
+	// their first blocks.
+	maxBlocks = 1024
+)
+
+// Salt returns the seed that keeps the prefixes of teams, models and versions
+// of weights apart. Engines get the same salt with each call.
+func Salt(team, model, version string) string { return team + "/" + model + "/" + version }
+
+// Chain returns the hash of each whole block of prompt. Each hash covers the
+// salt and all blocks up to its own.
+func Chain(salt string, prompt []byte) []uint64 {
+	n := min(len(prompt)/BlockBytes, maxBlocks)
+	if n == 0 {
+		return nil
+	}
+	hashes := make([]uint64, n)
+	prev := xxhash.Sum64String(salt)
+	var buf [8 + BlockBytes]byte
+	for i := range hashes {
+		binary.LittleEndian.PutUint64(buf[:8], prev)
+		copy(buf[8:], prompt[i*BlockBytes:(i+1)*BlockBytes])
+		prev = xxhash.Sum64(buf[:])
+		hashes[i] = prev
+	}
+	return hashes
+}
+
+// Tokens returns the estimated number of tokens in n bytes of a prompt.
+func Tokens(n int) int { return (n + TokenBytes - 1) / TokenBytes }
--- /dev/null
+++ b/pkg/route/favour.go
@@ -0,0 +1,54 @@
+package route
+
+import (
+	"slices"
+
+	"github.com/baobabtally/baobabtally/pkg/member"
+)
+
+// ranked is an endpoint with its weight in rendezvous hashing.
+type ranked struct {
+	name   string
+	index  int
+	weight uint64
+}
+
+// favour appends the endpoints that rendezvous hashing favours for the upper
+// level of q's prefix, best first.
+func favour(top []ranked, q Query, pool []member.Endpoint) []ranked {
+	if len(q.Hashes) == 0 {
+		return top
+	}
+	key := q.Hashes[0]
+	for i, e := range pool {
+		w := mix(key ^ e.Hash)
+		if len(top) == favoured && w <= top[favoured-1].weight {
+			continue
+		}
+		if !q.allows(e) {
+			continue
+		}
+		if len(top) == favoured {
+			top = top[:favoured-1]
+		}
+		at := 0
+		for at < len(top) && top[at].weight >= w {
+			at++
+		}
+		top = slices.Insert(top, at, ranked{
+			name:   e.Node.Name,
+			index:  i,
+			weight: w,
+		})
+	}
+	return top
+}
+
+// mix spreads the bits of x over the whole word (the finaliser of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/pkg/store/store.go
@@ -0,0 +1,24 @@
+package store
+
+import "github.com/juju/errors"
+
+const (
+	// ErrConflict means that the row's version was another one.
+	ErrConflict = errors.ConstError("the row has another version: read it and decide again")
+	// ErrMissing means that there is no such row.
+	ErrMissing = errors.ConstError("there is no such row")
+	// ErrUnavailable means that the table did not take the call.
+	ErrUnavailable = errors.ConstError("the table does not answer and took nothing: retry later")
+	// ErrLost means that the answer was lost and the write may have happened.
+	ErrLost = errors.ConstError("the table's answer was lost: read the row back to settle it")
+)
+
+// Row is a row of the table.
+type Row struct {
+	// Key is unique in the table.
+	Key string
+	// Value is opaque to the table.
+	Value []byte
+	// Version grows with each write. It is above 0 for a row that exists.
+	Version int64
+}
