--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -88,6 +88,11 @@
 	return func(s *Server) { s.gauge = g }
 }
 
+// WithClock has the server read the time from now.
+func WithClock(now func() time.Time) Option {
+	return func(s *Server) { s.now = now }
+}
+
 // WithLog has the server log to l.
 func WithLog(l zerolog.Logger) Option {
 	return func(s *Server) { s.log = l }
--- a/internal/daemon/doer.go
+++ b/internal/core/doer.go
@@ -1,17 +1,14 @@
-package daemon
+package core
 
 import (
 	"context"
-	"time"
 
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/baobabtally/baobabtally/internal/admin"
-	"github.com/baobabtally/baobabtally/internal/client"
 	"github.com/baobabtally/baobabtally/internal/filter"
 	"github.com/baobabtally/baobabtally/internal/peer"
-	"github.com/baobabtally/baobabtally/internal/plat"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/store"
@@ -19,14 +16,10 @@
 
 // doer does the actions of the control thread.
 type doer struct {
-	table  plat.Table
-	object plat.Object
-	list   plat.List
-	peers  *peer.Client
-	ends   *client.Client
-	gauge  *load.Gauge
-	tally  *filter.Tally
-	log    zerolog.Logger
+	parts Parts
+	gauge *load.Gauge
+	tally *filter.Tally
+	log   zerolog.Logger
 }
 
 // Do does a and returns its event.
@@ -59,7 +52,7 @@
 }
 
 func (d doer) askList(ctx context.Context) state.Event {
-	nodes, err := d.list.Nodes(ctx)
+	nodes, err := d.parts.List.Nodes(ctx)
 	if err != nil {
 		d.failed("list", err)
 		return nil
@@ -70,7 +63,7 @@
 }
 
 func (d doer) askLoad(ctx context.Context, a state.AskLoad) state.Event {
-	report, work, err := d.ends.Load(ctx, a.Endpoint.Node)
+	report, work, err := d.parts.Ends.Load(ctx, a.Endpoint.Node)
 	return state.Reported{
 		Endpoint: a.Endpoint.Node.Name,
 		Report:   report,
@@ -80,7 +73,7 @@
 }
 
 func (d doer) askCache(ctx context.Context, a state.AskCache) state.Event {
-	e, err := d.ends.Events(ctx, a.Endpoint.Node, a.After)
+	e, err := d.parts.Ends.Events(ctx, a.Endpoint.Node, a.After)
 	if err != nil || len(e.Events) == 0 {
 		return nil
 	}
@@ -88,7 +81,7 @@
 }
 
 func (d doer) collect() state.Event {
-	tally, usage := d.tally.Take(time.Now())
+	tally, usage := d.tally.Take(d.parts.Now())
 	return state.Collected{
 		Summary: state.Summary{
 			Work:  d.gauge.All(),
@@ -99,8 +92,8 @@
 }
 
 func (d doer) sendPulse(ctx context.Context, a state.SendPulse) state.Event {
-	sent := time.Now()
-	p, err := d.peers.Beat(ctx, a.To, a.Pulse)
+	sent := d.parts.Now()
+	p, err := d.parts.Peers.Beat(ctx, a.To, a.Pulse)
 	if err != nil {
 		return nil
 	}
@@ -109,8 +102,8 @@
 }
 
 func (d doer) readConfig(ctx context.Context) state.Event {
-	sent := time.Now()
-	row, err := d.table.Get(ctx, admin.Key)
+	sent := d.parts.Now()
+	row, err := d.parts.Table.Get(ctx, admin.Key)
 	if errors.Is(err, store.ErrMissing) {
 		return state.Read{
 			Sent: sent,
@@ -132,11 +125,11 @@
 }
 
 func (d doer) readObject(ctx context.Context) state.Event {
-	keys, err := d.object.Last(ctx, admin.Prefix, "1")
+	keys, err := d.parts.Object.Last(ctx, admin.Prefix, "1")
 	if err != nil || len(keys) == 0 {
 		return nil
 	}
-	data, err := d.object.Get(ctx, keys[0])
+	data, err := d.parts.Object.Get(ctx, keys[0])
 	if err != nil {
 		return nil
 	}
@@ -150,7 +143,7 @@
 }
 
 func (d doer) fetch(ctx context.Context, a state.Fetch) state.Event {
-	doc, err := d.peers.Fetch(ctx, a.From)
+	doc, err := d.parts.Peers.Fetch(ctx, a.From)
 	if err != nil {
 		return nil
 	}
@@ -164,9 +157,9 @@
 		Op: a.Op,
 	}
 	if a.Op.Put {
-		e.Version, e.Err = d.table.Put(ctx, a.Op.Row)
+		e.Version, e.Err = d.parts.Table.Put(ctx, a.Op.Row)
 	} else {
-		e.Row, e.Err = d.table.Get(ctx, a.Op.Row.Key)
+		e.Row, e.Err = d.parts.Table.Get(ctx, a.Op.Row.Key)
 	}
 	return e
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,21 +12,16 @@
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
-	"github.com/baobabtally/baobabtally/internal/admin"
 	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/client"
-	"github.com/baobabtally/baobabtally/internal/ctrl"
-	"github.com/baobabtally/baobabtally/internal/filter"
+	"github.com/baobabtally/baobabtally/internal/core"
 	"github.com/baobabtally/baobabtally/internal/front"
 	"github.com/baobabtally/baobabtally/internal/meter"
 	"github.com/baobabtally/baobabtally/internal/peer"
 	"github.com/baobabtally/baobabtally/internal/plat"
 	"github.com/baobabtally/baobabtally/internal/setup"
 	"github.com/baobabtally/baobabtally/internal/state"
-	"github.com/baobabtally/baobabtally/pkg/chain"
-	"github.com/baobabtally/baobabtally/pkg/claim"
 	"github.com/baobabtally/baobabtally/pkg/invar"
-	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/stream"
 )
 
@@ -45,11 +40,17 @@
 type Instance struct {
 	settings setup.Settings
 	log      zerolog.Logger
-	loop     *ctrl.Loop
+	core     *core.Core
 	server   *http.Server
-	doer     doer
 	meter    *meter.Meter
-	done     chan struct{}
+	// closers drop idle connections at the end.
+	closers []closer
+	done    chan struct{}
+}
+
+// closer drops the connections that are not in use.
+type closer interface {
+	Close()
 }
 
 // New returns an instance that does nothing before Run.
@@ -62,28 +63,32 @@
 	if err != nil {
 		return nil, err
 	}
+	table, object, list := plat.NewTable(s.Table), plat.NewObject(s.Object), plat.NewList(s.List)
+	peers := peer.NewClient(secret)
+	ends := client.New(client.WithGap(time.Duration(s.Gap)), client.WithFirst(time.Duration(s.First)))
 	i := &Instance{
 		settings: s,
 		log:      log,
 		meter:    m,
 		done:     make(chan struct{}),
-		doer: doer{
-			table:  plat.NewTable(s.Table),
-			object: plat.NewObject(s.Object),
-			list:   plat.NewList(s.List),
-			peers:  peer.NewClient(secret),
-			ends:   client.New(client.WithGap(time.Duration(s.Gap)), client.WithFirst(time.Duration(s.First))),
-			gauge:  &load.Gauge{},
-			tally:  &filter.Tally{},
-			log:    log,
-		},
-	}
-	self := state.Self{
-		Name:   s.Name,
-		Epoch:  uuid.NewString(),
-		Domain: s.Domain,
+		closers:  []closer{table, object, list, peers, ends},
+		core: core.New(core.Parts{
+			Self: state.Self{
+				Name:   s.Name,
+				Epoch:  uuid.NewString(),
+				Domain: s.Domain,
+			},
+			Table:    table,
+			Object:   object,
+			List:     list,
+			Peers:    peers,
+			Ends:     ends,
+			Callers:  newCallers(s.Callers),
+			Meter:    m,
+			Log:      log,
+			Distance: time.Duration(s.Distance),
+		}),
 	}
-	i.loop = ctrl.New(state.New(self), i.doer)
 	i.server = i.serve(secret)
 	return i, nil
 }
@@ -100,7 +105,7 @@
 	var group run.Group
 	control, stopControl := context.WithCancel(context.Background())
 	group.Add(func() error {
-		return i.loop.Run(control)
+		return i.core.Loop.Run(control)
 	}, func(error) { stopControl() })
 	group.Add(func() error {
 		err := i.server.Serve(l)
@@ -126,7 +131,7 @@
 	begin := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
 	defer cancel()
-	if err := i.loop.Tell(ctx, state.Stopping{}); err != nil {
+	if err := i.core.Loop.Tell(ctx, state.Stopping{}); err != nil {
 		return nil
 	}
 	time.Sleep(time.Duration(i.settings.Linger))
@@ -136,11 +141,9 @@
 }
 
 func (i *Instance) close() {
-	i.doer.table.Close()
-	i.doer.object.Close()
-	i.doer.list.Close()
-	i.doer.peers.Close()
-	i.doer.ends.Close()
+	for _, c := range i.closers {
+		c.Close()
+	}
 	_ = i.meter.Close(context.Background())
 }
 
@@ -153,17 +156,10 @@
 // serve returns the HTTP server for callers, peers and operators.
 func (i *Instance) serve(secret []byte) *http.Server {
 	e := echo.New()
-	front.Mount(e, i.chain(), i.loop, stream.NewSigner(secret))
+	front.Mount(e, i.core.Handler, i.core.Loop, stream.NewSigner(secret))
 	e.GET("/metrics", echo.WrapHandler(i.meter.Handler()))
-	ops := admin.New(i.loop,
-		admin.WithTable(i.doer.table),
-		admin.WithObject(i.doer.object),
-		admin.WithPeers(i.doer.peers),
-		admin.WithOrders(i.doer.ends),
-		admin.WithGauge(i.doer.gauge),
-		admin.WithLog(i.log))
-	e.POST(api.PeerPathPrefix+"*", echo.WrapHandler(peer.Guard(secret, api.NewPeerServer(peer.NewServer(i.loop)))))
-	e.POST(api.AdminPathPrefix+"*", echo.WrapHandler(peer.Guard(secret, api.NewAdminServer(ops))))
+	e.POST(api.PeerPathPrefix+"*", echo.WrapHandler(peer.Guard(secret, api.NewPeerServer(i.core.Peer))))
+	e.POST(api.AdminPathPrefix+"*", echo.WrapHandler(peer.Guard(secret, api.NewAdminServer(i.core.Admin))))
 	return &http.Server{
 		Handler:           e,
 		ReadHeaderTimeout: headerLimit,
@@ -171,34 +167,3 @@
 		MaxHeaderBytes:    maxHeader,
 	}
 }
-
-// chain returns the filter chain.
-func (i *Instance) chain() chain.Handler {
-	d := i.doer
-	end := filter.NewDispatch(i.loop, d.ends, d.gauge, uuid.NewString,
-		filter.WithDistance(time.Duration(i.settings.Distance)),
-		filter.WithLog(i.log))
-	living := alive{
-		loop: i.loop,
-	}
-	book := claim.New(d.table, living, i.loop.View().Self.Incarnation(), uuid.NewString)
-	return chain.Build(end,
-		filter.NewIdentify(newCallers(i.settings.Callers)),
-		filter.NewReady(i.loop, time.Now),
-		filter.NewMatch(i.loop),
-		filter.NewAccount(d.tally, i.meter),
-		filter.NewLimit(i.loop, time.Now),
-		filter.NewClaim(book, i.log),
-		filter.NewGate(i.loop, d.tally, time.Now, i.log),
-	)
-}
-
-// alive tells which incarnations of instances run, from the control state.
-type alive struct {
-	loop *ctrl.Loop
-}
-
-// Alive tells whether incarnation runs.
-func (a alive) Alive(incarnation string) bool {
-	return a.loop.View().Alive(incarnation, time.Now())
-}
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -117,6 +117,8 @@
 		Int("cached", c.Cached).Int("missed", c.Missed).Stringer("wait", c.Wait.Round(time.Microsecond)).
 		Int("considered", c.Considered).Int("attempt", len(tried)+1).Send()
 	invar.That(!c.Endpoint.Report.Leaving, invar.Drain, "%s was chosen for %s and is leaving", c.Endpoint.Node.Name, r.ID)
+	invar.That(c.Blocks == 0 || c.Epoch == c.Endpoint.Report.Epoch, invar.Cache,
+		"%s was chosen for entries of epoch %s and is in %s", c.Endpoint.Node.Name, c.Epoch, c.Endpoint.Report.Epoch)
 	return c, nil
 }
 
--- a/pkg/prefix/index.go
+++ b/pkg/prefix/index.go
@@ -58,6 +58,8 @@
 type Hit struct {
 	// Endpoint is the endpoint's name.
 	Endpoint string
+	// Epoch is the endpoint's epoch in which it stored them.
+	Epoch string
 	// Blocks is how many leading blocks it holds. Invariant: above 0.
 	Blocks int
 }
@@ -89,7 +91,7 @@
 				if !ix.believed(h, now) {
 					continue
 				}
-				if extend(&buf, h.endpoint, i) {
+				if extend(&buf, h, i) {
 					grown = true
 				}
 			}
@@ -101,11 +103,11 @@
 	return buf
 }
 
-// extend counts block i for endpoint if all blocks before it were counted.
-func extend(hits *[]Hit, endpoint string, i int) bool {
+// extend counts block i for its holder if all blocks before it were counted.
+func extend(hits *[]Hit, of holder, i int) bool {
 	for j := range *hits {
 		h := &(*hits)[j]
-		if h.Endpoint != endpoint {
+		if h.Endpoint != of.endpoint {
 			continue
 		}
 		if h.Blocks == i {
@@ -118,7 +120,8 @@
 		return false
 	}
 	*hits = append(*hits, Hit{
-		Endpoint: endpoint,
+		Endpoint: of.endpoint,
+		Epoch:    of.epoch,
 		Blocks:   1,
 	})
 	return true
@@ -204,6 +207,12 @@
 	return src.seq
 }
 
+// Epoch returns the epoch whose entries of endpoint are believed.
+func (ix Index) Epoch(endpoint string) string {
+	src, _ := ix.source(endpoint)
+	return src.epoch
+}
+
 // WithOutcome returns a copy of ix that learned from an answer: endpoint was
 // believed to hold expected blocks of hashes and held only actual.
 func (ix Index) WithOutcome(endpoint, epoch string, hashes []uint64, expected, actual int) Index {
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -77,6 +77,8 @@
 	Cached int
 	// Blocks is the number of blocks that are believed to be cached.
 	Blocks int
+	// Epoch is the endpoint's epoch in which they were stored.
+	Epoch string
 	// Missed is the number of prompt tokens to be read.
 	Missed int
 	// Wait is the expected wait before the prompt is read.
@@ -209,6 +211,7 @@
 		if h.Endpoint == e.Node.Name {
 			c.Reason = ByPrefix
 			c.Blocks = h.Blocks
+			c.Epoch = h.Epoch
 			c.Cached = min(h.Blocks*prefix.BlockTokens, q.Tokens)
 		}
 	}
