--- a/internal/ctrl/loop.go
+++ b/internal/ctrl/loop.go
@@ -48,6 +48,9 @@
 	running map[string]bool
 	ended   chan string
 	workers sync.WaitGroup
+	// started is closed when the state is ready for the first time.
+	started chan struct{}
+	once    sync.Once
 	done    chan struct{}
 }
 
@@ -73,6 +76,7 @@
 		events:      make(chan state.Event, backlog),
 		running:     map[string]bool{},
 		ended:       make(chan string),
+		started:     make(chan struct{}),
 		done:        make(chan struct{}),
 	}
 	for _, o := range opts {
@@ -109,6 +113,9 @@
 	}
 }
 
+// Started is closed when the instance can take work for the first time.
+func (l *Loop) Started() <-chan struct{} { return l.started }
+
 // Dropped returns how many events were dropped.
 func (l *Loop) Dropped() int64 { return l.dropped.Load() }
 
@@ -162,6 +169,9 @@
 	start := time.Now()
 	next, actions := Step(l.controllers, *l.view.Load(), e, l.now())
 	l.view.Store(&next)
+	if ok, _ := next.Ready(l.now()); ok {
+		l.once.Do(func() { close(l.started) })
+	}
 	if w, ok := e.(waited); ok {
 		w.Published()
 	}
--- a/internal/filter/admit.go
+++ b/internal/filter/admit.go
@@ -10,8 +10,12 @@
 	"github.com/baobabtally/baobabtally/pkg/prefix"
 )
 
-// staleRetry is when a caller may try again while this instance is not ready.
-const staleRetry = 1 * time.Second
+const (
+	// staleRetry is when a caller may try again while this instance is not ready.
+	staleRetry = 1 * time.Second
+	// startWait is how long a call waits for an instance that just started.
+	startWait = 2 * time.Second
+)
 
 // Caller is who an API key belongs to.
 type Caller struct {
@@ -57,28 +61,56 @@
 	return next.Handle(ctx, r.WithCaller(c.Team, labels), w)
 }
 
+// starter tells when an instance can take work for the first time.
+type starter interface {
+	viewer
+	Started() <-chan struct{}
+}
+
 // Ready refuses work that this instance must not take.
 type Ready struct {
-	view viewer
-	now  clock
+	control starter
+	now     clock
 }
 
-// NewReady returns the filter that asks v.
-func NewReady(v viewer, now func() time.Time) Ready {
+// NewReady returns the filter that asks s.
+func NewReady(s starter, now func() time.Time) Ready {
 	return Ready{
-		view: v,
-		now:  now,
+		control: s,
+		now:     now,
 	}
 }
 
-// Filter refuses r while the instance is stopping or may hold an old configuration.
+// Filter refuses r while the instance may hold an old configuration. Calls
+// that come in while it starts wait for it.
 func (f Ready) Filter(ctx context.Context, r chain.Request, w chain.Writer, next chain.Handler) (chain.Result, error) {
-	if ok, why := f.view.View().Ready(f.now()); !ok {
+	ok, why := f.control.View().Ready(f.now())
+	if !ok && f.await(ctx) {
+		ok, why = f.control.View().Ready(f.now())
+	}
+	if !ok {
 		return chain.Result{}, fault.New(fault.Stale, "%s: send the call to another instance", why).WithRetry(staleRetry)
 	}
 	return next.Handle(ctx, r, w)
 }
 
+// await waits for an instance that starts, and tells whether it waited.
+func (f Ready) await(ctx context.Context) bool {
+	select {
+	case <-f.control.Started():
+		return false
+	default:
+	}
+	timer := time.NewTimer(startWait)
+	defer timer.Stop()
+	select {
+	case <-f.control.Started():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // Match finds the policy that covers a request.
 type Match struct {
 	view viewer
--- /dev/null
+++ b/pkg/conf/conf_test.go
@@ -0,0 +1,77 @@
+package conf_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/baobabtally/baobabtally/pkg/conf"
+	"github.com/baobabtally/baobabtally/pkg/policy"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func ExampleState() {
+	var s conf.State
+	s = s.WithDocument(policy.Document{
+		Version: 7,
+	})
+	s = s.WithDocument(policy.Document{
+		Version: 6,
+	})
+	fmt.Println(s.Document().Version, s.WithTable(start, 7).Until(nil).Sub(start))
+	// Output: 7 2s
+}
+
+func TestVersionsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var s conf.State
+		last := int64(-1)
+		for range 50 {
+			v := rapid.Int64Range(0, 20).Draw(rt, "version")
+			s = s.WithDocument(policy.Document{
+				Version: v,
+			})
+			require.GreaterOrEqual(rt, s.Document().Version, last)
+			last = s.Document().Version
+		}
+	})
+}
+
+func TestWorkNeedsTheTableOrAMajority(t *testing.T) {
+	s := conf.State{}.WithDocument(policy.Document{
+		Version: 1,
+	})
+	never := time.Time{}
+	cases := map[string]struct {
+		heard []time.Time
+		want  time.Time
+	}{
+		"alone of three":      {[]time.Time{never, never}, never},
+		"two of three":        {[]time.Time{start, never}, start.Add(conf.Stale)},
+		"two of four":         {[]time.Time{start, never, never}, never},
+		"three of four":       {[]time.Time{start, start.Add(time.Second), never}, start.Add(conf.Stale)},
+		"three of five":       {[]time.Time{never, start, start, never}, start.Add(conf.Stale)},
+		"the only one at all": {nil, never},
+	}
+	for name, c := range cases {
+		require.Equal(t, c.want, s.Until(c.heard), name)
+	}
+	require.Equal(t, start.Add(conf.Stale), s.WithTable(start, 1).Until([]time.Time{never, never}))
+	require.Zero(t, s.WithTable(start, 2).Until(nil), "a newer version is known and not held")
+	require.Zero(t, conf.State{}.WithTable(start, 0).Until(nil), "nothing was loaded")
+}
+
+func TestAcceptanceWaitsForAMajorityAndTheMargin(t *testing.T) {
+	s := conf.NewSpread([]string{"a", "b", "c"}).WithAck("a", start)
+	require.False(t, s.Accepted(start.Add(time.Hour)))
+	s = s.WithAck("a", start).WithAck("x", start)
+	require.False(t, s.Accepted(start.Add(time.Hour)), "only members count, once each")
+	s = s.WithAck("b", start)
+	require.False(t, s.Accepted(start.Add(conf.Stale)))
+	require.True(t, s.Accepted(start.Add(conf.Stale+conf.Margin)))
+	require.Equal(t, []string{"c"}, s.Missing())
+}
--- /dev/null
+++ b/pkg/lease/lease_test.go
@@ -0,0 +1,147 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/baobabtally/baobabtally/pkg/lease"
+	"github.com/baobabtally/baobabtally/pkg/store"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// table is a table of one row.
+type table struct {
+	row  store.Row
+	down bool
+	lost bool
+}
+
+// do answers op for l and returns the lease after it.
+func (t *table) do(l lease.Lease, op lease.Op) lease.Lease {
+	if t.down {
+		if op.Put {
+			return l.WithPut(op, 0, store.ErrUnavailable)
+		}
+		return l.WithRow(op, store.Row{}, store.ErrUnavailable)
+	}
+	if !op.Put {
+		if t.row.Version == 0 {
+			return l.WithRow(op, store.Row{}, store.ErrMissing)
+		}
+		return l.WithRow(op, t.row, nil)
+	}
+	if op.Row.Version != t.row.Version {
+		return l.WithPut(op, 0, store.ErrConflict)
+	}
+	t.row = op.Row
+	t.row.Version++
+	if t.lost {
+		t.lost = false
+		return l.WithPut(op, 0, store.ErrLost)
+	}
+	return l.WithPut(op, t.row.Version, nil)
+}
+
+func ExampleLease() {
+	var t table
+	l := lease.New("lease/orders", "i1@7")
+	now := start
+	for range 3 {
+		if op, next, ok := l.Plan(now); ok {
+			l = t.do(next, op)
+		}
+		now = now.Add(2 * time.Second)
+	}
+	fmt.Println(l.Valid(now, now.Add(time.Second)), l.Fence())
+	// Output: true 1
+}
+
+// TestTwoNeverHoldAtOnce has instances with lost answers, outages and pauses
+// and checks at each moment who may give an order.
+func TestTwoNeverHoldAtOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var tab table
+		leases := make([]lease.Lease, 3)
+		asleep := make([]time.Time, 3)
+		for i := range leases {
+			leases[i] = lease.New("lease/orders", fmt.Sprint("i", i))
+		}
+		now := start
+		greatest, holder := int64(0), -1
+		for range rapid.IntRange(10, 200).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(10, 800).Draw(rt, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 12).Draw(rt, "fault") {
+			case 0:
+				tab.down = !tab.down
+			case 1:
+				tab.lost = true
+			case 2:
+				i := rapid.IntRange(0, 2).Draw(rt, "who")
+				asleep[i] = now.Add(time.Duration(rapid.IntRange(1, 15).Draw(rt, "s")) * time.Second)
+			}
+			valid := 0
+			for i := range leases {
+				if now.Before(asleep[i]) {
+					continue
+				}
+				if op, next, ok := leases[i].Plan(now); ok {
+					leases[i] = tab.do(next, op)
+				}
+			}
+			for i, l := range leases {
+				// Also a paused holder must not count as valid when it wakes.
+				if l.Valid(now, now) {
+					valid++
+					require.GreaterOrEqual(rt, l.Fence(), greatest, "fencing numbers grow")
+					if i != holder {
+						require.Greater(rt, l.Fence(), greatest, "a new holder has a new number")
+					}
+					greatest, holder = l.Fence(), i
+				}
+			}
+			require.LessOrEqual(rt, valid, 1)
+		}
+	})
+}
+
+func TestOrderMustEndWithinTheLease(t *testing.T) {
+	var tab table
+	l := lease.New("k", "a")
+	now := start
+	for range 2 {
+		op, next, _ := l.Plan(now)
+		l = tab.do(next, op)
+		now = now.Add(2 * time.Second)
+	}
+	require.True(t, l.Valid(now, now.Add(time.Second)))
+	require.False(t, l.Valid(now, l.Until().Add(time.Millisecond)))
+	require.False(t, l.Valid(l.Until(), l.Until()), "a holder that was paused")
+}
+
+func TestYieldFreesTheLeaseAtOnce(t *testing.T) {
+	var tab table
+	a, b := lease.New("k", "a"), lease.New("k", "b")
+	now := start
+	step := func(l lease.Lease) lease.Lease {
+		if op, next, ok := l.Plan(now); ok {
+			return tab.do(next, op)
+		}
+		return l
+	}
+	a = step(a)
+	now = now.Add(2 * time.Second)
+	a = step(a)
+	require.True(t, a.Valid(now, now))
+	a = step(a.WithYield())
+	require.False(t, a.Valid(now, now))
+	b = step(b)
+	now = now.Add(2 * time.Second)
+	b = step(b)
+	require.True(t, b.Valid(now, now))
+	require.EqualValues(t, 2, b.Fence())
+}
