filter: replay what the caller has when it resumes a stream

Cause: a stream that was resumed through another instance, and whose engine then died, was continued from the text that this instance had seen, so that chunks came twice. Ruled out: the stream's state machine, which saw no doubled chunk. The engine is now asked for the stream from its start, and the caller gets it from where it was; a stream whose start is not known is not continued elsewhere.

load: age reports and digests by the rate at which prompts are read.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -148,6 +148,7 @@
 		Serve:  p.Endpoints,
 		Now:    now,
 	}, st.Members.Pool(q.GetModel()), route.View{
+		Nodes: st.Members,
 		Cache: st.Index,
 		Loads: st.Loads,
 		Own:   s.gauge,
@@ -195,7 +196,7 @@
 }
 
 func (s Server) node(st *state.State, n member.Endpoint, now time.Time) *api.Node {
-	w := st.Loads.Work(n.Node.Name, s.gauge.Work(n.Node.Name), now)
+	w := st.Loads.Work(n.Node.Name, s.gauge.Work(n.Node.Name), n.Report.Prefill, now)
 	out := &api.Node{
 		Name:    n.Node.Name,
 		Role:    n.Node.Role.String(),
--- a/internal/client/stream.go
+++ b/internal/client/stream.go
@@ -47,7 +47,12 @@
 }
 
 func (c *Client) stream(ctx context.Context, a call.Attempt, method, path string, body []byte) (call.Reply, error) {
-	ctx, x := watch(ctx, c.first)
+	limit := c.first
+	if a.Resume.Active() {
+		// The stream is under way, so that its next chunk is due.
+		limit = c.gap
+	}
+	ctx, x := watch(ctx, limit)
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+a.Endpoint.Node.Addr+path, readerOf(body))
 	if err != nil {
 		x.close(nil)
@@ -186,8 +191,9 @@
 }
 
 type engineChoice struct {
-	Text  string `json:"text"`
-	Delta struct {
+	Finish string `json:"finish_reason"`
+	Text   string `json:"text"`
+	Delta  struct {
 		Content string `json:"content"`
 	} `json:"delta"`
 }
@@ -217,6 +223,7 @@
 	}
 	if len(choices) > 0 {
 		c.Text = choices[0].Delta.Content + choices[0].Text
+		c.Final = choices[0].Finish != ""
 	}
 	return c, nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
+	"github.com/baobabtally/baobabtally/internal/admin"
 	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/client"
 	"github.com/baobabtally/baobabtally/internal/core"
@@ -63,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	table, object, list := plat.NewTable(s.Table), plat.NewObject(s.Object), plat.NewList(s.List)
+	table, object, list := plat.NewTable(s.Table, admin.Key), plat.NewObject(s.Object), plat.NewList(s.List)
 	peers := peer.NewClient(secret)
 	ends := client.New(client.WithGap(time.Duration(s.Gap)), client.WithFirst(time.Duration(s.First)))
 	i := &Instance{
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,382 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"github.com/tmaxmax/go-sse"
+	"go.uber.org/goleak"
+
+	"github.com/baobabtally/baobabtally/internal/api"
+	"github.com/baobabtally/baobabtally/internal/daemon"
+	"github.com/baobabtally/baobabtally/internal/peer"
+	"github.com/baobabtally/baobabtally/internal/plat"
+	"github.com/baobabtally/baobabtally/internal/setup"
+	"github.com/baobabtally/baobabtally/internal/stand"
+)
+
+const (
+	secret = "a-secret-for-tests-only"
+	key    = "key-of-loom"
+	words  = 30
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fleet is instances and stand-ins on loopback.
+type fleet struct {
+	t       *testing.T
+	table   *stand.Table
+	object  *stand.Object
+	list    *stand.List
+	engines []*stand.Engine
+	service *stand.Service
+	addrs   []string
+	stops   []context.CancelFunc
+	runs    []*daemon.Instance
+	http    *http.Client
+}
+
+func newFleet(t *testing.T, instances, engines int) *fleet {
+	t.Helper()
+	t.Setenv("BAOBABTALLY_TEST_SECRET", secret)
+	f := &fleet{
+		t:       t,
+		table:   stand.NewTable(),
+		object:  stand.NewObject(),
+		list:    stand.NewList(),
+		service: stand.NewService(),
+		http: &http.Client{
+			Transport: &http.Transport{},
+		},
+	}
+	t.Cleanup(f.http.CloseIdleConnections)
+	for i := range engines {
+		e := stand.NewEngine("1", []string{"small"}, stand.WithRate(200_000, time.Millisecond))
+		f.engines = append(f.engines, e)
+		f.node(fmt.Sprintf("e%d", i), "engine", f.serve(e), "small")
+	}
+	f.node("b0", "service", f.serve(f.service), "billing")
+	value, err := peer.MarshalDocument(&api.Document{
+		Version: 1,
+		Change:  "first",
+		Text:    "[[policy]]\nname = \"usual\"\ncover = \"\"\n",
+	})
+	require.NoError(t, err)
+	f.table.Seed("config", value)
+	urls := []string{f.serve(f.table), f.serve(f.object), f.serve(f.list)}
+	for i := range instances {
+		f.start(fmt.Sprintf("i%d", i), urls)
+	}
+	for i := range f.addrs {
+		f.eventually(func() bool { return f.get(i, "/readyz") == http.StatusOK })
+	}
+	return f
+}
+
+func (f *fleet) serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	f.t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func (f *fleet) node(name, role, addr, model string) {
+	f.list.Set(plat.Entry{
+		Name:   name,
+		Role:   role,
+		Addr:   addr,
+		Domain: "a",
+		Models: []string{model},
+	})
+}
+
+func (f *fleet) start(name string, urls []string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(f.t, err)
+	s := setup.Defaults()
+	s.Name = name
+	s.Domain = "a"
+	s.Table, s.Object, s.List = "http://"+urls[0], "http://"+urls[1], "http://"+urls[2]
+	s.Secret.Env = "BAOBABTALLY_TEST_SECRET"
+	s.Gap = setup.Duration(300 * time.Millisecond)
+	s.Linger = setup.Duration(100 * time.Millisecond)
+	s.Callers = []setup.Caller{
+		{
+			Hash: daemon.HashKey(key),
+			Team: "loom",
+		},
+		{
+			Hash: daemon.HashKey("key-of-braid"),
+			Team: "braid",
+		},
+	}
+	f.node(name, "instance", l.Addr().String(), "")
+	i, err := daemon.New(s, zerolog.Nop())
+	require.NoError(f.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	f.addrs = append(f.addrs, l.Addr().String())
+	f.stops = append(f.stops, stop)
+	f.runs = append(f.runs, i)
+	go func() { _ = i.Run(ctx, l) }()
+	f.t.Cleanup(func() {
+		stop()
+		f.http.CloseIdleConnections()
+		<-i.Done()
+	})
+}
+
+func (f *fleet) eventually(ok func() bool) {
+	f.t.Helper()
+	require.Eventually(f.t, ok, 10*time.Second, 10*time.Millisecond)
+}
+
+func (f *fleet) get(i int, path string) int {
+	resp, err := f.http.Get("http://" + f.addrs[i] + path)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode
+}
+
+// post returns the status and the body of a call to instance i.
+func (f *fleet) post(i int, path string, header map[string]string, body string) (int, string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.addrs[i]+path, strings.NewReader(body))
+	require.NoError(f.t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(data)
+}
+
+func chatBody(prompt string) string {
+	data, _ := json.Marshal(map[string]any{
+		"model":      "small",
+		"stream":     true,
+		"max_tokens": words,
+		"messages": []map[string]string{{
+			"role":    "user",
+			"content": prompt,
+		}},
+	})
+	return string(data)
+}
+
+// read returns the text of a stream, its last event id, and whether it ended.
+func read(t *testing.T, body string) (string, string, bool) {
+	t.Helper()
+	var text strings.Builder
+	last := ""
+	for ev, err := range sse.Read(bytes.NewReader([]byte(body)), nil) {
+		require.NoError(t, err)
+		last = ev.LastEventID
+		if ev.Data == "[DONE]" {
+			return text.String(), last, true
+		}
+		var data struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		require.NoError(t, json.Unmarshal([]byte(ev.Data), &data))
+		if len(data.Choices) > 0 {
+			text.WriteString(data.Choices[0].Delta.Content)
+		}
+	}
+	return text.String(), last, false
+}
+
+// stream checks one whole answer against the text that the engines make of its prompt.
+func (f *fleet) stream(i int, prompt string) {
+	f.t.Helper()
+	status, body := f.post(i, "/v1/chat/completions", nil, chatBody(prompt))
+	require.Equal(f.t, http.StatusOK, status, body)
+	text, _, ended := read(f.t, body)
+	require.True(f.t, ended, body)
+	require.Equal(f.t, stand.Words("user\n"+prompt+"\n", words), text)
+}
+
+func TestStreamsAreWholeUnderFaults(t *testing.T) {
+	for _, kind := range []string{stand.Cut, stand.Mute, stand.Double, stand.Skip, stand.Cross, stand.Down} {
+		t.Run(kind, func(t *testing.T) {
+			f := newFleet(t, 1, 2)
+			for n := range 3 {
+				for _, e := range f.engines {
+					e.Faults.Set(kind, 2)
+				}
+				f.stream(0, fmt.Sprint("sheet ", n))
+			}
+		})
+	}
+}
+
+func TestStreamGoesOnAtAnotherEngine(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	var callers sync.WaitGroup
+	for n := range 10 {
+		callers.Go(func() { f.stream(0, fmt.Sprint("sheet ", n)) })
+	}
+	time.Sleep(10 * time.Millisecond)
+	f.engines[0].Crash("2")
+	callers.Wait()
+}
+
+func TestLostAnswerOfAChargeIsUnknownAndNeverRepeated(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	f.service.Faults.Set(stand.Lost, 1)
+	header := map[string]string{
+		"Idempotency-Key": "k1",
+	}
+	for n := range 4 {
+		status, body := f.post(n%2, "/svc/billing/charge", header, "3")
+		require.Equal(t, http.StatusBadGateway, status)
+		require.Contains(t, body, `"run":"unknown"`)
+	}
+	status, body := f.post(0, "/svc/billing/charge", nil, "3")
+	require.Equal(t, http.StatusOK, status, body)
+	require.Len(t, f.service.Runs(), 2)
+}
+
+func TestCrossedAnswerReachesNobody(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.service.Faults.Set(stand.Cross, 1)
+	status, body := f.post(0, "/svc/billing/charge", nil, "3")
+	require.Equal(t, http.StatusBadGateway, status, body)
+	require.Contains(t, body, `"run":"unknown"`)
+}
+
+func TestChargesAreRefusedTrulyWhileTheTableIsDown(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.table.Faults.Set(stand.Down, -1)
+	status, body := f.post(0, "/svc/billing/charge", map[string]string{
+		"Idempotency-Key": "k1",
+	}, "3")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Contains(t, body, `"run":"not_run"`)
+	require.Empty(t, f.service.Runs())
+	f.table.Faults.Set(stand.Down, 0)
+	f.eventually(func() bool {
+		status, _ := f.post(0, "/svc/billing/charge", map[string]string{
+			"Idempotency-Key": "k1",
+		}, "3")
+		return status == http.StatusOK
+	})
+	require.Len(t, f.service.Runs(), 1)
+}
+
+func TestResumeThroughAnotherInstance(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	status, body := f.post(0, "/v1/chat/completions", nil, chatBody("sheet"))
+	require.Equal(t, http.StatusOK, status)
+	whole, _, _ := read(t, body)
+	events := strings.SplitAfter(body, "\n\n")
+	head, last, ended := read(t, strings.Join(events[:words/2], ""))
+	require.False(t, ended)
+	header := map[string]string{
+		"Last-Event-ID": last,
+	}
+	status, body = f.post(1, "/v1/chat/completions", header, chatBody("sheet"))
+	require.Equal(t, http.StatusOK, status, body)
+	tail, _, ended := read(t, body)
+	require.True(t, ended)
+	require.Equal(t, whole, head+tail)
+	header["Authorization"] = "Bearer key-of-braid"
+	status, _ = f.post(1, "/v1/chat/completions", header, chatBody("sheet"))
+	require.Equal(t, http.StatusUnauthorized, status, "another team's stream")
+}
+
+func TestLeavingEngineGetsNoNewWork(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	f.engines[0].Leave()
+	f.eventually(func() bool {
+		before := len(f.engines[0].Runs())
+		for n := range 4 {
+			f.stream(n%2, fmt.Sprint("sheet ", n))
+		}
+		return len(f.engines[0].Runs()) == before
+	})
+}
+
+func TestStopCutsNoRequest(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	var callers sync.WaitGroup
+	for n := range 40 {
+		callers.Go(func() { f.stream(0, fmt.Sprint("sheet ", n)) })
+	}
+	time.Sleep(20 * time.Millisecond)
+	f.stops[0]()
+	callers.Wait()
+	<-f.runs[0].Done()
+	f.stream(1, "after")
+}
+
+func TestHostileInputGetsAClearRefusal(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	chat := "/v1/chat/completions"
+	cases := map[string]struct {
+		path   string
+		header map[string]string
+		body   string
+		status int
+	}{
+		"no key":         {chat, map[string]string{"Authorization": ""}, chatBody("a"), 401},
+		"unknown key":    {chat, map[string]string{"Authorization": "Bearer x"}, chatBody("a"), 401},
+		"unknown model":  {chat, nil, strings.Replace(chatBody("a"), "small", "none", 1), 404},
+		"unknown svc":    {"/svc/none/x", nil, "", 404},
+		"no JSON":        {chat, nil, "{", 400},
+		"another JSON":   {chat, nil, "[1]", 400},
+		"no UTF-8":       {chat, nil, "{\"model\":\"\xff\"}", 400},
+		"no messages":    {chat, nil, `{"model":"small"}`, 400},
+		"negative limit": {chat, nil, `{"model":"small","messages":[{"role":"user","content":"a"}],"max_tokens":-1}`, 400},
+		"two answers":    {chat, nil, `{"model":"small","messages":[{"role":"user","content":"a"}],"n":2}`, 400},
+		"oversized":      {chat, nil, strings.Repeat("x", 5<<20), 413},
+		"bad labels":     {chat, map[string]string{"X-Labels": "=,"}, chatBody("a"), 400},
+		"bad event id":   {chat, map[string]string{"Last-Event-ID": "x"}, chatBody("a"), 400},
+		"long idem key":  {"/svc/billing/x", map[string]string{"Idempotency-Key": strings.Repeat("k", 300)}, "", 400},
+		"no prompt":      {"/v1/completions", nil, `{"model":"small"}`, 400},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			status, body := f.post(0, c.path, c.header, c.body)
+			require.Equal(t, c.status, status, body)
+			require.Contains(t, body, `"run":"not_run"`)
+		})
+	}
+	require.Empty(t, f.engines[0].Runs())
+	require.Empty(t, f.service.Runs())
+}
+
+func TestOperatorsMustShowTheSecret(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	_, err := api.NewAdminProtobufClient("http://"+f.addrs[0], f.http).Get(t.Context(), &api.Nothing{})
+	require.Error(t, err)
+	client := peer.HTTP([]byte(secret))
+	t.Cleanup(client.CloseIdleConnections)
+	doc, err := api.NewAdminProtobufClient("http://"+f.addrs[0], client).Get(t.Context(), &api.Nothing{})
+	require.NoError(t, err)
+	require.EqualValues(t, 1, doc.GetVersion())
+}
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -134,6 +134,7 @@
 		Now:    now,
 		Seed:   uint64(now.UnixNano()),
 	}, s.Members.Pool(r.Model), route.View{
+		Nodes:    s.Members,
 		Cache:    s.Index,
 		Loads:    s.Loads,
 		Own:      f.gauge,
--- a/internal/filter/gate.go
+++ b/internal/filter/gate.go
@@ -177,7 +177,7 @@
 			slots = usualSlots
 		}
 		total += slots
-		peers += s.Loads.Peers(e.Node.Name, now).Calls
+		peers += s.Loads.Peers(e.Node.Name, 0, now).Calls
 	}
 	equal := total / s.Live(now)
 	return max(1, equal, total-peers)
--- a/internal/filter/generate.go
+++ b/internal/filter/generate.go
@@ -29,6 +29,13 @@
 		writer:   w,
 		resume:   r.Resume,
 	}
+	g.base = r.Resume.Base
+	if r.Resume.Active() && r.Resume.Base == 0 {
+		// What the caller has is read again, so that the answer can be
+		// continued at another engine.
+		g.replay = r.Resume.Offset
+		g.resume.Offset = 0
+	}
 	for {
 		done, err := g.try(ctx)
 		if done || err != nil {
@@ -58,8 +65,15 @@
 	tried    []string
 	attempts int
 	// sent tells whether any byte of any attempt may have left.
-	sent   bool
+	sent bool
+	// chunks is how many chunks are known, and base how many of them came
+	// before the present attempt.
 	chunks int
+	base   int
+	// final tells that only the end marker is missing.
+	final bool
+	// replay is how many chunks the caller had before.
+	replay int
 	choice route.Choice
 	usage  call.Usage
 }
@@ -75,9 +89,12 @@
 	defer counted.End()
 	err = g.pump(ctx, a, counted.First)
 	g.report(a.Endpoint, err)
-	if err == nil {
+	switch {
+	case err == nil:
 		g.learn(a.Endpoint)
 		return true, nil
+	case g.final && ctx.Err() == nil:
+		return true, g.end()
 	}
 	return false, g.failed(ctx, a, err)
 }
@@ -94,7 +111,7 @@
 			g.state = stream.From(g.resume.Offset)
 			return a, nil
 		}
-		if g.request.Resume.Active() && g.text.Len() == 0 {
+		if !g.continuable() {
 			return call.Attempt{}, goneForGood(g.resume)
 		}
 	}
@@ -108,6 +125,7 @@
 	a := g.attempt(g.request, choice.Endpoint)
 	a.Delivered = g.text.String()
 	a.Chunks = g.chunks
+	g.base = g.chunks
 	g.resume = chain.Resume{}
 	return a, nil
 }
@@ -149,7 +167,13 @@
 	}
 }
 
-// pass hands one chunk to the caller.
+// continuable tells whether another engine can go on. It can't where the
+// caller has text that this instance does not know.
+func (g *generation) continuable() bool {
+	return g.request.Resume.Base == 0 && g.chunks >= g.replay
+}
+
+// pass hands one chunk to the caller, unless the caller had it before.
 func (g *generation) pass(a call.Attempt, head chain.Head, c chain.Chunk) error {
 	if !g.begun {
 		g.begun = true
@@ -162,18 +186,36 @@
 		Endpoint: a.Endpoint.Node.Name,
 		Attempt:  a.ID,
 		Offset:   g.state.Next(),
+		Base:     g.base,
 		Team:     g.request.Team,
 	}
 	g.stuck = 0
 	g.chunks++
+	g.final = c.Final
 	g.text.WriteString(c.Text)
 	c.Next = g.resume
+	if g.chunks <= g.replay && !c.End {
+		return nil
+	}
 	if err := g.writer.Write(c); err != nil {
 		return callerGone(err)
 	}
 	return nil
 }
 
+// end writes the end marker of an answer that is whole.
+func (g *generation) end() error {
+	g.resume.Offset++
+	err := g.writer.Write(chain.Chunk{
+		End:  true,
+		Next: g.resume,
+	})
+	if err != nil {
+		return callerGone(err)
+	}
+	return nil
+}
+
 // failed decides what follows a failed attempt; nil means another one.
 func (g *generation) failed(ctx context.Context, a call.Attempt, err error) error {
 	if fault.From(err).Kind == fault.Lost && ctx.Err() == nil {
@@ -193,7 +235,7 @@
 		g.stuck++
 		return nil
 	}
-	if g.request.Resume.Active() && g.text.Len() == 0 {
+	if !g.continuable() {
 		return goneForGood(g.resume)
 	}
 	g.resume = chain.Resume{}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -165,6 +165,7 @@
 		Endpoint: t.Endpoint,
 		Attempt:  t.Attempt,
 		Offset:   t.Offset,
+		Base:     t.Base,
 		Team:     t.Team,
 	}
 	return r, nil
--- a/internal/front/write.go
+++ b/internal/front/write.go
@@ -109,6 +109,7 @@
 		Attempt:  c.Next.Attempt,
 		Team:     c.Next.Team,
 		Offset:   c.Next.Offset,
+		Base:     c.Next.Base,
 	})
 	data := []byte("[DONE]")
 	if !c.End {
--- a/internal/plat/list.go
+++ b/internal/plat/list.go
@@ -25,6 +25,9 @@
 	Fences bool              `json:"fences,omitempty"`
 }
 
+// nodesPath is the path of the list.
+const nodesPath = "/v1/nodes"
+
 // StateLeaving is the state of a node that is leaving.
 const StateLeaving = "leaving"
 
@@ -47,6 +50,7 @@
 type List struct {
 	base string
 	http *http.Client
+	seen *seen
 }
 
 // NewList returns the list at the URL base.
@@ -54,6 +58,7 @@
 	return List{
 		base: strings.TrimSuffix(base, "/"),
 		http: newHTTP(),
+		seen: newSeen([]string{nodesPath}),
 	}
 }
 
@@ -62,10 +67,11 @@
 
 // Nodes returns the nodes of the list.
 func (l List) Nodes(ctx context.Context) ([]member.Node, error) {
-	resp, _, err := do(ctx, l.http, http.MethodGet, l.base+"/v1/nodes", nil, nil)
+	resp, _, err := do(ctx, l.http, http.MethodGet, l.base+nodesPath, l.seen.header(nodesPath), nil)
 	if err != nil {
 		return nil, errors.Annotate(store.ErrUnavailable, err.Error())
 	}
+	resp = l.seen.settle(nodesPath, resp)
 	if resp.status != http.StatusOK {
 		return nil, store.ErrUnavailable
 	}
--- a/internal/plat/table.go
+++ b/internal/plat/table.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,25 +32,71 @@
 type Table struct {
 	base string
 	http *http.Client
+	seen *seen
 }
 
-// NewTable returns the table at the URL base.
-func NewTable(base string) Table {
+// NewTable returns the table at the URL base. Rows with the given keys are read
+// again and again, so that an unchanged one is not sent again.
+func NewTable(base string, again ...string) Table {
 	return Table{
 		base: strings.TrimSuffix(base, "/"),
 		http: newHTTP(),
+		seen: newSeen(again),
 	}
 }
 
+// seen keeps the last answer for each of a few keys.
+type seen struct {
+	mu      sync.Mutex
+	answers map[string]answer
+}
+
+func newSeen(keys []string) *seen {
+	s := &seen{
+		answers: map[string]answer{},
+	}
+	for _, k := range keys {
+		s.answers[k] = answer{}
+	}
+	return s
+}
+
+// header returns the condition for reading key.
+func (s *seen) header(key string) http.Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.answers[key]; a.etag != "" {
+		return http.Header{
+			"If-None-Match": {a.etag},
+		}
+	}
+	return nil
+}
+
+// settle returns a, or the last answer where a says that it still holds.
+func (s *seen) settle(key string, a answer) answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, kept := s.answers[key]
+	if a.status == http.StatusNotModified {
+		return old
+	}
+	if kept && a.status == http.StatusOK {
+		s.answers[key] = a
+	}
+	return a
+}
+
 // Close drops the connections that are not in use.
 func (t Table) Close() { t.http.CloseIdleConnections() }
 
 // Get returns the row key.
 func (t Table) Get(ctx context.Context, key string) (store.Row, error) {
-	resp, _, err := t.call(ctx, http.MethodGet, key, nil, nil)
+	resp, _, err := t.call(ctx, http.MethodGet, key, t.seen.header(key), nil)
 	if err != nil {
 		return store.Row{}, errors.Annotate(store.ErrUnavailable, err.Error())
 	}
+	resp = t.seen.settle(key, resp)
 	switch resp.status {
 	case http.StatusOK:
 		return store.Row{
@@ -93,6 +140,7 @@
 // answer is a call's outcome.
 type answer struct {
 	status  int
+	etag    string
 	version int64
 	body    []byte
 }
@@ -128,6 +176,7 @@
 	version, _ := strconv.ParseInt(strings.Trim(resp.Header.Get("ETag"), `"`), 10, 64)
 	return answer{
 		status:  resp.StatusCode,
+		etag:    resp.Header.Get("ETag"),
 		version: version,
 		body:    data,
 	}, true, nil
--- a/internal/proof/node_test.go
+++ b/internal/proof/node_test.go
@@ -91,9 +91,6 @@
 	f(n)
 }
 
-// crash empties the node; it is back at once under the same address.
-func (n *fakeNode) crash() { n.set((*fakeNode).empty) }
-
 func (n *fakeNode) heal() {
 	n.set(func(n *fakeNode) {
 		n.down, n.frozen = false, false
--- a/internal/proof/prove_test.go
+++ b/internal/proof/prove_test.go
@@ -111,9 +111,9 @@
 			w.start(j)
 		}
 	case "apply":
-		w.apply(i, o.n, fmt.Sprintf("change%d", serial))
+		w.apply(i, o.n, changeID(serial))
 	case "race":
-		w.apply(i, o.n, fmt.Sprintf("change%d", serial))
+		w.apply(i, o.n, changeID(serial))
 		w.apply(i+1, o.n+1, fmt.Sprintf("rival%d", serial))
 	}
 }
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -472,3 +472,5 @@
 		w.breach("%s: %s", b.Rule, b.Detail)
 	}))
 }
+
+func changeID(n int) string { return fmt.Sprint("change", n) }
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -150,6 +150,21 @@
 	e.load.Leaving = true
 }
 
+// Crash empties the engine, which goes on under the same address as a new
+// incarnation. All streams are gone.
+func (e *Engine) Crash(epoch string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, out := range e.streams {
+		out.cancel.Do(func() { close(out.gone) })
+	}
+	e.streams = map[string]*output{}
+	e.cache = newBlockCache(e.cache.limit)
+	e.events = nil
+	e.seq = 0
+	e.load.Epoch = epoch
+}
+
 // completion is a call to generate.
 type completion struct {
 	Messages []struct {
@@ -188,14 +203,15 @@
 		if at < 0 {
 			continue
 		}
-		if prompt[at:] == words(prompt[:at], n) {
+		if prompt[at:] == Words(prompt[:at], n) {
 			return prompt[:at], prompt[at:]
 		}
 	}
 	return prompt, ""
 }
 
-func words(prompt string, n int) string {
+// Words returns the first n words of the answer to prompt.
+func Words(prompt string, n int) string {
 	var b strings.Builder
 	for i := range n {
 		b.WriteString(word(prompt, i))
--- a/internal/stand/list.go
+++ b/internal/stand/list.go
@@ -18,6 +18,8 @@
 	mux    *http.ServeMux
 	mu     sync.Mutex
 	nodes  map[string]plat.Entry
+	// version grows with each change.
+	version int64
 }
 
 // NewList returns a list of the given nodes.
@@ -44,15 +46,21 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.nodes[e.Name] = e
+	l.version++
 }
 
-func (l *List) get(w http.ResponseWriter, _ *http.Request) {
+func (l *List) get(w http.ResponseWriter, r *http.Request) {
 	if l.Faults.Take(Down) {
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	w.Header().Set("ETag", tagOf(l.version))
+	if r.Header.Get("If-None-Match") == tagOf(l.version) {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	out := make([]plat.Entry, 0, len(l.nodes))
 	for _, name := range slices.Sorted(maps.Keys(l.nodes)) {
 		out = append(out, l.nodes[name])
@@ -75,5 +83,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.nodes, r.PathValue("name"))
+	l.version++
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/stand/output.go
+++ b/internal/stand/output.go
@@ -189,6 +189,9 @@
 		}
 		select {
 		case <-more:
+		case <-out.gone:
+			hangUp(w)
+			return
 		case <-r.Context().Done():
 			return
 		}
--- a/internal/stand/table.go
+++ b/internal/stand/table.go
@@ -70,6 +70,10 @@
 		return
 	}
 	w.Header().Set("ETag", tagOf(old.version))
+	if r.Header.Get("If-None-Match") == tagOf(old.version) {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	_, _ = w.Write(old.value)
 }
 
--- a/pkg/chain/request.go
+++ b/pkg/chain/request.go
@@ -77,8 +77,10 @@
 	Endpoint string
 	// Attempt is the id under which the endpoint knows the stream.
 	Attempt string
-	// Offset is the number of chunks that the caller has.
+	// Offset is the number of chunks of this attempt that the caller has.
 	Offset int
+	// Base is the number of chunks that came in attempts before this one.
+	Base int
 	// Team is whose stream it is.
 	Team string
 }
@@ -130,6 +132,8 @@
 	Data []byte
 	// Text is the generated text of the part.
 	Text string
+	// Final tells that the answer is whole and only its end marker follows.
+	Final bool
 	// End tells that no chunk follows. An end chunk may carry no data.
 	End bool
 	// Next is where a resumed stream goes on after this chunk.
--- a/pkg/load/table.go
+++ b/pkg/load/table.go
@@ -48,6 +48,13 @@
 	at   time.Time
 }
 
+// Aged returns w as it should be after some time in which the endpoint read
+// drain prompt tokens a second.
+func (w Work) Aged(drain float64, since time.Duration) Work {
+	w.Tokens = max(0, w.Tokens-int(drain*since.Seconds()))
+	return w
+}
+
 // WithReport returns a copy of t in which endpoint reported w.
 func (t Table) WithReport(endpoint string, w Work, now time.Time) Table {
 	if t.reports == nil {
@@ -69,8 +76,9 @@
 	return t
 }
 
-// Peers returns the work of all peers at endpoint.
-func (t Table) Peers(endpoint string, now time.Time) Work {
+// Peers returns the work of all peers at endpoint, which reads drain prompt
+// tokens a second.
+func (t Table) Peers(endpoint string, drain float64, now time.Time) Work {
 	var sum Work
 	if t.digests == nil {
 		return sum
@@ -79,7 +87,7 @@
 	for !itr.Done() {
 		_, d, _ := itr.Next()
 		if now.Sub(d.At) < digestLife {
-			sum = sum.Plus(d.Work[endpoint])
+			sum = sum.Plus(d.Work[endpoint].Aged(drain, now.Sub(d.At)))
 		}
 	}
 	return sum
@@ -101,10 +109,10 @@
 	return sum
 }
 
-// Work returns the best estimate of the work at endpoint, given the exact
-// work of this instance.
-func (t Table) Work(endpoint string, own Work, now time.Time) Work {
-	known := own.Plus(t.Peers(endpoint, now))
+// Work returns the best estimate of the work at endpoint, which reads drain
+// prompt tokens a second, given the exact work of this instance.
+func (t Table) Work(endpoint string, own Work, drain float64, now time.Time) Work {
+	known := own.Plus(t.Peers(endpoint, drain, now))
 	if t.reports == nil {
 		return known
 	}
@@ -112,8 +120,9 @@
 	if !ok || now.Sub(r.at) >= digestLife {
 		return known
 	}
+	aged := r.work.Aged(drain, now.Sub(r.at))
 	return Work{
-		Calls:  max(known.Calls, r.work.Calls),
-		Tokens: max(known.Tokens, r.work.Tokens),
+		Calls:  max(known.Calls, aged.Calls),
+		Tokens: max(known.Tokens, aged.Tokens),
 	}
 }
--- a/pkg/member/node.go
+++ b/pkg/member/node.go
@@ -77,13 +77,4 @@
 	Hash uint64
 	// Suspect is when calls may be sent again after failures.
 	Suspect time.Time
-	// Heard is when the endpoint last answered; zero where it never did.
-	Heard time.Time
-}
-
-// Trusted tells whether calls may be sent at now. An endpoint that was unheard
-// for a while is asked for its report first, since it may be leaving.
-func (e Endpoint) Trusted(now time.Time) bool {
-	unheard := !e.Heard.IsZero() && now.Sub(e.Heard) > Silence
-	return !unheard && !e.Suspect.After(now)
 }
--- a/pkg/member/set.go
+++ b/pkg/member/set.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"github.com/benbjohnson/immutable"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -32,15 +33,17 @@
 	pools map[string][]Endpoint
 	// versions is the version of weights that most endpoints of a model have.
 	versions map[string]string
+	// heard is when a node last answered, by name. It changes all the time and
+	// is kept apart, so that an answer without news costs little.
+	heard *immutable.Map[string, time.Time]
 }
 
 type entry struct {
 	node   Node
 	report Report
-	// heard is when the node last answered.
-	heard time.Time
-	// accused is when a peer last said that the node is leaving.
-	accused time.Time
+	// accused tells that a peer said that the node is leaving, and the node
+	// did not answer since.
+	accused bool
 	// failures counts failed calls since the last good one.
 	failures int
 	// suspect is when calls may be sent again.
@@ -59,7 +62,7 @@
 		e.node = n
 		next[n.Name] = e
 	}
-	return build(next)
+	return s.build(next)
 }
 
 // WithReport returns a copy of s in which name said r of itself.
@@ -68,20 +71,21 @@
 	if !ok {
 		return s
 	}
+	s = s.withHeard(name, now)
+	if e.report == r && !e.troubled() {
+		return s
+	}
 	e.report = r
-	e.heard = now
-	e.failures = 0
-	e.suspect = time.Time{}
-	return s.with(name, e)
+	return s.with(name, e.calmed())
 }
 
 // WithAccused returns a copy of s in which a peer said that name is leaving.
 func (s Set) WithAccused(name string, now time.Time) Set {
 	e, ok := s.entries[name]
-	if !ok {
+	if !ok || e.accused || s.Heard(name).After(now) {
 		return s
 	}
-	e.accused = now
+	e.accused = true
 	return s.with(name, e)
 }
 
@@ -105,10 +109,21 @@
 	if !ok {
 		return s
 	}
-	e.heard = now
-	e.failures = 0
-	e.suspect = time.Time{}
-	return s.with(name, e)
+	s = s.withHeard(name, now)
+	if !e.troubled() {
+		return s
+	}
+	return s.with(name, e.calmed())
+}
+
+// Trusted tells whether calls may be sent to e at now. An endpoint that was
+// unheard for a while is asked for its report first, since it may be leaving.
+func (s Set) Trusted(e Endpoint, now time.Time) bool {
+	if e.Suspect.After(now) {
+		return false
+	}
+	heard := s.Heard(e.Node.Name)
+	return heard.IsZero() || now.Sub(heard) <= Silence
 }
 
 // Pool returns the endpoints that take new work for model. The slice must not
@@ -159,7 +174,13 @@
 }
 
 // Heard returns when name last answered, or the zero time.
-func (s Set) Heard(name string) time.Time { return s.entries[name].heard }
+func (s Set) Heard(name string) time.Time {
+	if s.heard == nil {
+		return time.Time{}
+	}
+	at, _ := s.heard.Get(name)
+	return at
+}
 
 // Live returns the names of the instances other than self that were heard
 // within Silence and are not leaving, in order.
@@ -169,7 +190,7 @@
 		if e.node.Role != Instance || name == self || e.report.Leaving {
 			continue
 		}
-		if !e.heard.IsZero() && now.Sub(e.heard) <= Silence {
+		if heard := s.Heard(name); !heard.IsZero() && now.Sub(heard) <= Silence {
 			out = append(out, name)
 		}
 	}
@@ -192,7 +213,26 @@
 func (s Set) with(name string, e entry) Set {
 	next := maps.Clone(s.entries)
 	next[name] = e
-	return build(next)
+	return s.build(next)
+}
+
+func (s Set) withHeard(name string, now time.Time) Set {
+	if s.heard == nil {
+		s.heard = immutable.NewMap[string, time.Time](nil)
+	}
+	s.heard = s.heard.Set(name, now)
+	return s
+}
+
+// troubled tells whether an answer of the node is news.
+func (e entry) troubled() bool { return e.accused || e.failures > 0 }
+
+// calmed returns e after an answer of the node.
+func (e entry) calmed() entry {
+	e.accused = false
+	e.failures = 0
+	e.suspect = time.Time{}
+	return e
 }
 
 func (e entry) endpoint() Endpoint {
@@ -201,18 +241,15 @@
 		Report:  e.report,
 		Hash:    xxhash.Sum64String(e.node.Name),
 		Suspect: e.suspect,
-		Heard:   e.heard,
 	}
 }
 
 // blamed tells whether others say that the node is leaving, and the node did
 // not say otherwise since.
-func (e entry) blamed() bool {
-	return e.node.Leaving || e.accused.After(e.heard)
-}
+func (e entry) blamed() bool { return e.node.Leaving || e.accused }
 
-// build derives the pools from the entries.
-func build(entries map[string]entry) Set {
+// build returns a copy of s with entries, from which it derives the pools.
+func (s Set) build(entries map[string]entry) Set {
 	all := map[string][]entry{}
 	for _, e := range entries {
 		if e.node.Role == Instance || e.report.Leaving {
@@ -228,11 +265,8 @@
 		pools[m] = pool(es)
 		versions[m] = usual(pools[m])
 	}
-	return Set{
-		entries:  entries,
-		pools:    pools,
-		versions: versions,
-	}
+	s.entries, s.pools, s.versions = entries, pools, versions
+	return s
 }
 
 // usual returns the version that most endpoints have, the greatest among equals.
--- a/pkg/route/favour.go
+++ b/pkg/route/favour.go
@@ -15,7 +15,7 @@
 
 // favour appends the endpoints that rendezvous hashing favours for the upper
 // level of q's prefix, best first.
-func favour(top []ranked, q Query, pool []member.Endpoint) []ranked {
+func (v View) favour(top []ranked, q Query, pool []member.Endpoint) []ranked {
 	if len(q.Hashes) == 0 {
 		return top
 	}
@@ -25,7 +25,7 @@
 		if len(top) == favoured && w <= top[favoured-1].weight {
 			continue
 		}
-		if !q.allows(e) {
+		if !v.allows(q, e) {
 			continue
 		}
 		if len(top) == favoured {
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -96,7 +96,7 @@
 
 // loads tells how much work an endpoint has.
 type loads interface {
-	Work(endpoint string, own load.Work, now time.Time) load.Work
+	Work(endpoint string, own load.Work, drain float64, now time.Time) load.Work
 }
 
 // gauge tells how much of that work is this instance's own.
@@ -104,8 +104,16 @@
 	Work(endpoint string) load.Work
 }
 
+// nodes tells which endpoints calls may be sent to.
+type nodes interface {
+	Trusted(e member.Endpoint, now time.Time) bool
+	Heard(name string) time.Time
+}
+
 // View is the state on which a choice is made.
 type View struct {
+	// Nodes is what is known of the endpoints.
+	Nodes nodes
 	// Cache is the prefix index.
 	Cache cache
 	// Loads is the load of endpoints as others report it.
@@ -121,13 +129,13 @@
 	var hitBuf [16]prefix.Hit
 	hits := v.Cache.AppendHits(hitBuf[:0], q.Hashes, q.Now)
 	var topBuf [favoured]ranked
-	top := favour(topBuf[:0], q, pool)
+	top := v.favour(topBuf[:0], q, pool)
 	best := Choice{
 		Expected: math.MaxInt64,
 	}
 	considered := 0
 	try := func(e member.Endpoint) {
-		if !q.allows(e) {
+		if !v.allows(q, e) {
 			return
 		}
 		considered++
@@ -150,8 +158,8 @@
 }
 
 // allows tells whether e may serve q.
-func (q Query) allows(e member.Endpoint) bool {
-	return e.Trusted(q.Now) && !slices.Contains(q.Tried, e.Node.Name) && q.Serve.Matches(e.Node.Labels)
+func (v View) allows(q Query, e member.Endpoint) bool {
+	return v.Nodes.Trusted(e, q.Now) && !slices.Contains(q.Tried, e.Node.Name) && q.Serve.Matches(e.Node.Labels)
 }
 
 // few tries the holders of the prefix, the favoured and some random endpoints.
@@ -183,13 +191,15 @@
 // last, so that a wrong suspicion of all endpoints refuses no work.
 func (q Query) force(pool []member.Endpoint, v View) (Choice, bool) {
 	found := false
+	var heard time.Time
 	var best member.Endpoint
 	for _, e := range pool {
 		if slices.Contains(q.Tried, e.Node.Name) || !q.Serve.Matches(e.Node.Labels) {
 			continue
 		}
-		if !found || e.Heard.After(best.Heard) {
+		if at := v.Nodes.Heard(e.Node.Name); !found || at.After(heard) {
 			best = e
+			heard = at
 			found = true
 		}
 	}
@@ -222,7 +232,7 @@
 	}
 	c.Missed = q.Tokens - c.Cached
 	rate := orElse(e.Report.Prefill, defaultPrefill)
-	work := v.Loads.Work(e.Node.Name, v.Own.Work(e.Node.Name), q.Now)
+	work := v.Loads.Work(e.Node.Name, v.Own.Work(e.Node.Name), rate, q.Now)
 	c.Wait = wait(e, work, rate)
 	c.Expected = c.Wait + seconds(float64(c.Missed-guess)/rate)
 	if e.Node.Domain != q.Domain {
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -62,8 +62,9 @@
 	}
 }
 
-func view(ix prefix.Index, g *load.Gauge) route.View {
+func view(set member.Set, ix prefix.Index, g *load.Gauge) route.View {
 	return route.View{
+		Nodes: set,
 		Cache: ix,
 		Loads: load.Table{},
 		Own:   g,
@@ -74,17 +75,19 @@
 	hashes := chainOf(1, 1, 8)
 	var ix prefix.Index
 	ix = ix.WithEpoch("e0002", "1").WithStored("e0002", "1", hashes, start)
-	c, ok := route.Choose(query(hashes), fleet(4).Pool("small"), view(ix, &load.Gauge{}))
+	set := fleet(4)
+	c, ok := route.Choose(query(hashes), set.Pool("small"), view(set, ix, &load.Gauge{}))
 	fmt.Println(ok, c.Endpoint.Node.Name, c.Reason, c.Cached, c.Missed)
 	// Output: true e0002 prefix 512 0
 }
 
 func TestInstancesAgreeWithoutMessages(t *testing.T) {
-	pool := fleet(18).Pool("small")
+	set := fleet(18)
+	pool := set.Pool("small")
 	spread := map[string]int{}
 	for group := range 200 {
-		one, _ := route.Choose(query(chainOf(group, 1, 8)), pool, view(prefix.Index{}, &load.Gauge{}))
-		two, _ := route.Choose(query(chainOf(group, 2, 8)), pool, view(prefix.Index{}, &load.Gauge{}))
+		one, _ := route.Choose(query(chainOf(group, 1, 8)), pool, view(set, prefix.Index{}, &load.Gauge{}))
+		two, _ := route.Choose(query(chainOf(group, 2, 8)), pool, view(set, prefix.Index{}, &load.Gauge{}))
 		require.Equal(t, one.Endpoint.Node.Name, two.Endpoint.Node.Name)
 		require.Equal(t, route.ByHash, one.Reason)
 		spread[one.Endpoint.Node.Name]++
@@ -93,7 +96,8 @@
 }
 
 func TestLongWaitOutweighsTheCache(t *testing.T) {
-	pool := fleet(3).Pool("small")
+	set := fleet(3)
+	pool := set.Pool("small")
 	hashes := chainOf(1, 1, 8)
 	var ix prefix.Index
 	ix = ix.WithEpoch("e0000", "1").WithStored("e0000", "1", hashes, start)
@@ -101,22 +105,23 @@
 	for range 200 {
 		g.Start("e0000", 1000)
 	}
-	c, _ := route.Choose(query(hashes), pool, view(ix, g))
+	c, _ := route.Choose(query(hashes), pool, view(set, ix, g))
 	require.NotEqual(t, "e0000", c.Endpoint.Node.Name)
 }
 
 func TestChoiceKeepsToPolicyAndTries(t *testing.T) {
-	pool := fleet(4).Pool("small")
+	set := fleet(4)
+	pool := set.Pool("small")
 	q := query(chainOf(1, 1, 8))
 	sel, err := label.Parse("gpu=g1")
 	require.NoError(t, err)
 	q.Serve = sel
 	q.Tried = []string{"e0001"}
-	c, ok := route.Choose(q, pool, view(prefix.Index{}, &load.Gauge{}))
+	c, ok := route.Choose(q, pool, view(set, prefix.Index{}, &load.Gauge{}))
 	require.True(t, ok)
 	require.Equal(t, "e0003", c.Endpoint.Node.Name)
 	q.Tried = append(q.Tried, "e0003")
-	_, ok = route.Choose(q, pool, view(prefix.Index{}, &load.Gauge{}))
+	_, ok = route.Choose(q, pool, view(set, prefix.Index{}, &load.Gauge{}))
 	require.False(t, ok)
 }
 
@@ -125,7 +130,7 @@
 	for _, n := range []string{"e0000", "e0001", "e0002"} {
 		set = set.WithFailure(n, start).WithFailure(n, start)
 	}
-	c, ok := route.Choose(query(nil), set.Pool("small"), view(prefix.Index{}, &load.Gauge{}))
+	c, ok := route.Choose(query(nil), set.Pool("small"), view(set, prefix.Index{}, &load.Gauge{}))
 	require.True(t, ok)
 	require.Equal(t, route.ByForce, c.Reason)
 }
@@ -133,13 +138,14 @@
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{18, 200, 2000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			pool := fleet(n).Pool("small")
+			set := fleet(n)
+			pool := set.Pool("small")
 			hashes := chainOf(1, 1, 64)
 			var ix prefix.Index
 			for _, e := range pool[:min(8, n)] {
 				ix = ix.WithEpoch(e.Node.Name, "1").WithStored(e.Node.Name, "1", hashes, start)
 			}
-			q, v := query(hashes), view(ix, &load.Gauge{})
+			q, v := query(hashes), view(set, ix, &load.Gauge{})
 			b.ReportAllocs()
 			for b.Loop() {
 				route.Choose(q, pool, v)
--- a/pkg/stream/token.go
+++ b/pkg/stream/token.go
@@ -9,8 +9,12 @@
 	"strings"
 )
 
-// macBytes is the length of the signature in a token.
-const macBytes = 12
+const (
+	// macBytes is the length of the signature in a token.
+	macBytes = 12
+	// tokenParts is the number of parts of a token's body.
+	tokenParts = 5
+)
 
 // Token names a place in a stream of an endpoint.
 type Token struct {
@@ -20,8 +24,10 @@
 	Attempt string
 	// Team is whose stream it is.
 	Team string
-	// Offset is the chunk that carries the token.
+	// Offset is the number of chunks of the attempt up to this place.
 	Offset int
+	// Base is the number of chunks that came in attempts before this one.
+	Base int
 }
 
 // Signer makes and checks tokens with a secret that all instances share.
@@ -38,7 +44,7 @@
 
 // Sign returns t as text.
 func (s Signer) Sign(t Token) string {
-	body := strings.Join([]string{t.Endpoint, t.Attempt, t.Team, strconv.Itoa(t.Offset)}, "|")
+	body := strings.Join([]string{t.Endpoint, t.Attempt, t.Team, strconv.Itoa(t.Offset), strconv.Itoa(t.Base)}, "|")
 	raw := append(s.mac(body), body...)
 	return base64.RawURLEncoding.EncodeToString(raw)
 }
@@ -54,11 +60,12 @@
 		return Token{}, fmt.Errorf("event id %.40q has a wrong signature: send the last id that was received", text)
 	}
 	parts := strings.Split(body, "|")
-	if len(parts) != 4 {
+	if len(parts) != tokenParts {
 		return Token{}, fmt.Errorf("event id %.40q has %d parts: send the last id that was received", text, len(parts))
 	}
 	offset, err := strconv.Atoi(parts[3])
-	if err != nil || offset < 0 {
+	base, baseErr := strconv.Atoi(parts[4])
+	if err != nil || baseErr != nil || offset < 0 || base < 0 {
 		return Token{}, fmt.Errorf("event id %.40q has a wrong offset: send the last id that was received", text)
 	}
 	return Token{
@@ -66,6 +73,7 @@
 		Attempt:  parts[1],
 		Team:     parts[2],
 		Offset:   offset,
+		Base:     base,
 	}, nil
 }
 
