--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 CHECKS ?= 500
 RAPID = $$(go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}}{{end}}{{end}}' ./...)
 
-.PHONY: build run test lint fmt path prove generate
+.PHONY: build run test lint fmt path prove slopes generate
 
 build:
 	@mkdir -p bin
@@ -36,6 +36,10 @@
 prove:
 	STEPS=$(STEPS) go test -count=1 -timeout 0 ./internal/proof -run Promises -v -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 
+# slopes measures what docs/CAPACITY.md builds on and stores the table.
+slopes: build
+	bin/slopes --commit "$$(git rev-parse --short HEAD)" | tee docs/SLOPES.md
+
 # generate makes the code of internal/api anew; a build does not need it.
 generate:
 	go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
--- a/internal/ctrl/members.go
+++ b/internal/ctrl/members.go
@@ -8,9 +8,18 @@
 	"github.com/baobabtally/baobabtally/pkg/member"
 )
 
-// fullMesh is how many other instances get each pulse; of more, each pulse
-// goes to the next so many in turn.
-const fullMesh = 16
+const (
+	// fullMesh is the number of other instances up to which each pulse goes to all.
+	fullMesh = 9
+	// meshWork bounds the pulses of larger fleets: each instance sends about
+	// meshWork/n of them at each tick, to the others in turn.
+	meshWork = fullMesh * fullMesh
+	// tableSilence is how long the table may be unheard before pulses go to all
+	// others again, by which a majority is known.
+	tableSilence = 1 * time.Second
+	// mostTold is how many endpoints and teams a pulse tells of at most.
+	mostTold = 32
+)
 
 // Members looks after the nodes, their loads and the pulses between instances.
 type Members struct{}
@@ -29,7 +38,7 @@
 	case state.Pulse:
 		return m.pulse(s, e, now), nil
 	case state.Collected:
-		return m.collected(s, e)
+		return m.collected(s, e, now)
 	case state.Stopping:
 		s = s.WithLeaving()
 		return s, pulses(s)
@@ -117,26 +126,42 @@
 	return s.WithFresh()
 }
 
-func (Members) collected(s state.State, e state.Collected) (state.State, []state.Action) {
-	own := e.Summary
+func (Members) collected(s state.State, e state.Collected, now time.Time) (state.State, []state.Action) {
+	own := e.Summary.Most(mostTold)
 	own.Beat = s.Own.Beat + 1
 	s = s.WithOwn(own)
-	return s, pulses(s)
+	return s, turn(s, now)
 }
 
-// pulses sends what this instance knows to the others.
+// pulses sends what this instance knows to all others.
 func pulses(s state.State) []state.Action {
+	return pulsesTo(s, s.Others())
+}
+
+// turn sends it to those whose turn it is.
+func turn(s state.State, now time.Time) []state.Action {
 	others := s.Others()
-	from := 0
-	if len(others) > fullMesh {
-		from = int(s.Own.Beat) * fullMesh % len(others)
+	n := len(others)
+	if n <= fullMesh || now.Sub(s.Config.Table()) > tableSilence {
+		return pulsesTo(s, others)
 	}
-	var actions []state.Action
-	for i := range min(len(others), fullMesh) {
-		n, _ := s.Members.Find(others[(from+i)%len(others)])
+	beat := int(s.Own.Beat)
+	from, to := (beat-1)*meshWork/n, beat*meshWork/n
+	var chosen []string
+	for i := from; i < to; i++ {
+		chosen = append(chosen, others[i%n])
+	}
+	return pulsesTo(s, chosen)
+}
+
+func pulsesTo(s state.State, names []string) []state.Action {
+	pulse := PulseOf(s)
+	actions := make([]state.Action, 0, len(names))
+	for _, name := range names {
+		n, _ := s.Members.Find(name)
 		actions = append(actions, state.SendPulse{
 			To:    n.Node,
-			Pulse: PulseOf(s),
+			Pulse: pulse,
 		})
 	}
 	return actions
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,6 +97,9 @@
 // Done is closed when the instance has stopped.
 func (i *Instance) Done() <-chan struct{} { return i.done }
 
+// Spent returns how many steps the control thread made and the time they took.
+func (i *Instance) Spent() (int64, time.Duration) { return i.core.Loop.Spent() }
+
 // Run serves on l until ctx ends, and then stops gracefully.
 func (i *Instance) Run(ctx context.Context, l net.Listener) error {
 	defer close(i.done)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -1,8 +1,10 @@
 package state
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/baobabtally/baobabtally/pkg/alarm"
@@ -74,6 +76,32 @@
 	Tally map[string]alarm.Tally
 }
 
+// Most returns a copy of s that tells of at most n endpoints and n teams, those
+// with the most work and usage.
+func (s Summary) Most(n int) Summary {
+	if len(s.Work) > n {
+		names := slices.SortedFunc(maps.Keys(s.Work), func(a, b string) int {
+			return cmp.Or(s.Work[b].Calls-s.Work[a].Calls, strings.Compare(a, b))
+		})
+		work := make(map[string]load.Work, n)
+		for _, name := range names[:n] {
+			work[name] = s.Work[name]
+		}
+		s.Work = work
+	}
+	if len(s.Usage) > n {
+		names := slices.SortedFunc(maps.Keys(s.Usage), func(a, b string) int {
+			return cmp.Or(cmp.Compare(s.Usage[b], s.Usage[a]), strings.Compare(a, b))
+		})
+		usage := make(map[string]float64, n)
+		for _, name := range names[:n] {
+			usage[name] = s.Usage[name]
+		}
+		s.Usage = usage
+	}
+	return s
+}
+
 // New returns the state of an instance that just started.
 func New(self Self) State {
 	return State{
--- a/pkg/conf/state.go
+++ b/pkg/conf/state.go
@@ -58,6 +58,9 @@
 // Document returns the configuration in force.
 func (s State) Document() policy.Document { return s.doc }
 
+// Table returns when the last read was sent that the table answered.
+func (s State) Table() time.Time { return s.table }
+
 // Loaded tells whether any configuration was found.
 func (s State) Loaded() bool { return s.loaded }
 
--- a/pkg/member/node.go
+++ b/pkg/member/node.go
@@ -16,6 +16,7 @@
 	Engine
 	// Service is an engine of a plain service.
 	Service
+	roles
 )
 
 // String returns the role as it stands in the platform's list.
--- a/pkg/member/set.go
+++ b/pkg/member/set.go
@@ -3,7 +3,7 @@
 import (
 	"maps"
 	"slices"
-	"sort"
+	"strings"
 	"time"
 
 	"github.com/benbjohnson/immutable"
@@ -33,6 +33,9 @@
 	pools map[string][]Endpoint
 	// versions is the version of weights that most endpoints of a model have.
 	versions map[string]string
+	// roles holds all nodes by role in the order of their names. It is derived
+	// from entries. Invariant: never written once published.
+	roles [roles][]Endpoint
 	// heard is when a node last answered, by name. It changes all the time and
 	// is kept apart, so that an answer without news costs little.
 	heard *immutable.Map[string, time.Time]
@@ -161,17 +164,9 @@
 	return e.endpoint(), ok
 }
 
-// Nodes returns all nodes of role r in the order of their names.
-func (s Set) Nodes(r Role) []Endpoint {
-	var out []Endpoint
-	for _, e := range s.entries {
-		if e.node.Role == r {
-			out = append(out, e.endpoint())
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Node.Name < out[j].Node.Name })
-	return out
-}
+// Nodes returns all nodes of role r in the order of their names. The slice
+// must not be written.
+func (s Set) Nodes(r Role) []Endpoint { return s.roles[r] }
 
 // Heard returns when name last answered, or the zero time.
 func (s Set) Heard(name string) time.Time {
@@ -186,15 +181,15 @@
 // within Silence and are not leaving, in order.
 func (s Set) Live(self string, now time.Time) []string {
 	var out []string
-	for name, e := range s.entries {
-		if e.node.Role != Instance || name == self || e.report.Leaving {
+	for _, e := range s.roles[Instance] {
+		name := e.Node.Name
+		if name == self || e.Report.Leaving {
 			continue
 		}
 		if heard := s.Heard(name); !heard.IsZero() && now.Sub(heard) <= Silence {
 			out = append(out, name)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
@@ -265,10 +260,26 @@
 		pools[m] = pool(es)
 		versions[m] = usual(pools[m])
 	}
-	s.entries, s.pools, s.versions = entries, pools, versions
+	s.entries, s.pools, s.versions, s.roles = entries, pools, versions, byRole(entries)
 	return s
 }
 
+// byRole returns all nodes by role in the order of their names.
+func byRole(entries map[string]entry) [roles][]Endpoint {
+	var out [roles][]Endpoint
+	for _, e := range entries {
+		out[e.node.Role] = append(out[e.node.Role], e.endpoint())
+	}
+	for _, es := range out {
+		sortByName(es)
+	}
+	return out
+}
+
+func sortByName(es []Endpoint) {
+	slices.SortFunc(es, func(a, b Endpoint) int { return strings.Compare(a.Node.Name, b.Node.Name) })
+}
+
 // usual returns the version that most endpoints have, the greatest among equals.
 func usual(es []Endpoint) string {
 	count := map[string]int{}
@@ -299,6 +310,6 @@
 			out = append(out, e.endpoint())
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Node.Name < out[j].Node.Name })
+	sortByName(out)
 	return out
 }
