--- a/internal/slope/rows.go
+++ b/internal/slope/rows.go
@@ -41,6 +41,7 @@
 		row("step: report without news", "ns", "endpoints", endpointSizes, quietReport),
 		row("step: report with news", "ns", "endpoints", endpointSizes, loudReport),
 		row("step: tick", "ns", "endpoints", endpointSizes, tick),
+		row("step: tick", "ns", "promises", policySizes, promiseTick),
 		row("step: pulse", "ns", "endpoints with work", endpointSizes, pulseStep),
 		row("index: store one block", "ns", "blocks held", blockSizes, storeBlock),
 		row("index: memory", "bytes", "blocks held", blockSizes, indexMemory),
@@ -156,6 +157,18 @@
 
 func tick(n int) float64 { return stepTime(fleet(n), state.Tick{}) }
 
+func promiseTick(n int) float64 {
+	s := fleet(18)
+	doc := document(n)
+	s = s.WithConfig(s.Config.WithDocument(doc))
+	for _, p := range doc.Policies() {
+		s = s.WithAlarms(s.Alarms.With(p.Name, alarm.Tally{
+			Good: 10,
+		}, 0.95, start))
+	}
+	return stepTime(s, state.Tick{})
+}
+
 func summary(endpoints, teams int) state.Summary {
 	s := state.Summary{
 		Beat:  1,
--- a/pkg/member/node.go
+++ b/pkg/member/node.go
@@ -78,4 +78,6 @@
 	Hash uint64
 	// Suspect is when calls may be sent again after failures.
 	Suspect time.Time
+	// blamed tells that others say the endpoint is leaving.
+	blamed bool
 }
--- a/pkg/member/set.go
+++ b/pkg/member/set.go
@@ -205,10 +205,27 @@
 	return out
 }
 
+// with returns a copy of s with e in place of the entry of the same node. Only
+// what depends on that node is made anew.
 func (s Set) with(name string, e entry) Set {
 	next := maps.Clone(s.entries)
 	next[name] = e
-	return s.build(next)
+	s.entries = next
+	es := slices.Clone(s.roles[e.node.Role])
+	at, _ := slices.BinarySearchFunc(es, name, func(e Endpoint, name string) int {
+		return strings.Compare(e.Node.Name, name)
+	})
+	es[at] = e.endpoint()
+	s.roles[e.node.Role] = es
+	if e.node.Role == Instance {
+		return s
+	}
+	s.pools, s.versions = maps.Clone(s.pools), maps.Clone(s.versions)
+	for _, m := range e.node.Models {
+		s.pools[m] = s.pool(m)
+		s.versions[m] = usual(s.pools[m])
+	}
+	return s
 }
 
 func (s Set) withHeard(name string, now time.Time) Set {
@@ -236,32 +253,49 @@
 		Report:  e.report,
 		Hash:    xxhash.Sum64String(e.node.Name),
 		Suspect: e.suspect,
+		blamed:  e.node.Leaving || e.accused,
 	}
 }
 
-// blamed tells whether others say that the node is leaving, and the node did
-// not say otherwise since.
-func (e entry) blamed() bool { return e.node.Leaving || e.accused }
-
-// build returns a copy of s with entries, from which it derives the pools.
+// build returns a copy of s with entries, from which it derives the rest.
 func (s Set) build(entries map[string]entry) Set {
-	all := map[string][]entry{}
-	for _, e := range entries {
-		if e.node.Role == Instance || e.report.Leaving {
-			continue
+	s.entries = entries
+	s.roles = byRole(entries)
+	s.pools = map[string][]Endpoint{}
+	s.versions = map[string]string{}
+	for _, r := range [...]Role{Engine, Service} {
+		for _, e := range s.roles[r] {
+			for _, m := range e.Node.Models {
+				if _, ok := s.pools[m]; !ok {
+					s.pools[m] = s.pool(m)
+					s.versions[m] = usual(s.pools[m])
+				}
+			}
 		}
-		for _, m := range e.node.Models {
-			all[m] = append(all[m], e)
+	}
+	return s
+}
+
+// pool returns the endpoints that take new work for model. It leaves out those
+// that others say are leaving, unless too few remain.
+func (s Set) pool(model string) []Endpoint {
+	var all []Endpoint
+	blamed := 0
+	for _, r := range [...]Role{Engine, Service} {
+		for _, e := range s.roles[r] {
+			if e.Report.Leaving || !slices.Contains(e.Node.Models, model) {
+				continue
+			}
+			all = append(all, e)
+			if e.blamed {
+				blamed++
+			}
 		}
 	}
-	pools := make(map[string][]Endpoint, len(all))
-	versions := make(map[string]string, len(all))
-	for m, es := range all {
-		pools[m] = pool(es)
-		versions[m] = usual(pools[m])
+	if blamed == 0 || float64(len(all)-blamed) < keepShare*float64(len(all)) {
+		return all
 	}
-	s.entries, s.pools, s.versions, s.roles = entries, pools, versions, byRole(entries)
-	return s
+	return slices.DeleteFunc(all, func(e Endpoint) bool { return e.blamed })
 }
 
 // byRole returns all nodes by role in the order of their names.
@@ -294,22 +328,3 @@
 	}
 	return best
 }
-
-// pool leaves out those that others say are leaving, unless too few remain.
-func pool(es []entry) []Endpoint {
-	blamed := 0
-	for _, e := range es {
-		if e.blamed() {
-			blamed++
-		}
-	}
-	keepAll := float64(len(es)-blamed) < keepShare*float64(len(es))
-	out := make([]Endpoint, 0, len(es))
-	for _, e := range es {
-		if keepAll || !e.blamed() {
-			out = append(out, e.endpoint())
-		}
-	}
-	sortByName(out)
-	return out
-}
