--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/signal"
 	"slices"
-	"strings"
 	"syscall"
 	"time"
 
@@ -24,7 +23,6 @@
 	app := kingpin.New("standin", "A stand-in for an endpoint or for the platform.")
 	listen := app.Flag("listen", "The IP address and port.").Required().String()
 	epoch := app.Flag("epoch", "The incarnation of an engine.").Default("1").String()
-	models := app.Flag("models", "The models of an engine, with commas.").Default("small").String()
 	prefill := app.Flag("prefill", "The prompt tokens a second of an engine.").Default("20000").Float64()
 	step := app.Flag("step", "The time between two tokens of an engine.").Default("5ms").Duration()
 	fences := app.Flag("fences", "Whether an engine refuses old fencing numbers.").Bool()
@@ -34,7 +32,7 @@
 			if *fences {
 				opts = append(opts, stand.WithFences())
 			}
-			return stand.NewEngine(*epoch, strings.Split(*models, ","), opts...)
+			return stand.NewEngine(*epoch, opts...)
 		},
 		"service": func() http.Handler { return stand.NewService() },
 		"table":   func() http.Handler { return stand.NewTable() },
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -20,6 +20,7 @@
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/policy"
+	"github.com/baobabtally/baobabtally/pkg/route"
 	"github.com/baobabtally/baobabtally/pkg/store"
 )
 
@@ -112,6 +113,17 @@
 type options struct {
 	controllers []ctrl.Controller
 	filters     func([]chain.Filter) []chain.Filter
+	chooser     chooser
+}
+
+// chooser picks the endpoint for a request.
+type chooser interface {
+	Choose(q route.Query, pool []member.Endpoint, v route.View) (route.Choice, bool)
+}
+
+// WithChooser replaces how endpoints are picked.
+func WithChooser(c chooser) Option {
+	return func(o *options) { o.chooser = c }
 }
 
 // WithControllers replaces the controllers.
@@ -134,6 +146,7 @@
 	}
 	o := options{
 		controllers: ctrl.Controllers(),
+		chooser:     route.Best{},
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -166,6 +179,7 @@
 	end := filter.NewDispatch(loop, p.Ends, d.gauge, p.NewID,
 		filter.WithDistance(p.Distance),
 		filter.WithClock(p.Now),
+		filter.WithChooser(o.chooser),
 		filter.WithLog(d.log))
 	living := alive{
 		loop: loop,
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -64,7 +64,7 @@
 	}
 	t.Cleanup(f.http.CloseIdleConnections)
 	for i := range engines {
-		e := stand.NewEngine("1", []string{"small"}, stand.WithRate(200_000, time.Millisecond))
+		e := stand.NewEngine("1", stand.WithRate(200_000, time.Millisecond))
 		f.engines = append(f.engines, e)
 		f.node(fmt.Sprintf("e%d", i), "engine", f.serve(e), "small")
 	}
--- a/internal/daemon/demo.go
+++ b/internal/daemon/demo.go
@@ -77,8 +77,8 @@
 	models := []string{"small"}
 	nodes := []plat.Entry{
 		entry("i1", "instance", listen, nil),
-		entry("e1", "engine", serve(stand.NewEngine("1", models)), models),
-		entry("e2", "engine", serve(stand.NewEngine("1", models)), models),
+		entry("e1", "engine", serve(stand.NewEngine("1")), models),
+		entry("e2", "engine", serve(stand.NewEngine("1")), models),
 		entry("b1", "service", serve(stand.NewService()), []string{"billing"}),
 	}
 	table := stand.NewTable()
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -35,12 +35,18 @@
 	Open(ctx context.Context, a call.Attempt) (call.Reply, error)
 }
 
+// chooser picks the endpoint for a request.
+type chooser interface {
+	Choose(q route.Query, pool []member.Endpoint, v route.View) (route.Choice, bool)
+}
+
 // Dispatch chooses endpoints and has them serve requests. It is the end of
 // the chain.
 type Dispatch struct {
 	view     viewer
 	post     poster
 	client   opener
+	chooser  chooser
 	gauge    *load.Gauge
 	budget   *retry.Budget
 	now      clock
@@ -62,6 +68,11 @@
 	return func(f *Dispatch) { f.now = now }
 }
 
+// WithChooser replaces how endpoints are picked.
+func WithChooser(c chooser) DispatchOption {
+	return func(f *Dispatch) { f.chooser = c }
+}
+
 // WithLog has the filter log to l.
 func WithLog(l zerolog.Logger) DispatchOption {
 	return func(f *Dispatch) { f.log = l }
@@ -79,12 +90,13 @@
 	f := Dispatch{
 		view:   c,
 		post:   c,
-		client: client,
-		gauge:  g,
-		budget: &retry.Budget{},
-		now:    time.Now,
-		newID:  newID,
-		log:    zerolog.Nop(),
+		client:  client,
+		chooser: route.Best{},
+		gauge:   g,
+		budget:  &retry.Budget{},
+		now:     time.Now,
+		newID:   newID,
+		log:     zerolog.Nop(),
 	}
 	for _, o := range opts {
 		o(&f)
@@ -125,7 +137,7 @@
 func (f Dispatch) pick(r chain.Request, tried []string) (route.Choice, bool) {
 	s := f.view.View()
 	now := f.now()
-	return route.Choose(route.Query{
+	return f.chooser.Choose(route.Query{
 		Hashes: r.Hashes,
 		Tokens: r.Tokens,
 		Domain: s.Self.Domain,
--- a/internal/stand/cache.go
+++ b/internal/model/cache.go
@@ -1,4 +1,4 @@
-package stand
+package model
 
 import (
 	"container/list"
@@ -6,23 +6,24 @@
 	"sync"
 )
 
-// blockCache is the blocks that an engine has cached, least recently used first out.
-type blockCache struct {
+// Cache is the blocks that an engine has cached, least recently used first out.
+type Cache struct {
 	limit int
 	order *list.List
 	at    map[uint64]*list.Element
 }
 
-func newBlockCache(limit int) blockCache {
-	return blockCache{
+// NewCache returns an empty cache of limit blocks.
+func NewCache(limit int) Cache {
+	return Cache{
 		limit: limit,
 		order: list.New(),
 		at:    map[uint64]*list.Element{},
 	}
 }
 
-// prefix returns how many leading blocks of hashes are cached.
-func (c blockCache) prefix(hashes []uint64) int {
+// Prefix returns how many leading blocks of hashes are cached.
+func (c Cache) Prefix(hashes []uint64) int {
 	for i, h := range hashes {
 		if c.at[h] == nil {
 			return i
@@ -31,8 +32,8 @@
 	return len(hashes)
 }
 
-// add caches hashes and returns the blocks that are new and those that had to go.
-func (c blockCache) add(hashes []uint64) ([]uint64, []uint64) {
+// Add caches hashes and returns the blocks that are new and those that had to go.
+func (c Cache) Add(hashes []uint64) ([]uint64, []uint64) {
 	var stored, removed []uint64
 	for _, h := range slices.Backward(hashes) {
 		if el := c.at[h]; el != nil {
@@ -55,8 +56,8 @@
 	return stored, removed
 }
 
-// turns gives a number of turns to those who wait, by priority and arrival.
-type turns struct {
+// Turns gives a number of turns to those who wait, by priority and arrival.
+type Turns struct {
 	mu      sync.Mutex
 	free    int
 	waiting []*waiter
@@ -67,14 +68,15 @@
 	turn     chan struct{}
 }
 
-func newTurns(n int) *turns {
-	return &turns{
+// NewTurns returns n free turns.
+func NewTurns(n int) *Turns {
+	return &Turns{
 		free: n,
 	}
 }
 
-// take waits for a turn, or returns false once gone is closed.
-func (t *turns) take(priority int, gone <-chan struct{}) bool {
+// Take waits for a turn, or returns false once gone is closed.
+func (t *Turns) Take(priority int, gone <-chan struct{}) bool {
 	t.mu.Lock()
 	if t.free > 0 {
 		t.free--
@@ -105,8 +107,8 @@
 	return true
 }
 
-// give passes a turn on.
-func (t *turns) give() {
+// Give passes a turn on.
+func (t *Turns) Give() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.waiting) == 0 {
--- a/internal/slope/mesh.go
+++ b/internal/slope/mesh.go
@@ -124,7 +124,7 @@
 		urls[i] = "http://" + l.Addr().String()
 	}
 	for i := range engines {
-		l, err := m.serve(stand.NewEngine("1", []string{"small"}))
+		l, err := m.serve(stand.NewEngine("1"))
 		if err != nil {
 			return err
 		}
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/baobabtally/baobabtally/internal/model"
 	"github.com/baobabtally/baobabtally/pkg/prefix"
 )
 
@@ -54,15 +55,11 @@
 	// Faults makes calls fail.
 	Faults  Faults
 	mux     *http.ServeMux
-	slots   *turns
-	reader  *turns
-	prefill float64
-	step    time.Duration
-	models  []string
+	engine  *model.Engine
+	options []model.Option
 
 	mu      sync.Mutex
 	load    Load
-	cache   blockCache
 	streams map[string]*output
 	ended   []string
 	runs    []Run
@@ -77,15 +74,12 @@
 
 // WithRate sets the prompt tokens a second and the time between two tokens.
 func WithRate(prefill float64, step time.Duration) EngineOption {
-	return func(e *Engine) {
-		e.prefill = prefill
-		e.step = step
-	}
+	return func(e *Engine) { e.options = append(e.options, model.WithRate(prefill, step)) }
 }
 
 // WithBlocks sets how many blocks the cache holds.
 func WithBlocks(n int) EngineOption {
-	return func(e *Engine) { e.cache.limit = n }
+	return func(e *Engine) { e.options = append(e.options, model.WithBlocks(n)) }
 }
 
 // WithFences has the engine refuse orders with an old fencing number.
@@ -93,27 +87,22 @@
 	return func(e *Engine) { e.fences = true }
 }
 
-// NewEngine returns an engine of the given incarnation that serves models.
-func NewEngine(epoch string, models []string, opts ...EngineOption) *Engine {
+// NewEngine returns an engine of the given incarnation.
+func NewEngine(epoch string, opts ...EngineOption) *Engine {
 	e := &Engine{
 		mux:     http.NewServeMux(),
-		slots:   newTurns(16),
-		reader:  newTurns(1),
-		prefill: 20_000,
-		step:    5 * time.Millisecond,
-		models:  models,
 		streams: map[string]*output{},
-		cache:   newBlockCache(4096),
 	}
 	for _, o := range opts {
 		o(e)
 	}
+	e.engine = model.New(e.options...)
 	e.load = Load{
 		Epoch:   epoch,
 		Version: "v1",
-		Slots:   16,
-		Prefill: e.prefill,
-		Step:    e.step.Seconds(),
+		Slots:   model.Slots,
+		Prefill: e.engine.Prefill(),
+		Step:    e.engine.Step().Seconds(),
 	}
 	e.mux.HandleFunc("POST /v1/chat/completions", e.chat)
 	e.mux.HandleFunc("POST /v1/completions", e.chat)
@@ -159,7 +148,7 @@
 		out.cancel.Do(func() { close(out.gone) })
 	}
 	e.streams = map[string]*output{}
-	e.cache = newBlockCache(e.cache.limit)
+	e.engine.Empty()
 	e.events = nil
 	e.seq = 0
 	e.load.Epoch = epoch
@@ -252,59 +241,45 @@
 	from := utf8.RuneCountInString(done) / len(word("", 0))
 	tokens := prefix.Tokens(len(prompt) + len(done))
 	hashes := prefix.Chain(c.Salt, []byte(prompt+done))
-	e.count(0, 1, tokens)
-	if !e.slots.take(c.Priority, out.gone) {
-		e.count(0, -1, -tokens)
+	reading, ok := e.engine.Read(c.Priority, tokens, hashes, out.gone)
+	if !ok {
 		return
 	}
-	defer e.slots.give()
-	e.count(1, -1, 0)
-	defer e.count(-1, 0, 0)
-	cached := e.read(c.Priority, tokens, hashes, out)
-	e.count(0, 0, -tokens)
+	defer e.engine.Done()
+	e.emit(reading)
 	total := c.MaxTokens
 	if total == 0 {
 		total = defaultOutput
 	}
 	var text strings.Builder
 	for i := range total {
-		time.Sleep(e.step)
+		time.Sleep(e.engine.Step())
 		if out.abandoned() {
 			return
 		}
 		text.WriteString(word(prompt, from+i))
 		out.add(word(prompt, from+i))
 	}
-	out.end(tokens, cached, total)
+	out.end(tokens, reading.Cached, total)
 	e.keep(out, Run{
 		ID:     out.id,
 		Salt:   c.Salt,
 		Text:   text.String(),
 		Prompt: tokens,
-		Cached: cached,
+		Cached: reading.Cached,
 	})
 }
 
-// read reads the prompt, one call at a time, and returns how many tokens were cached.
-func (e *Engine) read(priority, tokens int, hashes []uint64, out *output) int {
-	if !e.reader.take(priority, out.gone) {
-		return 0
-	}
-	defer e.reader.give()
-	e.mu.Lock()
-	cached := min(e.cache.prefix(hashes)*prefix.BlockTokens, tokens)
-	e.mu.Unlock()
-	time.Sleep(time.Duration(float64(tokens-cached) / e.prefill * float64(time.Second)))
+// emit appends the cache events of a reading.
+func (e *Engine) emit(r model.Reading) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	stored, removed := e.cache.add(hashes)
-	e.emit(false, stored)
-	e.emit(true, removed)
-	return cached
+	e.append(false, r.Stored)
+	e.append(true, r.Removed)
 }
 
-// emit appends a cache event. The caller holds mu.
-func (e *Engine) emit(removed bool, hashes []uint64) {
+// append appends a cache event. The caller holds mu.
+func (e *Engine) append(removed bool, hashes []uint64) {
 	if len(hashes) == 0 {
 		return
 	}
@@ -331,18 +306,13 @@
 	}
 }
 
-func (e *Engine) count(running, waiting, tokens int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.load.Running += running
-	e.load.Waiting += waiting
-	e.load.Tokens += tokens
-}
-
 func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	reply(w, e.load)
+	now := e.engine.Load()
+	report := e.load
+	report.Running, report.Waiting, report.Tokens = now.Running, now.Waiting, now.Tokens
+	reply(w, report)
 }
 
 func (e *Engine) listEvents(w http.ResponseWriter, r *http.Request) {
@@ -388,7 +358,7 @@
 	e.load.Leaving = o.Leave
 	if o.Version != "" && o.Version != e.load.Version {
 		e.load.Version = o.Version
-		e.cache = newBlockCache(e.cache.limit)
+		e.engine.Empty()
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -124,6 +124,14 @@
 	Distance time.Duration
 }
 
+// Best chooses as Choose does. The zero value is ready.
+type Best struct{}
+
+// Choose returns the best endpoint of pool.
+func (Best) Choose(q Query, pool []member.Endpoint, v View) (Choice, bool) {
+	return Choose(q, pool, v)
+}
+
 // Choose returns the best endpoint of pool, or false where none may serve q.
 func Choose(q Query, pool []member.Endpoint, v View) (Choice, bool) {
 	var hitBuf [16]prefix.Hit
