route, filter: weigh reading against waiting, and keep slots for urgent work

A token to be read now counts 12 times, the favoured endpoint is named by the prompt's shared part (block 16, not block 0) and is taken to hold 0.9 of it.

In a flood of normal work urgent work waited behind answers that hold slots. Cause: each of seven instances took all that its lagging view showed free. Each now takes an equal part of what was free, and normal work leaves slots to urgent work.

identify: a kind that the caller names was overwritten, so that no request matched kind=check.

--- a/internal/filter/admit.go
+++ b/internal/filter/admit.go
@@ -52,7 +52,10 @@
 	if r.Resume.Active() && r.Resume.Team != c.Team {
 		return chain.Result{}, fault.New(fault.Denied, "the stream belongs to another team: resume it with a key of that team")
 	}
-	labels := r.Labels.With("kind", r.Kind.String())
+	labels := r.Labels
+	if _, ok := labels.Get("kind"); !ok {
+		labels = labels.With("kind", r.Kind.String())
+	}
 	for k, v := range c.Labels.Map() {
 		labels = labels.With(k, v)
 	}
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -88,8 +88,8 @@
 // new value at each call.
 func NewDispatch(c controller, client opener, g *load.Gauge, newID func() string, opts ...DispatchOption) Dispatch {
 	f := Dispatch{
-		view:   c,
-		post:   c,
+		view:    c,
+		post:    c,
 		client:  client,
 		chooser: route.Best{},
 		gauge:   g,
@@ -144,6 +144,7 @@
 		Serve:  r.Policy.Endpoints,
 		Tried:  tried,
 		Now:    now,
+		Urgent: r.Policy.Rank == policy.Urgent,
 		Seed:   uint64(now.UnixNano()),
 	}, s.Members.Pool(r.Model), route.View{
 		Nodes:    s.Members,
@@ -157,7 +158,7 @@
 // attempt returns the attempt of r at e.
 func (f Dispatch) attempt(r chain.Request, e member.Endpoint) call.Attempt {
 	priority := 1
-	if r.Policy.Rank == policy.Urgent {
+	if r.Policy.Rank == policy.Urgent || r.Floored {
 		priority = 0
 	}
 	return call.Attempt{
--- a/internal/filter/gate.go
+++ b/internal/filter/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -20,10 +21,23 @@
 	targetShare = 0.8
 	// usualSlots stands in for the slots of an endpoint that did not report.
 	usualSlots = 16
-	// rateFade is how much one completed request moves the measured rate.
-	rateFade = 0.05
+	// speedSpan is the time over which the speed of service is measured, and
+	// speedFade how much one measurement moves it.
+	speedSpan = 250 * time.Millisecond
+	speedFade = 0.3
 	// maxWaiting bounds the requests that wait for one model.
 	maxWaiting = 20_000
+	// keptSlots is how many slots of each endpoint normal work leaves to urgent
+	// work at least, which would wait for long answers otherwise.
+	keptSlots = 1
+	// keptTimes is how many times the slots that urgent work usually takes are
+	// kept for it, and keptSpan the time over which that is measured.
+	keptTimes = 1.5
+	keptSpan  = 2 * time.Second
+	// reading is how many prompts may be sent to each endpoint before it read
+	// the first. More would wait there, where urgent work can't overtake it and
+	// where it is spread to endpoints that hold nothing of it.
+	reading = 4
 )
 
 // usage counts what teams were served.
@@ -46,13 +60,22 @@
 // pool is the requests for one model.
 type pool struct {
 	waiting queue.Queue
-	// turns holds what ends the wait of each item.
-	turns map[uint64]chan struct{}
-	// running is how many requests have their turn.
-	running int
-	nextID  uint64
-	// seconds is the average time, in seconds, that a token of cost takes a slot.
-	seconds float64
+	// turns holds what ends the wait of each item. What is sent tells whether
+	// the item took its turn while urgent work waited, as its rank's floor.
+	turns map[uint64]chan bool
+	// running is how many requests have their turn, by rank, and unread how
+	// many of them have no first chunk yet.
+	running [policy.Ranks]int
+	unread  int
+	// urgent is the usual number of urgent requests that run or wait, as of at.
+	urgent float64
+	at     time.Time
+	nextID uint64
+	// speed is the cost a second that was served while work waited.
+	speed float64
+	// served is the cost since the speed was last measured, at measured.
+	served   float64
+	measured time.Time
 }
 
 // NewGate returns the filter that reads the fleet's capacity from v.
@@ -73,24 +96,58 @@
 	if r.Resume.Active() {
 		return next.Handle(ctx, r, w)
 	}
-	if err := f.wait(ctx, r); err != nil {
+	floored, err := f.wait(ctx, r)
+	if err != nil {
 		return chain.Result{}, err
 	}
-	start := f.now()
-	result, err := next.Handle(ctx, r, w)
-	f.leave(r, result, f.now().Sub(start))
+	r = r.WithFloored(floored)
+	read := &firstChunk{
+		Writer: w,
+		gate:   f,
+		model:  r.Model,
+	}
+	result, err := next.Handle(ctx, r, read)
+	read.seen()
+	f.leave(r, result)
 	return result, err
 }
 
-// wait returns nil when it is r's turn.
-func (f Gate) wait(ctx context.Context, r chain.Request) error {
+// firstChunk tells the gate when an answer begins.
+type firstChunk struct {
+	chain.Writer
+	gate  Gate
+	model string
+	done  bool
+}
+
+// Begin passes the head on.
+func (w *firstChunk) Begin(h chain.Head) error {
+	w.seen()
+	return w.Writer.Begin(h)
+}
+
+// seen counts the prompt as read, once.
+func (w *firstChunk) seen() {
+	if w.done {
+		return
+	}
+	w.done = true
+	w.gate.mu.Lock()
+	defer w.gate.mu.Unlock()
+	p := w.gate.pool(w.model)
+	p.unread--
+	w.gate.grant(w.model, p)
+}
+
+// wait returns when it is r's turn, and whether it came as its rank's floor.
+func (f Gate) wait(ctx context.Context, r chain.Request) (bool, error) {
 	f.mu.Lock()
 	p := f.pool(r.Model)
 	limit := patience(r.Policy)
-	expected := p.expect(r, f.capacity(r.Model))
+	expected := p.expect(r, f.room(r.Model, p))
 	if expected > limit || len(p.turns) >= maxWaiting {
 		f.mu.Unlock()
-		return f.refuse(r, "expected", expected)
+		return false, f.refuse(r, "expected", expected)
 	}
 	turn, place, id := p.join(r)
 	f.grant(r.Model, p)
@@ -99,16 +156,16 @@
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
-	case <-turn:
-		return nil
+	case floored := <-turn:
+		return floored, nil
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	if f.quit(p, place, id) {
-		return f.refuse(r, "waited", limit)
+		return false, f.refuse(r, "waited", limit)
 	}
 	// The turn came at the same moment, and is used.
-	return nil
+	return <-turn, nil
 }
 
 func (f Gate) refuse(r chain.Request, how string, wait time.Duration) error {
@@ -119,20 +176,18 @@
 }
 
 // leave gives r's turn to the next.
-func (f Gate) leave(r chain.Request, result chain.Result, took time.Duration) {
+func (f Gate) leave(r chain.Request, result chain.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.pool(r.Model)
-	p.running--
+	p.running[r.Policy.Rank]--
 	estimate := r.Cost()
 	actual := estimate
 	if result.Output > 0 {
 		actual = float64(result.Prompt - result.Cached + result.Output + 1)
 	}
 	p.waiting = p.waiting.WithCharge(r.Policy.Rank, r.Team, actual-estimate, weight(r))
-	if result.Output > 0 || r.Kind == chain.Service {
-		p.seconds += rateFade * (took.Seconds()/estimate - p.seconds)
-	}
+	p.measure(estimate, f.now())
 	f.usage.Charge(r.Team, actual)
 	f.grant(r.Model, p)
 }
@@ -153,51 +208,117 @@
 // grant gives turns while there is room. The caller holds mu.
 func (f Gate) grant(model string, p *pool) {
 	floor := f.view.View().Config.Document().Floor(policy.Normal)
-	for room := f.capacity(model); p.running < room; {
-		it, next, ok := p.waiting.Next(floor)
+	p.watch(f.now())
+	for room := f.room(model, p); p.unread < room.unread; {
+		it, next, ok := p.waiting.Next(floor, room.allows(p))
 		if !ok {
 			return
 		}
 		p.waiting = next
-		p.running++
-		close(p.turns[it.ID])
+		p.running[it.Rank]++
+		p.unread++
+		p.turns[it.ID] <- it.Rank == policy.Normal && p.waiting.Len(policy.Urgent) > 0
 		delete(p.turns, it.ID)
 	}
 }
 
-// capacity is how many calls this instance may run at once for model: what
-// peers leave free, and at least an equal part.
-func (f Gate) capacity(model string) int {
+// room is how many calls of a model this instance may run at once.
+type room struct {
+	// all is for both ranks, and normal for normal work alone.
+	all    int
+	normal int
+	// unread is how many of them may be without a first chunk.
+	unread int
+}
+
+// allows tells which ranks may have one more turn.
+func (r room) allows(p *pool) [policy.Ranks]bool {
+	var out [policy.Ranks]bool
+	free := p.running[policy.Normal]+p.running[policy.Urgent] < r.all
+	out[policy.Urgent] = free
+	out[policy.Normal] = free && p.running[policy.Normal] < r.normal
+	return out
+}
+
+// room returns an equal part of all slots, or what this instance had when it
+// last told its peers and an equal part of what was free then. Each instance
+// knows of the others with a lag; were each to take all that seemed free, a
+// flood would take it several times over.
+func (f Gate) room(model string, p *pool) room {
 	s := f.view.View()
 	now := f.now()
-	total, peers := 0, 0
-	for _, e := range s.Members.Pool(model) {
+	total, normal, taken, own := 0, 0, 0, 0
+	pool := s.Members.Pool(model)
+	for _, e := range pool {
 		slots := e.Report.Slots
 		if slots == 0 {
 			slots = usualSlots
 		}
 		total += slots
-		peers += s.Loads.Peers(e.Node.Name, 0, now).Calls
+		normal += max(1, slots-keptSlots)
+		told := s.Own.Work[e.Node.Name].Calls
+		own += told
+		taken += told + s.Loads.Peers(e.Node.Name, 0, now).Calls
+	}
+	live := s.Live(now)
+	floor := s.Config.Document().Floor(policy.Normal)
+	return room{
+		all:    max(1, total/live, own+(total-taken)/live),
+		normal: max(1, int(math.Ceil(floor*float64(total)/float64(live))), max(normal/live, own+(normal-taken)/live)-p.extra(len(pool), live)),
+		unread: max(1, 2*reading*len(pool)/live),
 	}
-	equal := total / s.Live(now)
-	return max(1, equal, total-peers)
 }
 
 func (f Gate) pool(model string) *pool {
 	p := f.pools[model]
 	if p == nil {
 		p = &pool{
-			turns: map[uint64]chan struct{}{},
+			turns: map[uint64]chan bool{},
 		}
 		f.pools[model] = p
 	}
 	return p
 }
 
+// measure counts cost that was served, by which the speed of service is known.
+func (p *pool) measure(cost float64, now time.Time) {
+	p.served += cost
+	span := now.Sub(p.measured)
+	if span < speedSpan {
+		return
+	}
+	speed := p.served / span.Seconds()
+	busy := p.waiting.Len(policy.Urgent)+p.waiting.Len(policy.Normal) > 0
+	switch {
+	case p.measured.IsZero():
+	case p.speed == 0, speed > p.speed:
+		p.speed = speed
+	case busy:
+		p.speed += speedFade * (speed - p.speed)
+	}
+	p.served, p.measured = 0, now
+}
+
+// extra is how many more slots than keptSlots this instance keeps for its
+// urgent work.
+func (p *pool) extra(endpoints, live int) int {
+	return max(0, int(math.Ceil(keptTimes*p.urgent))-keptSlots*endpoints/live)
+}
+
+// watch follows how many slots urgent work usually takes.
+func (p *pool) watch(now time.Time) {
+	count := float64(p.running[policy.Urgent] + p.waiting.Len(policy.Urgent))
+	if !p.at.IsZero() {
+		share := 1 - math.Exp(-now.Sub(p.at).Seconds()/keptSpan.Seconds())
+		p.urgent += share * (count - p.urgent)
+	}
+	p.at = now
+}
+
 // join adds r to the queue.
-func (p *pool) join(r chain.Request) (chan struct{}, queue.Place, uint64) {
+func (p *pool) join(r chain.Request) (chan bool, queue.Place, uint64) {
 	p.nextID++
-	turn := make(chan struct{})
+	turn := make(chan bool, 1)
 	p.turns[p.nextID] = turn
 	next, place := p.waiting.With(p.item(r))
 	p.waiting = next
@@ -215,15 +336,15 @@
 }
 
 // expect returns how long r would wait for its turn.
-func (p *pool) expect(r chain.Request, room int) time.Duration {
-	if p.running < room {
+func (p *pool) expect(r chain.Request, have room) time.Duration {
+	if p.waiting.Len(r.Policy.Rank) == 0 && p.unread < have.unread && have.allows(p)[r.Policy.Rank] {
 		return 0
 	}
 	ahead := p.waiting.Ahead(p.item(r))
 	if r.Policy.Rank == policy.Normal {
 		ahead += p.waiting.Cost(policy.Urgent)
 	}
-	return time.Duration(ahead * p.seconds / float64(room) * float64(time.Second))
+	return time.Duration(ahead / max(p.speed, 1) * float64(time.Second))
 }
 
 // patience is how long work of p may wait for its turn.
--- a/internal/slope/rows.go
+++ b/internal/slope/rows.go
@@ -260,7 +260,7 @@
 	}
 	return timed(func() {
 		add()
-		_, q, _ = q.Next(0.2)
+		_, q, _ = q.Next(0.2, queue.Any)
 	})
 }
 
--- a/pkg/chain/request.go
+++ b/pkg/chain/request.go
@@ -67,6 +67,9 @@
 	Policy policy.Policy
 	// Hashes are the block hashes of the prompt, set by the match filter.
 	Hashes []uint64
+	// Floored tells that the request took its turn before waiting urgent work,
+	// as the floor of its rank, and must not be held up behind it again.
+	Floored bool
 	// Version is the version of weights for which Hashes were made.
 	Version string
 }
@@ -109,6 +112,13 @@
 	return r
 }
 
+// WithFloored returns a copy of r that did or did not take its turn as its
+// rank's floor.
+func (r Request) WithFloored(floored bool) Request {
+	r.Floored = floored
+	return r
+}
+
 // Cost returns the tokens that the request may take, by which limits and
 // fair shares are counted.
 func (r Request) Cost() float64 { return float64(r.Tokens + r.Output + 1) }
--- a/pkg/queue/doc.go
+++ b/pkg/queue/doc.go
@@ -11,5 +11,5 @@
 // queue and shares structure with the last, so that a step costs O(log n).
 //
 //	q, place := q.With(item)
-//	item, q, ok := q.Next(0.2)
+//	item, q, ok := q.Next(0.2, queue.Any)
 package queue
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -31,6 +31,9 @@
 	at   tag
 }
 
+// Any allows both ranks.
+var Any = [policy.Ranks]bool{true, true}
+
 // Queue is the waiting requests. The zero value is empty.
 type Queue struct {
 	lanes [policy.Ranks]lane
@@ -92,9 +95,10 @@
 }
 
 // Next returns the item that goes next and the queue without it. Normal items
-// keep the share floor of the service while both ranks wait.
-func (q Queue) Next(floor float64) (Item, Queue, bool) {
-	rank, ok := q.pick(floor)
+// keep the share floor of the service while both ranks wait. Only ranks that
+// are allowed have items taken.
+func (q Queue) Next(floor float64, allowed [policy.Ranks]bool) (Item, Queue, bool) {
+	rank, ok := q.pick(floor, allowed)
 	if !ok {
 		return Item{}, q, false
 	}
@@ -167,8 +171,9 @@
 }
 
 // pick returns the rank that goes next.
-func (q Queue) pick(floor float64) (policy.Rank, bool) {
-	urgent, normal := q.Len(policy.Urgent) > 0, q.Len(policy.Normal) > 0
+func (q Queue) pick(floor float64, allowed [policy.Ranks]bool) (policy.Rank, bool) {
+	urgent := allowed[policy.Urgent] && q.Len(policy.Urgent) > 0
+	normal := allowed[policy.Normal] && q.Len(policy.Normal) > 0
 	switch {
 	case !urgent && !normal:
 		return policy.Normal, false
--- a/pkg/queue/queue_test.go
+++ b/pkg/queue/queue_test.go
@@ -28,7 +28,7 @@
 	q, _ = q.With(item(3, "small", policy.Normal, 10))
 	q, _ = q.With(item(4, "small", policy.Urgent, 10))
 	for {
-		it, next, ok := q.Next(0)
+		it, next, ok := q.Next(0, queue.Any)
 		if !ok {
 			break
 		}
@@ -60,7 +60,7 @@
 		}
 		served := map[string]float64{}
 		for range 300 {
-			it, next, ok := q.Next(0)
+			it, next, ok := q.Next(0, queue.Any)
 			require.True(rt, ok)
 			q = next
 			served[it.Team] += it.Cost
@@ -83,7 +83,7 @@
 			id++
 			q, _ = q.With(item(id, "a", r, 100))
 		}
-		it, next, ok := q.Next(0.2)
+		it, next, ok := q.Next(0.2, queue.Any)
 		require.True(t, ok)
 		q = next
 		served[it.Rank] += it.Cost
@@ -114,7 +114,7 @@
 		}
 		require.Equal(rt, n, before.Len(policy.Normal), "the queue before is not touched")
 		for range places {
-			it, next, ok := q.Next(0)
+			it, next, ok := q.Next(0, queue.Any)
 			require.True(rt, ok)
 			require.Contains(rt, places, it.ID)
 			q = next
--- a/pkg/route/favour.go
+++ b/pkg/route/favour.go
@@ -13,13 +13,14 @@
 	weight uint64
 }
 
-// favour appends the endpoints that rendezvous hashing favours for the upper
-// level of q's prefix, best first.
+// favour appends the endpoints that rendezvous hashing favours for the
+// shared part of q's prefix, best first.
 func (v View) favour(top []ranked, q Query, pool []member.Endpoint) []ranked {
 	if len(q.Hashes) == 0 {
 		return top
 	}
-	key := q.Hashes[0]
+	// Of a short prompt the first half is taken to be shared.
+	key := q.Hashes[min(keyBlock, (len(q.Hashes)-1)/2)]
 	for i, e := range pool {
 		w := mix(key ^ e.Hash)
 		if len(top) == favoured && w <= top[favoured-1].weight {
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -19,17 +19,34 @@
 	favoured = 3
 	// sampled is how many random endpoints of a large pool are scored besides.
 	sampled = 4
+	// keyBlock is the block at whose depth prefixes have endpoints of their own:
+	// deeper than what a team's prompts have in common, and not as deep as what
+	// each request adds.
+	keyBlock = 16
 	// guessShare is the share of a prompt that the first favoured endpoint is
-	// taken to have cached where the index knows nothing.
-	guessShare = 0.3
+	// taken to have cached; each further one is taken to have nextShare of that.
+	guessShare = 0.9
+	nextShare  = 0.5
+	// readWeight is how much a token that has to be read counts beside a token
+	// of waiting. Reading holds up others and puts out blocks that others
+	// would have hit, so that the fastest choice for one request is dear for
+	// all.
+	readWeight = 12.0
 	// defaultPrefill, in tokens a second, stands in before the first report.
 	defaultPrefill = 8000.0
 	// defaultSlots stands in before the first report.
 	defaultSlots = 16
 	// defaultStep stands in before the first report.
 	defaultStep = 30 * time.Millisecond
-	// turnTokens is how many steps pass on average before a slot is free.
-	turnTokens = 32
+	// turnTokens is how many steps an answer holds its slot on average.
+	turnTokens = 64
+	// keptSlots is how many slots of each endpoint normal work leaves to urgent
+	// work.
+	keptSlots = 1
+	// fullCost is added to an endpoint without a free slot. It is less than
+	// reading a long prompt costs, so that a flood does not spread every prefix
+	// over all endpoints.
+	fullCost = 1 * time.Second
 )
 
 // Reason says why an endpoint was chosen.
@@ -63,6 +80,8 @@
 	Tried []string
 	// Now is the time of the decision.
 	Now time.Time
+	// Urgent tells whether the request may take the slots that are kept.
+	Urgent bool
 	// Seed makes the random choices of large pools.
 	Seed uint64
 }
@@ -87,6 +106,8 @@
 	Expected time.Duration
 	// Considered is how many endpoints were scored.
 	Considered int
+	// cost is what the choice costs this request and others; the least wins.
+	cost time.Duration
 }
 
 // cache tells which endpoints hold a prefix.
@@ -132,14 +153,14 @@
 	return Choose(q, pool, v)
 }
 
-// Choose returns the best endpoint of pool, or false where none may serve q.
+// Choose returns the endpoint of pool with the least cost, or false where none may serve q.
 func Choose(q Query, pool []member.Endpoint, v View) (Choice, bool) {
 	var hitBuf [16]prefix.Hit
 	hits := v.Cache.AppendHits(hitBuf[:0], q.Hashes, q.Now)
 	var topBuf [favoured]ranked
 	top := v.favour(topBuf[:0], q, pool)
 	best := Choice{
-		Expected: math.MaxInt64,
+		cost: math.MaxInt64,
 	}
 	considered := 0
 	try := func(e member.Endpoint) {
@@ -147,7 +168,7 @@
 			return
 		}
 		considered++
-		if c := v.score(q, e, hits, top); c.Expected < best.Expected {
+		if c := v.score(q, e, hits, top); c.cost < best.cost {
 			best = c
 		}
 	}
@@ -234,36 +255,54 @@
 		}
 	}
 	guess := 0
-	if c.Blocks == 0 && len(top) > 0 && top[0].name == e.Node.Name {
-		c.Reason = ByHash
-		guess = int(guessShare * float64(q.Tokens))
+	credit := guessShare
+	for i, t := range top {
+		if t.name == e.Node.Name {
+			guess = max(0, int(credit*float64(q.Tokens))-c.Cached)
+			if i == 0 && guess > 0 {
+				c.Reason = ByHash
+			}
+		}
+		credit *= nextShare
 	}
 	c.Missed = q.Tokens - c.Cached
 	rate := orElse(e.Report.Prefill, defaultPrefill)
 	work := v.Loads.Work(e.Node.Name, v.Own.Work(e.Node.Name), rate, q.Now)
-	c.Wait = wait(e, work, rate)
-	c.Expected = c.Wait + seconds(float64(c.Missed-guess)/rate)
+	full := false
+	c.Wait, full = q.wait(e, work, rate)
+	c.Expected = c.Wait + seconds(float64(c.Missed)/rate)
+	c.cost = c.Wait + seconds(readWeight*float64(c.Missed-guess)/rate)
+	if full {
+		c.cost += fullCost
+	}
 	if e.Node.Domain != q.Domain {
 		c.Expected += v.Distance
+		c.cost += v.Distance
 	}
 	return c
 }
 
-// wait returns the expected time before a new call's prompt is read.
-func wait(e member.Endpoint, w load.Work, rate float64) time.Duration {
+// wait returns the expected time before a new call's prompt is read, and
+// whether the call would first wait for a slot.
+func (q Query) wait(e member.Endpoint, w load.Work, rate float64) (time.Duration, bool) {
 	slots := e.Report.Slots
 	if slots == 0 {
 		slots = defaultSlots
 	}
+	free := slots
+	if !q.Urgent {
+		free = max(1, slots-keptSlots)
+	}
 	d := seconds(float64(w.Tokens) / rate)
-	if over := w.Calls - slots + 1; over > 0 {
-		step := e.Report.Step
-		if step == 0 {
-			step = defaultStep
-		}
-		d += step * turnTokens * time.Duration(over) / time.Duration(slots)
+	over := w.Calls - free + 1
+	if over <= 0 {
+		return d, false
+	}
+	step := e.Report.Step
+	if step == 0 {
+		step = defaultStep
 	}
-	return d
+	return d + step*turnTokens*time.Duration(over)/time.Duration(slots), true
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
