--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 CHECKS ?= 500
 RAPID = $$(go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}}{{end}}{{end}}' ./...)
 
-.PHONY: build run test lint fmt path prove slopes generate
+.PHONY: build run test lint fmt path prove bench slopes generate
 
 build:
 	@mkdir -p bin
@@ -36,6 +36,11 @@
 prove:
 	STEPS=$(STEPS) go test -count=1 -timeout 0 ./internal/proof -run Promises -v -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 
+# bench plays the users' workloads with five seeds, prints tables of medians and
+# draws docs/flood.png and docs/herd.png. OUTPUT=json prints JSON.
+bench:
+	@OUTPUT=$(OUTPUT) PLOTS=$(CURDIR)/docs go test -count=1 -timeout 0 -tags bench ./internal/bench -run TestReport
+
 # slopes measures what docs/CAPACITY.md builds on and stores the table.
 slopes: build
 	bin/slopes --commit "$$(git rev-parse --short HEAD)" | tee docs/SLOPES.md
--- /dev/null
+++ b/internal/peer/codec_test.go
@@ -0,0 +1,49 @@
+package peer_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabtally/baobabtally/internal/peer"
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/alarm"
+	"github.com/baobabtally/baobabtally/pkg/load"
+	"github.com/baobabtally/baobabtally/pkg/policy"
+)
+
+func TestPulseSurvivesTheWire(t *testing.T) {
+	p := state.Pulse{
+		Name:    "i1",
+		Epoch:   "7",
+		Version: 3,
+		Leaving: true,
+		Drained: []string{"e1"},
+		Summary: state.Summary{
+			Beat: 9,
+			Work: map[string]load.Work{"e1": {
+				Calls:  2,
+				Tokens: 300,
+			}},
+			Usage: map[string]float64{"loom": 12.5},
+			Tally: map[string]alarm.Tally{"dye": {
+				Good: 4,
+				Bad:  1,
+			}},
+		},
+	}
+	require.Equal(t, p, peer.DecodePulse(peer.EncodePulse(p)))
+}
+
+func FuzzUnmarshalDocument(f *testing.F) {
+	doc, _ := policy.Decode(3, "c", "a", "[[policy]]\nname = \"x\"\n")
+	data, err := peer.MarshalDocument(peer.EncodeDocument(doc))
+	require.NoError(f, err)
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		m, err := peer.UnmarshalDocument(data)
+		if err == nil {
+			peer.DecodeDocument(m)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/retry/retry_test.go
@@ -0,0 +1,31 @@
+package retry_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabtally/baobabtally/pkg/retry"
+)
+
+func ExampleBudget() {
+	var b retry.Budget
+	b.Fresh()
+	fmt.Println(b.Take())
+	// Output: true
+}
+
+func TestRetriesAreAShareOfFreshCalls(t *testing.T) {
+	var b retry.Budget
+	for b.Take() {
+	}
+	taken := 0
+	for range 1000 {
+		b.Fresh()
+		if b.Take() {
+			taken++
+		}
+	}
+	require.InDelta(t, 100, taken, 1)
+}
