--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -43,10 +43,13 @@
 	list    *stand.List
 	engines []*stand.Engine
 	service *stand.Service
-	addrs   []string
-	stops   []context.CancelFunc
-	runs    []*daemon.Instance
-	http    *http.Client
+	urls    []string
+	// mu guards addrs, which grows while callers read it.
+	mu    sync.Mutex
+	addrs []string
+	stops []context.CancelFunc
+	runs  []*daemon.Instance
+	http  *http.Client
 }
 
 func newFleet(t *testing.T, instances, engines int) *fleet {
@@ -76,12 +79,9 @@
 	})
 	require.NoError(t, err)
 	f.table.Seed("config", value)
-	urls := []string{f.serve(f.table), f.serve(f.object), f.serve(f.list)}
+	f.urls = []string{f.serve(f.table), f.serve(f.object), f.serve(f.list)}
 	for i := range instances {
-		f.start(fmt.Sprintf("i%d", i), urls)
-	}
-	for i := range f.addrs {
-		f.eventually(func() bool { return f.get(i, "/readyz") == http.StatusOK })
+		f.start(fmt.Sprintf("i%d", i))
 	}
 	return f
 }
@@ -102,13 +102,14 @@
 	})
 }
 
-func (f *fleet) start(name string, urls []string) {
+// start runs an instance and waits until it is ready.
+func (f *fleet) start(name string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(f.t, err)
 	s := setup.Defaults()
 	s.Name = name
 	s.Domain = "a"
-	s.Table, s.Object, s.List = "http://"+urls[0], "http://"+urls[1], "http://"+urls[2]
+	s.Table, s.Object, s.List = "http://"+f.urls[0], "http://"+f.urls[1], "http://"+f.urls[2]
 	s.Secret.Env = "BAOBABTALLY_TEST_SECRET"
 	s.Gap = setup.Duration(300 * time.Millisecond)
 	s.Linger = setup.Duration(100 * time.Millisecond)
@@ -126,7 +127,9 @@
 	i, err := daemon.New(s, zerolog.Nop())
 	require.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
+	f.mu.Lock()
 	f.addrs = append(f.addrs, l.Addr().String())
+	f.mu.Unlock()
 	f.stops = append(f.stops, stop)
 	f.runs = append(f.runs, i)
 	go func() { _ = i.Run(ctx, l) }()
@@ -135,6 +138,14 @@
 		f.http.CloseIdleConnections()
 		<-i.Done()
 	})
+	at := len(f.addrs) - 1
+	f.eventually(func() bool { return f.get(at, "/readyz") == http.StatusOK })
+}
+
+func (f *fleet) addr(i int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.addrs[i]
 }
 
 func (f *fleet) eventually(ok func() bool) {
@@ -143,7 +154,7 @@
 }
 
 func (f *fleet) get(i int, path string) int {
-	resp, err := f.http.Get("http://" + f.addrs[i] + path)
+	resp, err := f.http.Get("http://" + f.addr(i) + path)
 	if err != nil {
 		return 0
 	}
@@ -153,7 +164,7 @@
 
 // post returns the status and the body of a call to instance i.
 func (f *fleet) post(i int, path string, header map[string]string, body string) (int, string) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+f.addrs[i]+path, strings.NewReader(body))
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.addr(i)+path, strings.NewReader(body))
 	require.NoError(f.t, err)
 	req.Header.Set("Authorization", "Bearer "+key)
 	for k, v := range header {
@@ -334,6 +345,53 @@
 	f.stream(1, "after")
 }
 
+// TestRollingStopCutsNoRequest replaces all instances one after another while
+// callers go on. As a balancer does, they pick an instance that says it is ready.
+func TestRollingStopCutsNoRequest(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	current := []int{0, 1, 2}
+	var mu sync.Mutex
+	pick := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		for {
+			n++
+			if i := current[n%len(current)]; f.get(i, "/readyz") == http.StatusOK {
+				return i
+			}
+		}
+	}
+	var callers sync.WaitGroup
+	over := make(chan struct{})
+	answered := make([]int, 6)
+	for c := range answered {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-over:
+					return
+				default:
+				}
+				f.stream(pick(c+n), fmt.Sprint("sheet ", c, n))
+				answered[c]++
+			}
+		})
+	}
+	for i := range 3 {
+		f.stops[i]()
+		<-f.runs[i].Done()
+		f.start(fmt.Sprint("i", i))
+		mu.Lock()
+		current[i] = 3 + i
+		mu.Unlock()
+	}
+	close(over)
+	callers.Wait()
+	for _, n := range answered {
+		require.Positive(t, n)
+	}
+}
+
 func TestHostileInputGetsAClearRefusal(t *testing.T) {
 	f := newFleet(t, 1, 1)
 	chat := "/v1/chat/completions"
@@ -372,11 +430,11 @@
 
 func TestOperatorsMustShowTheSecret(t *testing.T) {
 	f := newFleet(t, 1, 1)
-	_, err := api.NewAdminProtobufClient("http://"+f.addrs[0], f.http).Get(t.Context(), &api.Nothing{})
+	_, err := api.NewAdminProtobufClient("http://"+f.addr(0), f.http).Get(t.Context(), &api.Nothing{})
 	require.Error(t, err)
 	client := peer.HTTP([]byte(secret))
 	t.Cleanup(client.CloseIdleConnections)
-	doc, err := api.NewAdminProtobufClient("http://"+f.addrs[0], client).Get(t.Context(), &api.Nothing{})
+	doc, err := api.NewAdminProtobufClient("http://"+f.addr(0), client).Get(t.Context(), &api.Nothing{})
 	require.NoError(t, err)
 	require.EqualValues(t, 1, doc.GetVersion())
 }
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -38,7 +38,7 @@
 }
 
 func TestUnknownKeyNamesTheNearest(t *testing.T) {
-	_, problems := setup.Parse("nmae = \"i1\"\nsecrte = 1\n")
+	_, problems := setup.Parse("nam = \"i1\"\nsecrte = 1\n")
 	require.Len(t, problems, 2)
 	require.Contains(t, problems[0].Remedy, `"name"`)
 	require.Equal(t, 2, problems[1].Line)
