--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -118,9 +118,7 @@
 
 // play sends the requests at their times.
 func (r *runner) play(s Scenario, asks []ask) {
-	texts := prompts{
-		sheets: map[[2]int]string{},
-	}
+	texts := newPrompts()
 	begin := time.Now()
 	events := s.events(r)
 	var calls sync.WaitGroup
--- a/internal/bench/work.go
+++ b/internal/bench/work.go
@@ -253,11 +253,45 @@
 	return n - 1
 }
 
+// Ask is one request of a workload as a load tool sends it.
+type Ask struct {
+	// At is when it is sent, from the start.
+	At time.Duration
+	// Rank is its rank.
+	Rank policy.Rank
+	// Prompt and Output are its text and the length of its answer.
+	Prompt string
+	Output int
+}
+
+// Asks returns the requests of a steady load of rate requests a second.
+func (d Deployment) Asks(rate float64, length time.Duration, seed uint64) []Ask {
+	s := d.Steady(rate / d.Capacity())
+	s.Warm, s.Length = 0, length
+	texts := newPrompts()
+	var out []Ask
+	for _, a := range sorted(s.arrivals(rand.New(rand.NewPCG(seed, 7)))) {
+		out = append(out, Ask{
+			At:     a.at,
+			Rank:   a.rank,
+			Prompt: string(texts.of(a)),
+			Output: a.output,
+		})
+	}
+	return out
+}
+
 // prompts makes and keeps the shared parts of prompts.
 type prompts struct {
 	sheets map[[2]int]string
 }
 
+func newPrompts() prompts {
+	return prompts{
+		sheets: map[[2]int]string{},
+	}
+}
+
 func (p prompts) of(a ask) []byte {
 	key := [2]int{a.team, a.sheet}
 	shared, ok := p.sheets[key]
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"github.com/tmaxmax/go-sse"
@@ -37,13 +38,15 @@
 
 // fleet is instances and stand-ins on loopback.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	table   *stand.Table
 	object  *stand.Object
 	list    *stand.List
 	engines []*stand.Engine
 	service *stand.Service
-	urls    []string
+	// direct holds the engines' addresses.
+	direct []string
+	urls   []string
 	// mu guards addrs, which grows while callers read it.
 	mu    sync.Mutex
 	addrs []string
@@ -52,7 +55,7 @@
 	http  *http.Client
 }
 
-func newFleet(t *testing.T, instances, engines int) *fleet {
+func newFleet(t testing.TB, instances, engines int) *fleet {
 	t.Helper()
 	t.Setenv("BAOBABTALLY_TEST_SECRET", secret)
 	f := &fleet{
@@ -69,7 +72,9 @@
 	for i := range engines {
 		e := stand.NewEngine("1", stand.WithRate(200_000, time.Millisecond))
 		f.engines = append(f.engines, e)
-		f.node(fmt.Sprintf("e%d", i), "engine", f.serve(e), "small")
+		addr := f.serve(e)
+		f.direct = append(f.direct, addr)
+		f.node(fmt.Sprintf("e%d", i), "engine", addr, "small")
 	}
 	f.node("b0", "service", f.serve(f.service), "billing")
 	value, err := peer.MarshalDocument(&api.Document{
@@ -196,7 +201,7 @@
 }
 
 // read returns the text of a stream, its last event id, and whether it ended.
-func read(t *testing.T, body string) (string, string, bool) {
+func read(t testing.TB, body string) (string, string, bool) {
 	t.Helper()
 	var text strings.Builder
 	last := ""
@@ -438,3 +443,37 @@
 	require.NoError(t, err)
 	require.EqualValues(t, 1, doc.GetVersion())
 }
+
+// BenchmarkPath calls an engine in turn directly and through an instance and
+// reports the times of both and what the instance adds.
+func BenchmarkPath(b *testing.B) {
+	f := newFleet(b, 1, 1)
+	body := `{"model":"small","stream":true,"max_tokens":1,"messages":[{"role":"user","content":"a"}]}`
+	var times [2]*hdrhistogram.Histogram
+	targets := []string{f.direct[0], f.addr(0)}
+	for i := range times {
+		times[i] = hdrhistogram.New(1, 10_000_000, 3)
+	}
+	n := 0
+	for b.Loop() {
+		for i, target := range targets {
+			n++
+			begin := time.Now()
+			req, err := http.NewRequest(http.MethodPost, "http://"+target+"/v1/chat/completions", strings.NewReader(body))
+			require.NoError(b, err)
+			req.Header.Set("Authorization", "Bearer "+key)
+			req.Header.Set("X-Request-Id", fmt.Sprint(n))
+			resp, err := f.http.Do(req)
+			require.NoError(b, err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			require.NoError(b, err)
+			_ = resp.Body.Close()
+			_ = times[i].RecordValue(time.Since(begin).Microseconds())
+		}
+	}
+	for _, q := range []float64{50, 99} {
+		direct, through := times[0].ValueAtQuantile(q), times[1].ValueAtQuantile(q)
+		b.ReportMetric(float64(direct), fmt.Sprintf("p%.0f-direct-µs", q))
+		b.ReportMetric(float64(through-direct), fmt.Sprintf("p%.0f-added-µs", q))
+	}
+}
--- a/internal/oper/main.go
+++ b/internal/oper/main.go
@@ -36,6 +36,7 @@
 	r := remote(app)
 	addServe(app, commands, stderr)
 	addLint(app, commands)
+	addLoad(app, commands)
 	addChange(app, commands, r)
 	addAsk(app, commands, r)
 	name, err := app.Parse(args)
--- a/internal/bench/colour.go
+++ b/internal/report/colour.go
@@ -1,4 +1,4 @@
-package bench
+package report
 
 import "image/color"
 
--- a/internal/bench/report.go
+++ b/internal/report/report.go
@@ -1,4 +1,4 @@
-package bench
+package report
 
 import (
 	"fmt"
@@ -9,6 +9,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
+	"github.com/baobabtally/baobabtally/internal/bench"
 	"github.com/baobabtally/baobabtally/pkg/policy"
 )
 
@@ -21,7 +22,7 @@
 
 // CellOf returns the cell of a measure.
 func CellOf(values []float64) Cell {
-	m, s := Median(values)
+	m, s := bench.Median(values)
 	return Cell{
 		Median: m,
 		Spread: s,
@@ -76,11 +77,11 @@
 
 // FirstBySecond returns the 99th percentile of the time to first token of rank
 // for each span of five seconds, in milliseconds.
-func FirstBySecond(outcomes []Outcome, rank policy.Rank, length time.Duration) []float64 {
+func FirstBySecond(outcomes []bench.Outcome, rank policy.Rank, length time.Duration) []float64 {
 	const span = 5 * time.Second
 	var out []float64
 	for at := time.Duration(0); at < length; at += span {
-		s := Summarise(outcomes, at, at+span)
+		s := bench.Summarise(outcomes, at, at+span)
 		t := s.Urgent
 		if rank == policy.Normal {
 			t = s.Normal
@@ -91,11 +92,11 @@
 }
 
 // HitsBySecond returns the hit rate for each span of five seconds.
-func HitsBySecond(outcomes []Outcome, length time.Duration) []float64 {
+func HitsBySecond(outcomes []bench.Outcome, length time.Duration) []float64 {
 	const span = 5 * time.Second
 	var out []float64
 	for at := time.Duration(0); at < length; at += span {
-		out = append(out, Summarise(outcomes, at, at+span).Hits)
+		out = append(out, bench.Summarise(outcomes, at, at+span).Hits)
 	}
 	return out
 }
