--- a/internal/admin/apply.go
+++ b/internal/admin/apply.go
@@ -16,6 +16,7 @@
 	"github.com/baobabtally/baobabtally/pkg/conf"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/policy"
+	"github.com/baobabtally/baobabtally/pkg/retry"
 	"github.com/baobabtally/baobabtally/pkg/store"
 )
 
@@ -132,7 +133,7 @@
 		case current.GetVersion() > c.GetBase():
 			return refusal(conflict(c, current))
 		}
-		if pause(ctx, settlePause) != nil {
+		if retry.Wait(ctx, settlePause) != nil {
 			break
 		}
 	}
@@ -169,7 +170,7 @@
 			out.State = accepted
 			return out
 		}
-		if pause(ctx, spreadPause) != nil {
+		if retry.Wait(ctx, spreadPause) != nil {
 			out.Remedy = "the change is made and spreads on: apply the same change id again to learn when it is accepted"
 			return out
 		}
@@ -295,14 +296,3 @@
 	}
 	return out
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/bench/router.go
+++ b/internal/bench/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -138,7 +139,7 @@
 	if len(pool) == 0 || len(q.Hashes) == 0 {
 		return route.Choice{}, false
 	}
-	key := q.Hashes[min(keyBlock, len(q.Hashes)-1)]
+	key := strconv.FormatUint(q.Hashes[min(keyBlock, len(q.Hashes)-1)], 16)
 	calls := make([]int, len(pool))
 	sum := 1
 	for i, e := range pool {
@@ -150,8 +151,8 @@
 		if h.bound > 0 && float64(calls[i]+1) > h.bound*float64(sum)/float64(len(pool))+1 {
 			continue
 		}
-		if w := xxhash.Sum64String(e.Node.Name) ^ key; best < 0 || mix(w) > most {
-			best, most = i, mix(w)
+		if w := xxhash.Sum64String(e.Node.Name + key); best < 0 || w > most {
+			best, most = i, w
 		}
 	}
 	if best < 0 {
@@ -161,12 +162,3 @@
 		Endpoint: pool[best],
 	}, true
 }
-
-// mix spreads the bits of x over the whole word (the finaliser of SplitMix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -92,41 +91,11 @@
 	dec := toml.NewDecoder(strings.NewReader(text))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&s); err != nil {
-		return s, syntax(err)
+		return s, policy.Syntax(err, keys())
 	}
 	return s, s.check(text)
 }
 
-// syntax returns the problems of a text that can't be decoded.
-func syntax(err error) []policy.Problem {
-	var strict *toml.StrictMissingError
-	var decode *toml.DecodeError
-	var out []policy.Problem
-	switch {
-	case errors.As(err, &strict):
-		for i := range strict.Errors {
-			e := &strict.Errors[i]
-			row, _ := e.Position()
-			key := e.Key()[len(e.Key())-1]
-			out = append(out, policy.Problem{
-				Line:   row,
-				Remedy: fmt.Sprintf("unknown key %q: did you mean %q?", key, policy.Nearest(key, keys())),
-			})
-		}
-	case errors.As(err, &decode):
-		row, _ := decode.Position()
-		out = append(out, policy.Problem{
-			Line:   row,
-			Remedy: strings.TrimPrefix(decode.Error(), "toml: ") + ": correct the value",
-		})
-	default:
-		out = append(out, policy.Problem{
-			Remedy: err.Error() + ": write it as TOML",
-		})
-	}
-	return out
-}
-
 // keys returns all keys that settings may have.
 func keys() []string {
 	var out []string
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobabtally/baobabtally/pkg/fault"
 	"github.com/baobabtally/baobabtally/pkg/invar"
+	"github.com/baobabtally/baobabtally/pkg/retry"
 	"github.com/baobabtally/baobabtally/pkg/store"
 )
 
@@ -171,7 +172,7 @@
 		return Ticket{}, err
 	}
 	for range settleTries {
-		if err := pause(ctx); err != nil {
+		if err := retry.Wait(ctx, settlePause); err != nil {
 			break
 		}
 		row, err := b.table.Get(ctx, t.row.Key)
@@ -230,14 +231,3 @@
 	}
 	return r
 }
-
-func pause(ctx context.Context) error {
-	timer := time.NewTimer(settlePause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/pkg/policy/text.go
+++ b/pkg/policy/text.go
@@ -195,29 +195,38 @@
 
 // syntax turns a decoder's error into problems with the text's own lines.
 func (c chunk) syntax(err error) []Problem {
+	out := Syntax(err, sourceKeys)
+	for i := range out {
+		out[i].Policy = c.name()
+		out[i].Line = c.line + max(out[i].Line, 1) - 1
+	}
+	return out
+}
+
+// Syntax turns an error of the TOML decoder into problems, each with its line.
+// An unknown key is told with the nearest of those that are known.
+func Syntax(err error, known []string) []Problem {
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) {
 		var out []Problem
-		for _, e := range strict.Errors {
-			row, _ := e.Position()
-			key := e.Key()[len(e.Key())-1]
+		for i := range strict.Errors {
+			row, _ := strict.Errors[i].Position()
+			key := strict.Errors[i].Key()
+			last := key[len(key)-1]
 			out = append(out, Problem{
-				Policy: c.name(),
-				Line:   c.line + row - 1,
-				Remedy: fmt.Sprintf("unknown key %q: did you mean %q?", key, Nearest(key, sourceKeys)),
+				Line:   row,
+				Remedy: fmt.Sprintf("unknown key %q: did you mean %q?", last, Nearest(last, known)),
 			})
 		}
 		return out
 	}
-	line := c.line
+	line := 0
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
-		row, _ := decode.Position()
-		line = c.line + row - 1
+		line, _ = decode.Position()
 	}
 	return []Problem{
 		{
-			Policy: c.name(),
 			Line:   line,
 			Remedy: strings.TrimPrefix(err.Error(), "toml: ") + ": write it as TOML",
 		},
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -46,8 +46,11 @@
 }
 
 // Pause waits before retry number n, from 0, or until ctx ends.
-func Pause(ctx context.Context, n int) error {
-	timer := time.NewTimer(delay(n))
+func Pause(ctx context.Context, n int) error { return Wait(ctx, delay(n)) }
+
+// Wait waits for d, or until ctx ends.
+func Wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
