--- a/internal/daemon/demo.go
+++ b/internal/daemon/demo.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,7 +21,6 @@
 	demoKey = "demo-key"
 	// demoSecret is its operators' secret, which is no secret.
 	demoSecret = "demo-secret-demo-secret"
-	demoEnv    = "BAOBABTALLY_SECRET"
 )
 
 // demoPolicies are in force where there are no settings.
@@ -53,11 +51,6 @@
 	d := &Demo{
 		Settings: setup.Defaults(),
 	}
-	if os.Getenv(demoEnv) == "" {
-		if err := os.Setenv(demoEnv, demoSecret); err != nil {
-			return nil, errors.Trace(err)
-		}
-	}
 	if err := d.start(listen); err != nil {
 		d.Close()
 		return nil, err
@@ -93,7 +86,7 @@
 	s.Table = "http://" + serve(table)
 	s.Object = "http://" + serve(stand.NewObject())
 	s.List = "http://" + serve(stand.NewList(nodes...))
-	s.Secret.Env = demoEnv
+	s.Secret = setup.Fixed(demoSecret)
 	s.Callers = []setup.Caller{
 		{
 			Hash: HashKey(demoKey),
--- a/internal/oper/ask.go
+++ b/internal/oper/ask.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/twitchtv/twirp"
 
 	"github.com/baobabtally/baobabtally/internal/api"
 )
@@ -23,7 +25,19 @@
 	if err != nil {
 		return err
 	}
-	return a.do(ctx, c, out)
+	return asked(a.do(ctx, c, out), *a.target.server)
+}
+
+// asked names the remedy where an instance could not be asked.
+func asked(err error, server string) error {
+	var t twirp.Error
+	if errors.As(err, &t) && t.Code() == twirp.Internal {
+		return fmt.Errorf("%s can't be asked (%w): check --server", server, err)
+	}
+	if errors.As(err, &t) && t.Code() == twirp.Unauthenticated {
+		return fmt.Errorf("%s refuses the secret (%w): check --secret-file or --secret-env", server, err)
+	}
+	return err
 }
 
 func addAsk(app *kingpin.Application, commands map[string]command, t target) {
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -108,11 +108,13 @@
 	p.X.Label.Text = "s"
 	p.Y.Label.Text = unit
 	p.Y.Min = 0
+	most := 0.0
 	for i, c := range curves {
 		points := make(plotter.XYs, len(c.Values))
 		for j, v := range c.Values {
 			points[j].X = 5 * float64(j)
 			points[j].Y = v
+			most = max(most, v)
 		}
 		line, err := plotter.NewLine(points)
 		if err != nil {
@@ -123,6 +125,8 @@
 		p.Add(line)
 		p.Legend.Add(c.Name, line)
 	}
+	// The legend stands above the curves.
+	p.Y.Max = 1.3 * most
 	p.Legend.Top = true
 	return p.Save(18*vg.Centimeter, 9*vg.Centimeter, file)
 }
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -48,6 +48,15 @@
 	// File is a path, and Env an environment variable; one of the two.
 	File string `toml:"file"`
 	Env  string `toml:"env"`
+	// fixed is the secret of a demonstration, which is none.
+	fixed string
+}
+
+// Fixed returns a source of a secret that the program knows.
+func Fixed(secret string) Source {
+	return Source{
+		fixed: secret,
+	}
 }
 
 // Caller is one API key.
@@ -102,7 +111,9 @@
 	for _, v := range []any{Settings{}, Source{}, Caller{}} {
 		t := reflect.TypeOf(v)
 		for i := range t.NumField() {
-			out = append(out, t.Field(i).Tag.Get("toml"))
+			if key := t.Field(i).Tag.Get("toml"); key != "" {
+				out = append(out, key)
+			}
 		}
 	}
 	return out
@@ -171,7 +182,7 @@
 
 // Read returns the secret.
 func (s Source) Read() ([]byte, error) {
-	value := os.Getenv(s.Env)
+	value := s.fixed + os.Getenv(s.Env)
 	if s.File != "" {
 		data, err := os.ReadFile(s.File)
 		if err != nil {
