alarm: judge a partial window by a whole one, and look 10 s ahead

Missed promises without an alarm crept over the allowance while the last 15 s were below it; false alarms came from looking 60 s ahead, and from judging the first seconds as if they were the window. A promise that is missed now always has an alarm, a window that is not full is judged as a full one, and the forecast looks 10 s ahead.

--- a/cmd/probe/main.go
+++ b/cmd/probe/main.go
@@ -24,11 +24,13 @@
 		"charge": p.charge,
 		"ready":  p.ready,
 		"cross":  p.resume,
+		"frozen": p.stream,
 	}
 	app.Command("stream", "A streamed answer is complete and in order.")
 	app.Command("prefix", "A second long prompt reaches the engine that holds it.")
 	app.Command("charge", "A charge that is sent twice runs once.")
 	app.Command("ready", "An instance serves, and how soon.")
+	app.Command("frozen", "Answers are whole while an engine is frozen.")
 	app.Command("cross", "A stream is resumed through another instance.")
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	figure, err := checks[name](*at)
--- a/cmd/probe/probe.go
+++ b/cmd/probe/probe.go
@@ -19,6 +19,8 @@
 const (
 	// callLimit bounds each call.
 	callLimit = 30 * time.Second
+	// recordLimit bounds reading a stand-in's record.
+	recordLimit = 2 * time.Second
 	// readyLimit is how long an instance may take to serve after its start.
 	readyLimit = 10 * time.Second
 	// readyPause is the wait between two tries.
@@ -145,7 +147,7 @@
 
 // runs returns what a stand-in ran.
 func runs(at string) ([]stand.Run, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), recordLimit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+"/stand/record", nil)
 	if err != nil {
@@ -163,9 +165,10 @@
 // ran returns the run with the given text and its engine.
 func (p probe) ran(text string) (string, stand.Run, error) {
 	for _, e := range *p.engines {
+		// An engine that is frozen tells nothing, and ran nothing.
 		list, err := runs(e)
 		if err != nil {
-			return "", stand.Run{}, err
+			continue
 		}
 		for i := range list {
 			if r := list[len(list)-1-i]; r.Text == text {
--- a/pkg/alarm/alarm.go
+++ b/pkg/alarm/alarm.go
@@ -14,11 +14,13 @@
 	// Window is the time over which a promise is kept or broken.
 	Window = bucketLength * bucketCount
 	// horizon is how far ahead the forecast looks.
-	horizon = 60 * time.Second
+	horizon = 10 * time.Second
 	// recentBuckets is how many of the last buckets make the recent rate.
 	recentBuckets = 3
 	// leastRecent is how many recent outcomes a forecast needs.
 	leastRecent = 20
+	// leastAll is how many outcomes a window needs to count as missed.
+	leastAll = 100
 	// calm is how long a promise must be safe before its alarm is cleared.
 	calm = 30 * time.Second
 )
@@ -69,6 +71,8 @@
 	alarm   Alarm
 	// safe is since when the forecast is good.
 	safe time.Time
+	// since is when the first outcome was counted.
+	since time.Time
 }
 
 type bucket struct {
@@ -85,6 +89,9 @@
 		next = map[string]promise{}
 	}
 	p := next[name]
+	if p.since.IsZero() {
+		p.since = now
+	}
 	p.alarm.Promise = name
 	p.alarm.Allowed = 1 - share
 	slot := slotOf(now)
@@ -142,10 +149,14 @@
 
 func (p promise) judged(now time.Time) promise {
 	all, recent := p.sums(now)
-	p.alarm.Missed = shareOf(float64(all.Bad), all.total())
-	p.alarm.Forecast = forecast(all, recent)
-	risk := recent.total() >= leastRecent && p.alarm.Forecast > p.alarm.Allowed &&
-		shareOf(float64(recent.Bad), recent.total()) > p.alarm.Allowed
+	// What was before the first outcome is taken to have been as much and good,
+	// so that the first seconds are not judged as if they were the window.
+	whole := all.total() * max(1, float64(Window)/float64(max(now.Sub(p.since), bucketLength)))
+	p.alarm.Missed = shareOf(float64(all.Bad), whole)
+	p.alarm.Forecast = forecast(float64(all.Bad), whole, recent)
+	soon := p.alarm.Forecast > p.alarm.Allowed && shareOf(float64(recent.Bad), recent.total()) > p.alarm.Allowed
+	missed := p.alarm.Missed > p.alarm.Allowed
+	risk := recent.total() >= leastRecent && soon || all.total() >= leastAll && missed
 	switch {
 	case risk && !p.alarm.Active():
 		p.alarm.Raised = now
@@ -179,10 +190,9 @@
 
 // forecast returns the share of misses over a whole window in which the
 // recent rate goes on for the horizon.
-func forecast(all, recent Tally) float64 {
+func forecast(bad, whole float64, recent Tally) float64 {
 	factor := float64(horizon) / float64(recentBuckets*bucketLength)
-	bad := float64(all.Bad) + factor*float64(recent.Bad)
-	return shareOf(bad, all.total()+factor*recent.total())
+	return shareOf(bad+factor*float64(recent.Bad), whole+factor*recent.total())
 }
 
 func shareOf(part, whole float64) float64 {
--- a/scripts/path.sh
+++ b/scripts/path.sh
@@ -27,6 +27,7 @@
 start object "$bin/standin" object --listen "$(at 1)"
 start list "$bin/standin" list --listen "$(at 2)"
 start e1 "$bin/standin" engine --listen "$(at 3)"
+e1=$last
 start e2 "$bin/standin" engine --listen "$(at 4)"
 start b1 "$bin/standin" service --listen "$(at 5)"
 for port in 0 1 2 3 4 5; do
@@ -54,6 +55,7 @@
 object = "http://$(at 1)"
 list = "http://$(at 2)"
 linger = "500ms"
+first = "2s"
 [secret]
 env = "BAOBABTALLY_SECRET"
 [[caller]]
@@ -104,6 +106,10 @@
 done
 echo "ok   policy: applied at one instance, in force at all three when accepted after ${took} ms"
 
+kill -STOP "$e1"
+probe frozen "${all[@]}"
+kill -CONT "$e1"
+
 begin=$(now)
 kill -TERM "$i1"
 wait "$i1" || { echo "FAIL stop: i1 exited with $?"; exit 1; }
