route, filter: hold work back from the engines

Cause: in a flood of urgent work those that were answered waited 2.4 s, most of it unread at the engines, where each instance had put up to 13 prompts; long waits there made the choice leave the prefix, which put more to be read. Ruled out: the gate's own wait, which is bounded at 0.77 s. Two unread prompts for each engine instead of four, and reading counts 16 times.

--- a/internal/filter/gate.go
+++ b/internal/filter/gate.go
@@ -37,7 +37,7 @@
 	// reading is how many prompts may be sent to each endpoint before it read
 	// the first. More would wait there, where urgent work can't overtake it and
 	// where it is spread to endpoints that hold nothing of it.
-	reading = 4
+	reading = 2
 )
 
 // usage counts what teams were served.
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -31,7 +31,7 @@
 	// of waiting. Reading holds up others and puts out blocks that others
 	// would have hit, so that the fastest choice for one request is dear for
 	// all.
-	readWeight = 12.0
+	readWeight = 16.0
 	// defaultPrefill, in tokens a second, stands in before the first report.
 	defaultPrefill = 8000.0
 	// defaultSlots stands in before the first report.
@@ -46,7 +46,7 @@
 	// fullCost is added to an endpoint without a free slot. It is less than
 	// reading a long prompt costs, so that a flood does not spread every prefix
 	// over all endpoints.
-	fullCost = 1 * time.Second
+	fullCost = 500 * time.Millisecond
 )
 
 // Reason says why an endpoint was chosen.
