filter: limit unread prompts of engines alone

Cause: the limit on unread prompts counted calls of plain services, whose answers come whole, so that an instance sent two calls at a time to billing. Found by reading; TestSlowServiceDoesNotHoldUpItsOtherCalls failed before and passes now. A stream that began and lost its engine pauses before the next one, and a call that an engine rejects after another attempt is refused as unknown.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -477,3 +478,25 @@
 		b.ReportMetric(float64(through-direct), fmt.Sprintf("p%.0f-added-µs", q))
 	}
 }
+
+// TestSlowServiceDoesNotHoldUpItsOtherCalls has many calls wait for a plain
+// service at once; none may wait for another.
+func TestSlowServiceDoesNotHoldUpItsOtherCalls(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	f.service.Faults.Set(stand.Slow, -1)
+	var callers sync.WaitGroup
+	var most atomic.Int64
+	for n := range 12 {
+		callers.Go(func() {
+			status, body := f.post(0, "/svc/billing/balance", map[string]string{
+				"Idempotency-Key": fmt.Sprint("k", n),
+			}, "")
+			require.Equal(t, http.StatusOK, status, body)
+		})
+	}
+	f.eventually(func() bool {
+		most.Store(max(most.Load(), f.service.Running()))
+		return most.Load() == 12
+	})
+	callers.Wait()
+}
--- a/internal/filter/gate.go
+++ b/internal/filter/gate.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/policy"
 	"github.com/baobabtally/baobabtally/pkg/queue"
 )
@@ -223,10 +224,15 @@
 	}
 	live := s.Live(now)
 	floor := s.Config.Document().Floor(policy.Normal)
+	unread := 2 * reading * len(pool) / live
+	if len(pool) > 0 && pool[0].Node.Role == member.Service {
+		// A plain service reads no prompts; its answers come whole.
+		unread = total
+	}
 	return room{
 		all:    max(1, total/live, own+(total-taken)/live),
 		normal: max(1, int(math.Ceil(floor*float64(total)/float64(live))), max(normal/live, own+(normal-taken)/live)-p.extra(len(pool), live)),
-		unread: max(1, 2*reading*len(pool)/live),
+		unread: max(1, unread),
 	}
 }
 
--- a/internal/filter/generate.go
+++ b/internal/filter/generate.go
@@ -12,12 +12,17 @@
 	"github.com/baobabtally/baobabtally/pkg/invar"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/prefix"
+	"github.com/baobabtally/baobabtally/pkg/retry"
 	"github.com/baobabtally/baobabtally/pkg/route"
 	"github.com/baobabtally/baobabtally/pkg/stream"
 )
 
-// maxResumes is how often one stream is resumed without any new chunk.
-const maxResumes = 2
+const (
+	// maxResumes is how often one stream is resumed without any new chunk.
+	maxResumes = 2
+	// maxContinues is how many engines a stream that began may lose.
+	maxContinues = 10
+)
 
 // generate has an engine generate the answer to r. The stream is resumed over
 // a new connection when it breaks, and continued at another engine when the
@@ -229,7 +234,7 @@
 	g.log.Warn().Str("event", "fail").Str("request", g.request.ID).Str("endpoint", a.Endpoint.Node.Name).
 		Str("cause", failure.Cause.String()).Int("offset", g.state.Next()).Err(err).Send()
 	if failure.Cause == call.Rejected {
-		return fault.New(fault.Invalid, "the engine rejects the call (%s): correct it", failure.Detail)
+		return g.rejected(failure)
 	}
 	if g.resume.Active() && failure.Cause != call.Gone && g.stuck < maxResumes {
 		g.stuck++
@@ -240,14 +245,27 @@
 	}
 	g.resume = chain.Resume{}
 	g.tried = append(g.tried, a.Endpoint.Node.Name)
-	if g.begun && g.attempts < maxAttempts*maxResumes {
+	if g.begun && len(g.tried) < maxContinues {
 		// A stream that began is always continued; the budget bounds only
 		// work that has not started.
+		if err := retry.Pause(ctx, len(g.tried)); err != nil {
+			return callerGone(err)
+		}
 		return nil
 	}
 	return g.refused(g.again(ctx, g.attempts, err))
 }
 
+// rejected is the refusal of a call that the engine finds wrong. It did not run
+// there, but an earlier attempt may have.
+func (g *generation) rejected(failure call.Failure) error {
+	err := fault.New(fault.Invalid, "the engine rejects the call (%s): correct it", failure.Detail)
+	if g.begun || g.attempts > 1 {
+		return err.WithRun(fault.Unknown)
+	}
+	return err
+}
+
 // refused marks a refusal of work that may have run at some endpoint. A
 // generation has no effect, but "not run" must be true to the letter.
 func (g *generation) refused(err error) error {
--- a/internal/stand/service.go
+++ b/internal/stand/service.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,6 +16,8 @@
 	mux    *http.ServeMux
 	mu     sync.Mutex
 	runs   []Run
+	// running counts the calls under way.
+	running atomic.Int64
 }
 
 // Run is one call that a stand-in ran.
@@ -56,7 +59,12 @@
 	return append([]Run(nil), s.runs...)
 }
 
+// Running returns how many calls are under way.
+func (s *Service) Running() int64 { return s.running.Load() }
+
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- a/pkg/alarm/score_test.go
+++ b/pkg/alarm/score_test.go
@@ -18,43 +18,47 @@
 	leads            []int
 }
 
-// episode is a time in which a share of requests misses its target.
-type episode struct {
-	from, to int
-	share    float64
-}
+const (
+	seconds = 3600
+	window  = 300
+	allowed = 0.05
+)
 
-// run plays an hour with random episodes: crashes of a few seconds, floods of
-// a minute or two, and failures that last.
-func (sc *score) run(rnd *rand.Rand) {
-	const seconds, window, allowed = 3600, 300, 0.05
-	rate := 5 + rnd.IntN(100)
+// misses returns how many of rate requests miss in each second of an hour with
+// random episodes: crashes of a few seconds, floods of a minute or two, and
+// failures that last.
+func misses(rnd *rand.Rand, rate int) []int {
 	base := 0.02 * rnd.Float64()
-	var episodes []episode
+	shares := make([]float64, seconds)
+	for i := range shares {
+		shares[i] = base
+	}
 	for range 1 + rnd.IntN(4) {
 		from := rnd.IntN(seconds)
 		length := []int{2 + rnd.IntN(6), 30 + rnd.IntN(90), 200 + rnd.IntN(300)}[rnd.IntN(3)]
-		episodes = append(episodes, episode{
-			from:  from,
-			to:    from + length,
-			share: 0.05 + 0.9*rnd.Float64(),
-		})
+		share := 0.05 + 0.9*rnd.Float64()
+		for s := from; s < min(from+length, seconds); s++ {
+			shares[s] = max(shares[s], share)
+		}
 	}
-	var b alarm.Book
 	bad := make([]int, seconds)
-	active, breached, lastAlarm, sumBad := false, false, -1, 0
-	for s := range seconds {
-		share := base
-		for _, e := range episodes {
-			if s >= e.from && s < e.to {
-				share = max(share, e.share)
-			}
-		}
+	for s, share := range shares {
 		for range rate {
 			if rnd.Float64() < share {
 				bad[s]++
 			}
 		}
+	}
+	return bad
+}
+
+// run plays one hour.
+func (sc *score) run(rnd *rand.Rand) {
+	rate := 5 + rnd.IntN(100)
+	bad := misses(rnd, rate)
+	var b alarm.Book
+	active, breached, lastAlarm, sumBad := false, false, -1, 0
+	for s := range seconds {
 		sumBad += bad[s]
 		if s >= window {
 			sumBad -= bad[s-window]
