filter: share the unread prompts of the fleet by what peers tell

Pulses now tell unread calls, and an instance may have what it had and an equal part of what was free.

--- a/internal/filter/gate.go
+++ b/internal/filter/gate.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/policy"
 	"github.com/baobabtally/baobabtally/pkg/queue"
@@ -209,7 +210,8 @@
 func (f Gate) room(model string, p *pool) room {
 	s := f.view.View()
 	now := f.now()
-	total, normal, taken, own := 0, 0, 0, 0
+	total, normal := 0, 0
+	var own, taken load.Work
 	pool := s.Members.Pool(model)
 	for _, e := range pool {
 		slots := e.Report.Slots
@@ -218,20 +220,21 @@
 		}
 		total += slots
 		normal += max(1, slots-keptSlots)
-		told := s.Own.Work[e.Node.Name].Calls
-		own += told
-		taken += told + s.Loads.Peers(e.Node.Name, 0, now).Calls
+		told := s.Own.Work[e.Node.Name]
+		own = own.Plus(told)
+		taken = taken.Plus(told).Plus(s.Loads.Peers(e.Node.Name, 0, now))
 	}
 	live := s.Live(now)
 	floor := s.Config.Document().Floor(policy.Normal)
-	unread := 2 * reading * len(pool) / live
+	all := reading * len(pool)
+	unread := max(2*all/live, own.Unread+(all-taken.Unread)/live)
 	if len(pool) > 0 && pool[0].Node.Role == member.Service {
 		// A plain service reads no prompts; its answers come whole.
 		unread = total
 	}
 	return room{
-		all:    max(1, total/live, own+(total-taken)/live),
-		normal: max(1, int(math.Ceil(floor*float64(total)/float64(live))), max(normal/live, own+(normal-taken)/live)-p.extra(len(pool), live)),
+		all:    max(1, total/live, own.Calls+(total-taken.Calls)/live),
+		normal: max(1, int(math.Ceil(floor*float64(total)/float64(live))), max(normal/live, own.Calls+(normal-taken.Calls)/live)-p.extra(len(pool), live)),
 		unread: max(1, unread),
 	}
 }
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -28,6 +28,7 @@
 		m.Work[k] = &api.Work{
 			Calls:  uint32(w.Calls),
 			Tokens: uint32(w.Tokens),
+			Unread: uint32(w.Unread),
 		}
 	}
 	for k, u := range p.Summary.Usage {
@@ -61,6 +62,7 @@
 		p.Summary.Work[k] = load.Work{
 			Calls:  int(w.GetCalls()),
 			Tokens: int(w.GetTokens()),
+			Unread: int(w.GetUnread()),
 		}
 	}
 	for k, u := range m.GetUsage() {
--- a/pkg/load/gauge.go
+++ b/pkg/load/gauge.go
@@ -16,6 +16,7 @@
 type counter struct {
 	calls  atomic.Int64
 	tokens atomic.Int64
+	unread atomic.Int64
 }
 
 // Call is one counted call. Its methods may be called more than once.
@@ -34,6 +35,7 @@
 	}
 	c.calls.Add(1)
 	c.tokens.Add(int64(tokens))
+	c.unread.Add(1)
 	return Call{
 		c:      c,
 		tokens: int64(tokens),
@@ -46,6 +48,7 @@
 func (c Call) First() {
 	if c.read.CompareAndSwap(false, true) {
 		c.c.tokens.Add(-c.tokens)
+		c.c.unread.Add(-1)
 	}
 }
 
@@ -102,5 +105,6 @@
 	return Work{
 		Calls:  int(c.calls.Load()),
 		Tokens: int(c.tokens.Load()),
+		Unread: int(c.unread.Load()),
 	}
 }
--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -22,9 +22,9 @@
 	call.End()
 	fmt.Println(g.Work("e1"))
 	// Output:
-	// {1 500}
-	// {1 0}
-	// {0 0}
+	// {1 500 1}
+	// {1 0 0}
+	// {0 0 0}
 }
 
 func TestReportedPromptsAreReadOnWhileTheReportAges(t *testing.T) {
--- a/pkg/load/table.go
+++ b/pkg/load/table.go
@@ -15,6 +15,8 @@
 	Calls int
 	// Tokens is how many prompt tokens are still to be read.
 	Tokens int
+	// Unread is how many calls have such tokens.
+	Unread int
 }
 
 // Plus returns the sum of w and o.
@@ -22,6 +24,7 @@
 	return Work{
 		Calls:  w.Calls + o.Calls,
 		Tokens: w.Tokens + o.Tokens,
+		Unread: w.Unread + o.Unread,
 	}
 }
 
