--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -124,6 +124,13 @@
 	w.counts[what]++
 }
 
+// counted returns how often what happened.
+func (w *world) counted(what string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.counts[what]
+}
+
 func (w *world) newID() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
