--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -434,6 +435,45 @@
 	require.Empty(t, f.service.Runs())
 }
 
+// raw sends text over a connection of its own and returns the status line.
+func (f *fleet) raw(text string, half bool) string {
+	conn, err := net.Dial("tcp", f.addr(0))
+	require.NoError(f.t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, text)
+	require.NoError(f.t, err)
+	if tcp, ok := conn.(*net.TCPConn); ok && half {
+		require.NoError(f.t, tcp.CloseWrite())
+	}
+	answer, _ := bufio.NewReader(conn).ReadString('\n')
+	return answer
+}
+
+func TestCutBodyAndSlowHeadersEnd(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + key + "\r\n"
+	require.Contains(t, f.raw(head+"Content-Length: 1000\r\n\r\n{\"model\":", true), "400")
+	// Headers that never end are cut after a while, without an answer or with
+	// a refusal.
+	require.NotContains(t, f.raw(head, false), "200")
+	require.Empty(t, f.engines[0].Runs())
+}
+
+func TestPolicyThatSelectsNoEndpointIsTold(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	value, err := peer.MarshalDocument(&api.Document{
+		Version: 2,
+		Change:  "second",
+		Text:    "[[policy]]\nname = \"usual\"\ncover = \"\"\nserve = \"gpu=none\"\n",
+	})
+	require.NoError(t, err)
+	f.table.Seed("config", value)
+	f.eventually(func() bool {
+		status, body := f.post(0, "/v1/chat/completions", nil, chatBody("a"))
+		return status == http.StatusForbidden && strings.Contains(body, "selects no endpoint") && strings.Contains(body, "not_run")
+	})
+}
+
 func TestOperatorsMustShowTheSecret(t *testing.T) {
 	f := newFleet(t, 1, 1)
 	_, err := api.NewAdminProtobufClient("http://"+f.addr(0), f.http).Get(t.Context(), &api.Nothing{})
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -121,7 +122,7 @@
 		c, ok = f.pick(r, nil)
 	}
 	if !ok {
-		return c, fault.New(fault.Unavailable, "no endpoint of %q takes work: retry later", r.Model).WithRetry(unavailableRetry)
+		return c, f.none(r)
 	}
 	f.log.Info().Str("event", "route").Str("request", r.ID).Str("team", r.Team).
 		Str("policy", r.Policy.Name).Str("rank", r.Policy.Rank.String()).
@@ -134,6 +135,16 @@
 	return c, nil
 }
 
+// none tells why no endpoint can serve r.
+func (f Dispatch) none(r chain.Request) error {
+	pool := f.view.View().Members.Pool(r.Model)
+	selected := func(e member.Endpoint) bool { return r.Policy.Endpoints.Matches(e.Node.Labels) }
+	if len(pool) > 0 && !slices.ContainsFunc(pool, selected) {
+		return fault.New(fault.Uncovered, "policy %q selects no endpoint of %q with %q: ask an operator to correct it", r.Policy.Name, r.Model, r.Policy.Endpoints)
+	}
+	return fault.New(fault.Unavailable, "no endpoint of %q takes work: retry later", r.Model).WithRetry(unavailableRetry)
+}
+
 func (f Dispatch) pick(r chain.Request, tried []string) (route.Choice, bool) {
 	s := f.view.View()
 	now := f.now()
