--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 STEPS ?= 120
 CHECKS ?= 500
-RAPID = $$(go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}}{{end}}{{end}}' ./...)
+RAPID = $$(go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}}{{end}}{{end}}{{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}}{{end}}{{end}}' ./...)
 
 .PHONY: build run test lint fmt path prove bench slopes generate
 
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -230,6 +230,9 @@
 // Order gives no order.
 func (*fleet) Order(context.Context, member.Node, client.Order) error { return nil }
 
+// Cancel does nothing, since a reply that is closed is at its end.
+func (*fleet) Cancel(context.Context, member.Node, string) error { return nil }
+
 // Open has an engine generate.
 func (f *fleet) Open(ctx context.Context, a call.Attempt) (call.Reply, error) {
 	e := f.engines[a.Endpoint.Node.Name]
--- a/internal/client/poll.go
+++ b/internal/client/poll.go
@@ -103,6 +103,11 @@
 	return c.do(ctx, n, http.MethodPost, "/v1/orders", body, nil)
 }
 
+// Cancel has an engine end a stream.
+func (c *Client) Cancel(ctx context.Context, n member.Node, attempt string) error {
+	return c.do(ctx, n, http.MethodDelete, "/v1/streams/"+attempt, nil, nil)
+}
+
 func (c *Client) poll(ctx context.Context, n member.Node, path string, into any) error {
 	return c.do(ctx, n, http.MethodGet, path, nil, into)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -56,6 +56,7 @@
 	Load(ctx context.Context, n member.Node) (member.Report, load.Work, error)
 	Events(ctx context.Context, n member.Node, after int64) (state.Cached, error)
 	Order(ctx context.Context, n member.Node, o client.Order) error
+	Cancel(ctx context.Context, n member.Node, attempt string) error
 }
 
 // directory finds callers by their secret.
--- a/internal/core/doer.go
+++ b/internal/core/doer.go
@@ -43,6 +43,9 @@
 		return d.fetch(ctx, a)
 	case state.AskLease:
 		return d.askLease(ctx, a)
+	case state.Cancel:
+		// A stream that is not cancelled ends by itself some time later.
+		_ = d.parts.Ends.Cancel(ctx, a.Endpoint.Node, a.Attempt)
 	case state.Announce:
 		d.announce(a)
 	case state.Note:
--- a/internal/ctrl/members.go
+++ b/internal/ctrl/members.go
@@ -39,6 +39,8 @@
 		return m.pulse(s, e, now), nil
 	case state.Collected:
 		return m.collected(s, e, now)
+	case state.Abandoned:
+		return s, cancel(s, e)
 	case state.Stopping:
 		s = s.WithLeaving()
 		return s, pulses(s)
@@ -46,6 +48,20 @@
 	return s, nil
 }
 
+// cancel has the engine end a stream, so that it spends nothing on it.
+func cancel(s state.State, e state.Abandoned) []state.Action {
+	n, ok := s.Members.Find(e.Endpoint)
+	if !ok {
+		return nil
+	}
+	return []state.Action{
+		state.Cancel{
+			Endpoint: n,
+			Attempt:  e.Attempt,
+		},
+	}
+}
+
 // polls asks the list and every endpoint.
 func (Members) polls(s state.State) []state.Action {
 	actions := []state.Action{state.AskList{}, state.Collect{}}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -263,6 +263,15 @@
 	callers.Wait()
 }
 
+func TestStreamThatGoesOnElsewhereIsCancelled(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	for _, e := range f.engines {
+		e.Faults.Set(stand.Mute, 3)
+	}
+	f.stream(0, "sheet")
+	f.eventually(func() bool { return f.engines[0].Cancelled()+f.engines[1].Cancelled() > 0 })
+}
+
 func TestLostAnswerOfAChargeIsUnknownAndNeverRepeated(t *testing.T) {
 	f := newFleet(t, 2, 1)
 	f.service.Faults.Set(stand.Lost, 1)
--- a/internal/filter/generate.go
+++ b/internal/filter/generate.go
@@ -245,6 +245,12 @@
 	}
 	g.resume = chain.Resume{}
 	g.tried = append(g.tried, a.Endpoint.Node.Name)
+	if failure.Sent {
+		g.post.Post(state.Abandoned{
+			Endpoint: a.Endpoint.Node.Name,
+			Attempt:  a.ID,
+		})
+	}
 	if g.begun && len(g.tried) < maxContinues {
 		// A stream that began is always continued; the budget bounds only
 		// work that has not started.
--- a/internal/proof/fakes_test.go
+++ b/internal/proof/fakes_test.go
@@ -38,6 +38,7 @@
 	Load(ctx context.Context, n member.Node) (member.Report, load.Work, error)
 	Events(ctx context.Context, n member.Node, after int64) (state.Cached, error)
 	Order(ctx context.Context, n member.Node, o client.Order) error
+	Cancel(ctx context.Context, n member.Node, attempt string) error
 }
 
 // fakeTable is the platform's table.
@@ -278,6 +279,17 @@
 // Order gives no order.
 func (*link) Order(context.Context, member.Node, client.Order) error { return nil }
 
+// Cancel ends a stream.
+func (l *link) Cancel(_ context.Context, m member.Node, attempt string) error {
+	n, err := l.node(m)
+	if err != nil {
+		return err
+	}
+	n.set(func(n *fakeNode) { delete(n.streams, attempt) })
+	l.w.count("stream cancelled")
+	return nil
+}
+
 func (l *link) object() *objectLink { return &objectLink{l: l} }
 
 // objectLink is the way to the object store.
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 	"unicode/utf8"
 
@@ -58,6 +59,9 @@
 	engine  *model.Engine
 	options []model.Option
 
+	// cancelled counts the streams that were cancelled.
+	cancelled atomic.Int64
+
 	mu      sync.Mutex
 	load    Load
 	streams map[string]*output
@@ -132,6 +136,9 @@
 	return append([]Run(nil), e.runs...)
 }
 
+// Cancelled returns how many streams were cancelled.
+func (e *Engine) Cancelled() int64 { return e.cancelled.Load() }
+
 // Leave has the engine refuse new work.
 func (e *Engine) Leave() {
 	e.mu.Lock()
--- a/internal/stand/output.go
+++ b/internal/stand/output.go
@@ -161,6 +161,7 @@
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
 	if out := e.find(r); out != nil {
 		out.cancel.Do(func() { close(out.gone) })
+		e.cancelled.Add(1)
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/state/action.go
+++ b/internal/state/action.go
@@ -61,6 +61,14 @@
 	Op lease.Op
 }
 
+// Cancel has an engine end a stream that nobody reads. It has no event.
+type Cancel struct {
+	// Endpoint is the engine.
+	Endpoint member.Endpoint
+	// Attempt is the id of the stream.
+	Attempt string
+}
+
 // Announce tells operators of an alarm that was raised or cleared. It has no event.
 type Announce struct {
 	// Alarm is the alarm.
@@ -105,5 +113,8 @@
 // Key names the action.
 func (a Announce) Key() string { return "announce/" + a.Alarm.Promise }
 
+// Key names the action.
+func (a Cancel) Key() string { return "cancel/" + a.Attempt }
+
 // Key names the action.
 func (Note) Key() string { return "" }
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -159,6 +159,14 @@
 	Err error
 }
 
+// Abandoned is a stream that goes on elsewhere and that nobody reads any more.
+type Abandoned struct {
+	// Endpoint is the engine's name.
+	Endpoint string
+	// Attempt is the id of the stream there.
+	Attempt string
+}
+
 // Stopping is the begin of a planned stop.
 type Stopping struct{}
 
@@ -197,3 +205,6 @@
 
 // Event returns the event's name.
 func (Stopping) Event() string { return "stopping" }
+
+// Event returns the event's name.
+func (Abandoned) Event() string { return "abandoned" }
