claim: let an unsettled claim be made anew

Cause: a claim whose write took effect after its answer was lost and the call was refused as not run stayed busy for every retry. The instance remembers the nonces that it never sent. The test failed before and passes now.

--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,6 +21,8 @@
 	settlePause = 50 * time.Millisecond
 	// maxAnswer is the longest answer, in bytes, that is kept for repeats.
 	maxAnswer = 32 << 10
+	// maxUnsent bounds the nonces that are remembered.
+	maxUnsent = 10_000
 	// busyRetry is when a caller may ask again for a call in progress.
 	busyRetry = 1 * time.Second
 	// downRetry is when a caller may ask again while the table is down.
@@ -94,6 +97,30 @@
 	living living
 	owner  string
 	nonce  func() string
+	// unsent holds the nonces of claims that could not be settled. Their calls
+	// were never sent, so that such a row may be claimed anew.
+	unsent *unsent
+}
+
+// unsent is a set of nonces. It is safe for concurrent use.
+type unsent struct {
+	mu     sync.Mutex
+	nonces map[string]bool
+}
+
+func (u *unsent) add(nonce string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.nonces) >= maxUnsent {
+		clear(u.nonces)
+	}
+	u.nonces[nonce] = true
+}
+
+func (u *unsent) has(nonce string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.nonces[nonce]
 }
 
 // New returns a book whose claims belong to the incarnation owner. The
@@ -104,6 +131,9 @@
 		living: l,
 		owner:  owner,
 		nonce:  nonce,
+		unsent: &unsent{
+			nonces: map[string]bool{},
+		},
 	}
 }
 
@@ -129,6 +159,7 @@
 			return next, nil
 		}
 		if !errors.Is(err, store.ErrConflict) {
+			b.unsent.add(t.record.Nonce)
 			return Ticket{}, b.down(err)
 		}
 		row, err := b.table.Get(ctx, t.row.Key)
@@ -199,7 +230,7 @@
 	switch {
 	case r.Digest != digest:
 		return false, fault.New(fault.Mismatch, "%s was used for another request: use a new key", key)
-	case r.State == Free:
+	case r.State == Free, r.State == Claimed && r.Owner == b.owner && b.unsent.has(r.Nonce):
 		return true, nil
 	case r.State == Done && r.Long:
 		return false, fault.New(fault.Lost, "%s ran and its answer was too long to keep: look the result up at the service", key).WithRun(fault.Unknown)
--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -157,7 +157,28 @@
 	require.Equal(t, fault.NotRun, fault.From(err).Run)
 }
 
-// run is one call of a caller: whether it was sent and which answer came back.
+// TestUnsettledClaimIsFreeAgain has the write happen long after its answer was
+// lost and the call was refused as not run.
+func TestUnsettledClaimIsFreeAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		tab := newTable(func(int) bool {
+			calls++
+			return calls == 2
+		})
+		book := claim.New(tab, all{}, "i1@1", ids("a"))
+		_, err := book.Begin(t.Context(), "loom", "k", "d")
+		require.Equal(t, fault.NotRun, fault.From(err).Run)
+		time.Sleep(time.Second)
+		_, err = claim.New(tab, all{}, "i2@1", ids("b")).Begin(t.Context(), "loom", "k", "d")
+		require.Equal(t, fault.Busy, fault.From(err).Kind, "others can't know that it was not sent")
+		ticket, err := book.Begin(t.Context(), "loom", "k", "d")
+		require.NoError(t, err)
+		require.True(t, ticket.Sendable())
+	})
+}
+
+// runInput is one call of a caller.
 type runInput struct{ key string }
 
 type runOutput struct {
