--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -210,7 +210,7 @@
 	for _, t := range top {
 		try(pool[t.index])
 	}
-	r := rand.New(rand.NewPCG(q.Seed, uint64(q.Now.UnixNano()))) //nolint:gosec // no secret depends on it
+	r := rand.New(rand.NewPCG(q.Seed, uint64(q.Now.UnixNano())))
 	for range sampled {
 		try(pool[r.IntN(len(pool))])
 	}
