prefix: compare each holder until it is found

Cause: a look-up of 64 blocks with 8 holders compared every holder with every run and read the time anew for each. Ruled out: nothing else was measured apart.

--- a/pkg/prefix/index.go
+++ b/pkg/prefix/index.go
@@ -95,8 +95,9 @@
 	}
 	var runBuf [2 * maxHolders]run
 	runs := ix.begin(runBuf[:0], hashes[0], now)
+	nanos := now.UnixNano()
 	for i, hash := range hashes {
-		if !ix.extend(runs, hash, i, now) {
+		if !ix.extend(runs, hash, i, nanos) {
 			break
 		}
 	}
@@ -127,7 +128,7 @@
 				continue
 			}
 			src, _ := ix.sources.Get(name)
-			if src.believes(h, now) {
+			if src.believes(h, now.UnixNano()) {
 				runs = append(runs, run{
 					name: name,
 					src:  src,
@@ -140,17 +141,24 @@
 
 // extend counts block i for each run that has all blocks before it, and tells
 // whether any run grew.
-func (ix Index) extend(runs []run, hash uint64, i int, now time.Time) bool {
+func (ix Index) extend(runs []run, hash uint64, i int, now int64) bool {
 	grown := false
-	for _, gen := range ix.generations() {
+	for _, gen := range [...]*immutable.Map[uint64, holders]{ix.young, ix.old} {
+		if gen == nil {
+			continue
+		}
 		hs, _ := gen.Get(hash)
 		for _, h := range hs {
 			for j := range runs {
 				r := &runs[j]
-				if r.src.id == h.id && r.blocks == i && r.src.believes(h, now) {
+				if r.src.id != h.id {
+					continue
+				}
+				if r.blocks == i && r.src.believes(h, now) {
 					r.blocks++
 					grown = true
 				}
+				break
 			}
 		}
 	}
@@ -168,9 +176,10 @@
 	return []*immutable.Map[uint64, holders]{ix.young, ix.old}
 }
 
-// believes tells whether h was learned after the last gap and within its lifetime.
-func (src source) believes(h holder, now time.Time) bool {
-	return h.learned > src.void && now.UnixNano()-h.learned < int64(src.life)
+// believes tells whether h was learned after the last gap and within its
+// lifetime, at a time in nanoseconds since 1970.
+func (src source) believes(h holder, now int64) bool {
+	return h.learned > src.void && now-h.learned < int64(src.life)
 }
 
 func (ix Index) source(endpoint string) (source, bool) {
