pkg, link: types for forwarding by routes and connections of our own

Routes, keys of teams and limits (site), wanted and held weights (weight), retries by a sliding window (retry), parts of prompts of any length (prefix), whole events of a byte stream (stream), holds with a quiet time between two holders (lease). The connection pool sends one request at a time and repeats nothing; the standard transport repeats some requests by itself. The pulses of instances get a controller of their own.

--- /dev/null
+++ b/internal/ctrl/mesh.go
@@ -0,0 +1,123 @@
+package ctrl
+
+import (
+	"time"
+
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/load"
+	"github.com/baobabtally/baobabtally/pkg/member"
+)
+
+const (
+	// fullMesh is the number of other instances up to which each pulse goes to all.
+	fullMesh = 9
+	// meshWork bounds the pulses of larger fleets: each instance sends about
+	// meshWork/n of them at each tick, to the others in turn.
+	meshWork = fullMesh * fullMesh
+	// tableSilence is how long the table may be unheard before pulses go to all
+	// others again, by which a majority is known.
+	tableSilence = 1 * time.Second
+	// mostTold is how many endpoints and teams a pulse tells of at most.
+	mostTold = 32
+)
+
+// Mesh looks after the pulses between instances.
+type Mesh struct{}
+
+// Step returns the state after e.
+func (m Mesh) Step(s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
+	switch e := e.(type) {
+	case state.Tick:
+		return s, []state.Action{state.Collect{}}
+	case state.Pulse:
+		return m.pulse(s, e, now), nil
+	case state.Collected:
+		return m.collected(s, e, now)
+	case state.Stopping:
+		s = s.WithLeaving()
+		return s, pulses(s)
+	}
+	return s, nil
+}
+
+func (Mesh) pulse(s state.State, e state.Pulse, now time.Time) state.State {
+	p := s.Peer(e.Name)
+	if e.Sent.After(p.Heard) {
+		p.Heard = e.Sent
+	}
+	if p.Epoch != e.Epoch {
+		p.Epoch = e.Epoch
+		p.Beat = 0
+	}
+	fresh := e.Summary.Beat > p.Beat
+	p.Beat = max(p.Beat, e.Summary.Beat)
+	s = s.WithPeer(e.Name, p)
+	s = s.WithMembers(s.Members.WithReport(e.Name, member.Report{
+		Epoch:   e.Epoch,
+		Leaving: e.Leaving,
+	}, now))
+	for _, name := range e.Drained {
+		s = s.WithMembers(s.Members.WithAccused(name, now))
+	}
+	if fresh {
+		s = s.WithLoads(s.Loads.WithDigest(e.Name, load.Digest{
+			At:    now,
+			Work:  e.Summary.Work,
+			Usage: e.Summary.Usage,
+		}))
+	}
+	return s.WithFresh()
+}
+
+func (Mesh) collected(s state.State, e state.Collected, now time.Time) (state.State, []state.Action) {
+	own := e.Summary.Most(mostTold)
+	own.Beat = s.Own.Beat + 1
+	s = s.WithOwn(own)
+	return s, turn(s, now)
+}
+
+// pulses sends what this instance knows to all others.
+func pulses(s state.State) []state.Action {
+	return pulsesTo(s, s.Others())
+}
+
+// turn sends it to those whose turn it is.
+func turn(s state.State, now time.Time) []state.Action {
+	others := s.Others()
+	n := len(others)
+	if n <= fullMesh || now.Sub(s.Config.Table()) > tableSilence {
+		return pulsesTo(s, others)
+	}
+	beat := int(s.Own.Beat)
+	from, to := (beat-1)*meshWork/n, beat*meshWork/n
+	var chosen []string
+	for i := from; i < to; i++ {
+		chosen = append(chosen, others[i%n])
+	}
+	return pulsesTo(s, chosen)
+}
+
+func pulsesTo(s state.State, names []string) []state.Action {
+	pulse := PulseOf(s)
+	actions := make([]state.Action, 0, len(names))
+	for _, name := range names {
+		n, _ := s.Members.Find(name)
+		actions = append(actions, state.SendPulse{
+			To:    n.Node,
+			Pulse: pulse,
+		})
+	}
+	return actions
+}
+
+// PulseOf returns what an instance in state s tells its peers.
+func PulseOf(s state.State) state.Pulse {
+	return state.Pulse{
+		Name:    s.Self.Name,
+		Epoch:   s.Self.Epoch,
+		Version: s.Config.Document().Version,
+		Leaving: s.Leaving,
+		Summary: s.Own,
+		Drained: s.Members.Leaving(),
+	}
+}
--- a/internal/ctrl/step.go
+++ b/internal/ctrl/step.go
@@ -18,6 +18,7 @@
 	return []Controller{
 		Promises{},
 		Members{},
+		Mesh{},
 		Config{},
 		Cache{},
 		Leases{},
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,225 @@
+package link_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/baobabtally/baobabtally/internal/link"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// serve runs script for each connection and returns the address.
+func serve(t *testing.T, script func(n int, c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	done := make(chan struct{})
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+	})
+	go func() {
+		defer close(done)
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			script(n, c, bufio.NewReader(c))
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func accept(r *bufio.Reader) bool {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return err == nil
+}
+
+func ask(ctx context.Context, p *link.Pool, addr, id string) (string, error) {
+	c, err := p.Get(ctx, addr, 2, true)
+	if err != nil {
+		return "", err
+	}
+	resp, err := c.Do(ctx, link.Request{
+		Method: http.MethodPost,
+		Path:   "/x",
+		Host:   "h",
+		Header: http.Header{
+			"X-Id": {id},
+		},
+		Body: []byte("body"),
+		Echo: "X-Id",
+	})
+	if err != nil {
+		p.Drop(c)
+		return "", err
+	}
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		p.Drop(c)
+		return "", err
+	}
+	p.Put(c, resp)
+	return string(data), nil
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	p := link.New()
+	defer p.Close()
+	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for accept(r) {
+			_, _ = io.WriteString(c, answer("a", "one"))
+		}
+	})
+	for range 3 {
+		got, err := ask(t.Context(), p, addr, "a")
+		require.NoError(t, err)
+		require.Equal(t, "one", got)
+	}
+	require.EqualValues(t, 1, p.Dialed())
+}
+
+func TestLateAnswerToAnotherRequestIsReadOver(t *testing.T) {
+	p := link.New()
+	defer p.Close()
+	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if accept(r) {
+			_, _ = io.WriteString(c, answer("old", "bad")+answer("a", "good"))
+		}
+		accept(r)
+	})
+	got, err := ask(t.Context(), p, addr, "a")
+	require.NoError(t, err)
+	require.Equal(t, "good", got)
+}
+
+func TestBytesThatNobodyAskedForEndTheConnection(t *testing.T) {
+	p := link.New()
+	defer p.Close()
+	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if accept(r) {
+			_, _ = io.WriteString(c, answer("a", "one"))
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(c, answer("a", "two"))
+		}
+		accept(r)
+	})
+	for range 2 {
+		got, err := ask(t.Context(), p, addr, "a")
+		require.NoError(t, err)
+		require.Equal(t, "one", got)
+		time.Sleep(60 * time.Millisecond)
+	}
+	require.EqualValues(t, 2, p.Dialed())
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	p := link.New()
+	defer p.Close()
+	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if accept(r) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nall of it")
+		}
+	})
+	got, err := ask(t.Context(), p, addr, "a")
+	require.NoError(t, err)
+	require.Equal(t, "all of it", got)
+}
+
+func TestCutAnswerIsAnError(t *testing.T) {
+	p := link.New()
+	defer p.Close()
+	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if accept(r) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 100\r\n\r\npart")
+		}
+	})
+	_, err := ask(t.Context(), p, addr, "a")
+	require.ErrorContains(t, err, "unexpected EOF")
+}
+
+func TestEndOfContextEndsTheWait(t *testing.T) {
+	p := link.New()
+	defer p.Close()
+	addr := serve(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+		accept(r)
+		accept(r)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := ask(ctx, p, addr, "a")
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
+func TestLimitOfConnectionsHolds(t *testing.T) {
+	p := link.New()
+	defer p.Close()
+	hold := make(chan struct{})
+	addr := serve(t, func(int, net.Conn, *bufio.Reader) { <-hold })
+	var held []*link.Conn
+	for range 2 {
+		c, err := p.Get(t.Context(), addr, 2, true)
+		require.NoError(t, err)
+		held = append(held, c)
+	}
+	_, err := p.Get(t.Context(), addr, 2, true)
+	require.ErrorIs(t, err, link.ErrFull)
+	close(hold)
+	for _, c := range held {
+		p.Drop(c)
+	}
+}
+
+func TestLongBodyThatIsAnsweredEarly(t *testing.T) {
+	p := link.New()
+	defer p.Close()
+	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, answer("a", "no"))
+		}
+		time.Sleep(30 * time.Millisecond)
+	})
+	c, err := p.Get(t.Context(), addr, 1, true)
+	require.NoError(t, err)
+	resp, err := c.Do(t.Context(), link.Request{
+		Method: http.MethodPost,
+		Path:   "/",
+		Host:   "h",
+		Header: http.Header{
+			"X-Id": {"a"},
+		},
+		Body: []byte(strings.Repeat("x", 8<<20)),
+		Echo: "X-Id",
+	})
+	require.NoError(t, err)
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "no", string(data))
+	p.Put(c, resp)
+	_, err = c.Do(t.Context(), link.Request{
+		Method: http.MethodGet,
+		Path:   "/",
+		Host:   "h",
+	})
+	require.Error(t, err, "the connection must not carry another request")
+}
--- a/pkg/chain/request.go
+++ b/pkg/chain/request.go
@@ -5,6 +5,8 @@
 
 	"github.com/baobabtally/baobabtally/pkg/label"
 	"github.com/baobabtally/baobabtally/pkg/policy"
+	"github.com/baobabtally/baobabtally/pkg/prefix"
+	"github.com/baobabtally/baobabtally/pkg/site"
 )
 
 // Kind is what a request asks for.
@@ -17,12 +19,17 @@
 	Text
 	// Service is a call of a plain service.
 	Service
+	// Relayed is a request that a route of the site has passed on as it is.
+	Relayed
 )
 
-var kindNames = [...]string{"chat", "text", "service"}
+var kindNames = [...]string{"chat", "text", "service", "relayed"}
 
 // String returns the kind as it stands in labels and logs.
-func (k Kind) String() string { return kindNames[k%3] }
+func (k Kind) String() string { return kindNames[k%4] }
+
+// Header is the header of a message by canonical names.
+type Header map[string][]string
 
 // Request is one call of a caller. It is passed by value; filters derive new
 // requests with the With methods.
@@ -72,6 +79,24 @@
 	Floored bool
 	// Version is the version of weights for which Hashes were made.
 	Version string
+	// Host is the host that a relayed request names.
+	Host string
+	// Header is passed on with a relayed request.
+	Header Header
+	// Parts are the parts of a relayed request's prompt.
+	Parts []prefix.Part
+	// After is the id of the last event that the caller of a stream has.
+	After string
+	// Deadline is when the caller stops waiting; zero where it did not say.
+	Deadline time.Time
+	// Route is the route of a relayed request, and Service the one of the
+	// route's services that was picked; both are set by the route filter.
+	Route   site.Route
+	Service string
+	// Dedicated tells that the team shares no cached prompts with others.
+	Dedicated bool
+	// Priority is the rank in the route's terms; 0 goes first.
+	Priority int
 }
 
 // Resume names a stream and the offset of the next chunk that the caller wants.
@@ -112,6 +137,45 @@
 	return r
 }
 
+// WithRoute returns a copy of r that service serves by the terms of route.
+func (r Request) WithRoute(route site.Route, service string) Request {
+	r.Route = route
+	r.Service = service
+	r.Priority = route.Priority
+	r.Stream = route.Kind == site.Stream
+	r.Idempotent = route.Kind == site.Repeatable
+	return r
+}
+
+// WithTeam returns a copy of r that team sent.
+func (r Request) WithTeam(team site.Team) Request {
+	r.Team = team.Name
+	r.Dedicated = team.Dedicated
+	if team.Ranked {
+		r.Priority = team.Priority
+	}
+	r.Secret = ""
+	return r
+}
+
+// WithLabels returns a copy of r with labels.
+func (r Request) WithLabels(labels label.Set) Request {
+	r.Labels = labels
+	return r
+}
+
+// Until returns when r must be answered: the caller's deadline or that of the
+// route, whichever comes first. It is zero where there is none.
+func (r Request) Until() time.Time {
+	until := r.Deadline
+	if r.Route.Timeout > 0 {
+		if end := r.Arrived.Add(r.Route.Timeout); until.IsZero() || end.Before(until) {
+			until = end
+		}
+	}
+	return until
+}
+
 // WithFloored returns a copy of r that did or did not take its turn as its
 // rank's floor.
 func (r Request) WithFloored(floored bool) Request {
@@ -133,6 +197,10 @@
 	Endpoint string
 	// Attempt is the id of the attempt that answers.
 	Attempt string
+	// Header is the endpoint's header of a relayed answer.
+	Header Header
+	// Length is the length of a relayed body in bytes, or -1 where it is not known.
+	Length int64
 }
 
 // Chunk is a part of an answer.
@@ -148,6 +216,8 @@
 	End bool
 	// Next is where a resumed stream goes on after this chunk.
 	Next Resume
+	// Event is the id of the last event of a relayed stream within Data.
+	Event string
 }
 
 // Result is what is known of a request after it was served.
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -38,6 +38,8 @@
 	// row is the last row that was seen, and since when it is unchanged.
 	row  store.Row
 	seen time.Time
+	// told is seen where a peer showed the row.
+	told time.Time
 	// until is when this instance's hold ends; zero where it holds nothing.
 	until time.Time
 	// next is when to ask the table again.
@@ -46,14 +48,42 @@
 	fence int64
 	// yield tells that the lease is not to be taken or renewed.
 	yield bool
+	// length, renew and quiet are the times of this lease.
+	length time.Duration
+	renew  time.Duration
+	quiet  time.Duration
+}
+
+// Option changes a lease that New makes.
+type Option func(*Lease)
+
+// WithLength sets how long a hold lasts without renewal and how often it is
+// renewed.
+func WithLength(length, renew time.Duration) Option {
+	return func(l *Lease) {
+		l.length = length
+		l.renew = renew
+	}
+}
+
+// WithQuiet has a new holder wait for d after the last hold may have ended.
+// Endpoints that do not check fencing numbers then see no two holders within d.
+func WithQuiet(d time.Duration) Option {
+	return func(l *Lease) { l.quiet = d }
 }
 
 // New returns the view of an instance that holds nothing.
-func New(key, self string) Lease {
-	return Lease{
-		key:  key,
-		self: self,
+func New(key, self string, opts ...Option) Lease {
+	l := Lease{
+		key:    key,
+		self:   self,
+		length: Length,
+		renew:  renewEvery,
+	}
+	for _, o := range opts {
+		o(&l)
 	}
+	return l
 }
 
 // Plan returns what to ask of the table now, if anything, and the lease after
@@ -62,7 +92,11 @@
 	if now.Before(l.next) {
 		return Op{}, l, false
 	}
-	l.next = now.Add(renewEvery)
+	holder, fence := decode(l.row.Value)
+	if l.follows(holder, now) {
+		return Op{}, l, false
+	}
+	l.next = now.Add(l.renew)
 	op := Op{
 		Sent: now,
 		Row: store.Row{
@@ -70,7 +104,6 @@
 			Version: l.row.Version,
 		},
 	}
-	holder, fence := decode(l.row.Value)
 	switch {
 	case l.seen.IsZero():
 	case l.yield && holder != l.self:
@@ -80,13 +113,49 @@
 	case holder == l.self && now.Before(l.until):
 		op.Put = true
 		op.Row.Value = encode(l.self, fence)
-	case holder == "" || now.Sub(l.seen) >= Length+Margin:
+	case l.free(holder, fence, now):
 		op.Put = true
 		op.Row.Value = encode(l.self, fence+1)
 	}
 	return op, l, true
 }
 
+// follows tells that peers keep this instance informed of another's hold, so
+// that the table need not be read.
+func (l Lease) follows(holder string, now time.Time) bool {
+	return !l.told.IsZero() && l.told == l.seen && holder != l.self && holder != "" &&
+		now.Sub(l.seen) < l.length+l.quiet+Margin
+}
+
+// free tells whether this instance may take the lease. The row of its own hold
+// proves that nobody else held the lease since.
+func (l Lease) free(holder string, fence int64, now time.Time) bool {
+	switch holder {
+	case l.self:
+		return l.quiet > 0 || now.Sub(l.seen) >= l.length+Margin
+	case "":
+		return fence == 0 || now.Sub(l.seen) >= l.quiet
+	}
+	return now.Sub(l.seen) >= l.length+l.quiet+Margin
+}
+
+// WithTold returns the lease after a peer showed a newer row.
+func (l Lease) WithTold(row store.Row, now time.Time) Lease {
+	if row.Version <= l.row.Version {
+		return l
+	}
+	l.row = row
+	l.seen = now
+	l.told = now
+	if holder, _ := decode(row.Value); holder != l.self {
+		l.until = time.Time{}
+	}
+	return l
+}
+
+// Row returns the last row that was seen.
+func (l Lease) Row() store.Row { return l.row }
+
 // WithRow returns the lease after a read that was planned as op.
 func (l Lease) WithRow(op Op, row store.Row, err error) Lease {
 	if errors.Is(err, store.ErrMissing) {
@@ -124,7 +193,7 @@
 	holder, fence := decode(op.Row.Value)
 	l.until = time.Time{}
 	if holder == l.self {
-		l.until = op.Sent.Add(Length)
+		l.until = op.Sent.Add(l.length)
 		l.fence = fence
 	}
 	return l
@@ -146,7 +215,7 @@
 // Held tells whether somebody is known to hold the lease at now.
 func (l Lease) Held(now time.Time) bool {
 	holder, _ := decode(l.row.Value)
-	return holder != "" && !l.seen.IsZero() && now.Sub(l.seen) < Length+Margin
+	return holder != "" && !l.seen.IsZero() && now.Sub(l.seen) < l.length+Margin
 }
 
 // Holder returns who was last seen to hold the lease, or "another instance".
--- a/pkg/member/node.go
+++ b/pkg/member/node.go
@@ -50,6 +50,9 @@
 	Fences bool
 	// Leaving is what the list says.
 	Leaving bool
+	// Start tells incarnations of a node with one name apart; empty where the
+	// list does not say.
+	Start string
 }
 
 // Report is what a node says of itself.
@@ -66,6 +69,20 @@
 	Prefill float64
 	// Step is the time between two tokens of an engine at its usual load.
 	Step time.Duration
+	// Busy tells that an engine carries out an order.
+	Busy bool
+	// Orders is how many orders an engine took since its start.
+	Orders int64
+}
+
+// Listing is a node with what the platform's list says in its name.
+type Listing struct {
+	// Node is the node.
+	Node Node
+	// Report is what the node told the list of itself.
+	Report Report
+	// Weights are the versions of an engine's models. Invariant: never written.
+	Weights map[string]int64
 }
 
 // Endpoint is a node that serves requests, with what it says of itself.
--- a/pkg/member/set.go
+++ b/pkg/member/set.go
@@ -39,6 +39,16 @@
 	// heard is when a node last answered, by name. It changes all the time and
 	// is kept apart, so that an answer without news costs little.
 	heard *immutable.Map[string, time.Time]
+	// unpolled tells that nodes are heard only through calls, so that silence
+	// is no reason for doubt.
+	unpolled bool
+}
+
+// Unpolled returns the set of an instance that does not poll nodes.
+func Unpolled() Set {
+	return Set{
+		unpolled: true,
+	}
 }
 
 type entry struct {
@@ -59,7 +69,7 @@
 	next := make(map[string]entry, len(nodes))
 	for _, n := range nodes {
 		e := s.entries[n.Name]
-		if e.node.Addr != n.Addr {
+		if e.node.Addr != n.Addr || e.node.Start != n.Start {
 			e = entry{}
 		}
 		e.node = n
@@ -82,6 +92,17 @@
 	return s.with(name, e.calmed())
 }
 
+// WithListing returns a copy of s in which the platform's list says l.Report of
+// a node. It is no proof that the node serves calls.
+func (s Set) WithListing(l Listing) Set {
+	e, ok := s.entries[l.Node.Name]
+	if !ok || e.report == l.Report {
+		return s
+	}
+	e.report = l.Report
+	return s.with(l.Node.Name, e)
+}
+
 // WithAccused returns a copy of s in which a peer said that name is leaving.
 func (s Set) WithAccused(name string, now time.Time) Set {
 	e, ok := s.entries[name]
@@ -126,7 +147,7 @@
 		return false
 	}
 	heard := s.Heard(e.Node.Name)
-	return heard.IsZero() || now.Sub(heard) <= Silence
+	return s.unpolled || heard.IsZero() || now.Sub(heard) <= Silence
 }
 
 // Pool returns the endpoints that take new work for model. The slice must not
--- /dev/null
+++ b/pkg/prefix/parts_test.go
@@ -0,0 +1,35 @@
+package prefix_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabtally/baobabtally/pkg/prefix"
+)
+
+func TestPartsShareTheHashesOfWhatTheyShare(t *testing.T) {
+	a := []prefix.Part{
+		{
+			ID:     1,
+			Tokens: 2000,
+		},
+		{
+			ID:     2,
+			Tokens: 300,
+		},
+	}
+	b := []prefix.Part{
+		a[0],
+		{
+			ID:     3,
+			Tokens: 300,
+		},
+	}
+	ha, hb := prefix.ChainParts("s", a), prefix.ChainParts("s", b)
+	require.Equal(t, ha[0], hb[0])
+	require.NotEqual(t, ha[1], hb[1])
+	require.NotEqual(t, ha[0], prefix.ChainParts("t", a)[0], "another salt shares nothing")
+	require.Equal(t, 2300, prefix.Total(a))
+	require.Nil(t, prefix.ChainParts("s", nil))
+}
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -9,6 +9,8 @@
 	ErrMissing = errors.ConstError("there is no such row")
 	// ErrUnavailable means that the table did not take the call.
 	ErrUnavailable = errors.ConstError("the table does not answer and took nothing: retry later")
+	// ErrCompacted means that the changes asked for are no longer kept.
+	ErrCompacted = errors.ConstError("the history is gone: read the whole table")
 	// ErrLost means that the answer was lost and the write may have happened.
 	ErrLost = errors.ConstError("the table's answer was lost: read the row back to settle it")
 )
@@ -22,3 +24,15 @@
 	// Version grows with each write. It is above 0 for a row that exists.
 	Version int64
 }
+
+// Batch is what was read of a table.
+type Batch struct {
+	// Rows are the rows, or those that changed.
+	Rows []Row
+	// Removed are the keys of rows that are gone.
+	Removed []string
+	// Version is that of the newest change that the batch reflects.
+	Version int64
+	// Whole tells that Rows are all rows.
+	Whole bool
+}
