--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -23,6 +23,16 @@
 	Chunks int
 	// Resume is where a stream that the endpoint knows goes on.
 	Resume chain.Resume
+	// After is the id of the last event after which a relayed stream goes on.
+	After string
+	// Weights is the version of weights that the endpoint must have; 0 for any.
+	Weights int64
+	// Source is the address from which the endpoint may copy cached parts of the
+	// prompt, and Target the one to which it copies what it reads.
+	Source string
+	Target string
+	// Limit is how many connections to the endpoint may be open; 0 for any.
+	Limit int
 }
 
 // Usage is what an endpoint counted.
@@ -65,11 +75,16 @@
 	Rejected
 	// Gone is a stream that the endpoint does not know.
 	Gone
+	// Full is an endpoint that has no room for the call.
+	Full
+	// Moved is an address at which another endpoint, or one with other weights,
+	// answers.
+	Moved
 )
 
 // String returns the cause as it stands in logs.
 func (c Cause) String() string {
-	return [...]string{"broken", "silent", "crossed", "refused", "rejected", "gone"}[c%6]
+	return [...]string{"broken", "silent", "crossed", "refused", "rejected", "gone", "full", "moved"}[c%8]
 }
 
 // Failure is the error of an attempt.
@@ -80,6 +95,8 @@
 	Sent bool
 	// Detail says what was found.
 	Detail string
+	// Weights is the version of weights that the endpoint told; 0 for none.
+	Weights int64
 }
 
 // Error returns the cause and the detail.
--- a/internal/ctrl/members.go
+++ b/internal/ctrl/members.go
@@ -20,7 +20,7 @@
 	case state.Reported:
 		return m.reported(s, e, now)
 	case state.Called:
-		return m.called(s, e, now), nil
+		return called(s, e, now), nil
 	case state.Abandoned:
 		return s, cancel(s, e)
 	}
@@ -85,7 +85,8 @@
 	return s, []state.Action{note}
 }
 
-func (Members) called(s state.State, e state.Called, now time.Time) state.State {
+// called counts the outcome of a call for or against its endpoint.
+func called(s state.State, e state.Called, now time.Time) state.State {
 	if e.Failed {
 		return s.WithMembers(s.Members.WithFailure(e.Endpoint, now))
 	}
--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -119,5 +119,44 @@
 		Leaving: s.Leaving,
 		Summary: s.Own,
 		Drained: s.Members.Leaving(),
+		Relay:   relayOf(s),
 	}
 }
+
+// relayOf returns what an instance that forwards by routes tells besides.
+func relayOf(s state.State) state.Relay {
+	if !s.Relay.On {
+		return state.Relay{}
+	}
+	r := state.Relay{
+		Addr:    s.Self.Addr,
+		Domain:  s.Self.Domain,
+		Site:    s.Relay.Site.Version(),
+		Listing: s.Relay.Listing,
+		Follows: s.Relay.Follows,
+		Lease:   s.Lease.Row(),
+		Named:   map[string]int64{},
+		Mates:   s.Relay.Mates,
+	}
+	book := s.Relay.Weights
+	for model, n := range book.AllNamed() {
+		r.Named[model] = n.Version
+	}
+	if s.Lease.Fence() == 0 {
+		return r
+	}
+	for _, e := range s.Members.Nodes(member.Engine) {
+		for model, version := range book.HeldBy(e.Node.Name) {
+			w := state.EngineWeights{
+				Engine:  e.Node.Name,
+				Model:   model,
+				Version: version,
+			}
+			if o, ok := book.Order(e.Node.Name); ok && o.Model == model {
+				w.Ordered = o.Version
+			}
+			r.Weights = append(r.Weights, w)
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/ctrl/orders.go
@@ -0,0 +1,197 @@
+package ctrl
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/invar"
+	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/weight"
+)
+
+const (
+	// OrderLimit is how long an order may take. A holder gives none that could
+	// outlast its lease.
+	OrderLimit = 700 * time.Millisecond
+	// loadShare is the share of a model's engines that take new weights at once,
+	// and loadLeast their least number. The others serve meanwhile.
+	loadShare = 0.34
+	loadLeast = 2
+)
+
+// Orders brings engines to the weights that are wanted.
+type Orders struct{}
+
+// Step returns the state after e.
+func (c Orders) Step(s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
+	switch e := e.(type) {
+	case state.Tick:
+		return c.plan(s, now)
+	case state.Named:
+		return c.named(s, e, now)
+	case state.Pulse:
+		return c.heard(s, e, now)
+	case state.Weighed:
+		return c.held(s, e.Engine, e.Model, e.Version, now)
+	case state.Reported:
+		return c.reported(s, e, now)
+	case state.Ordered:
+		return c.ordered(s, e, now)
+	}
+	return s, nil
+}
+
+func (c Orders) named(s state.State, e state.Named, now time.Time) (state.State, []state.Action) {
+	if e.Version <= s.Relay.Weights.Named(e.Model).Version {
+		return s, nil
+	}
+	s.Relay.Weights = s.Relay.Weights.WithNamed(e.Model, e.Version, now)
+	note := state.Note{
+		Event: "named",
+		Pairs: []string{"model", e.Model, "version", strconv.FormatInt(e.Version, 10)},
+	}
+	s, actions := c.plan(s, now)
+	return s, append(append(actions, pulses(s)...), note)
+}
+
+// held notes the weights that an engine was seen with, and plans on.
+func (c Orders) held(s state.State, engine, model string, version int64, now time.Time) (state.State, []state.Action) {
+	if _, ok := s.Members.Find(engine); !ok || version <= s.Relay.Weights.Held(engine, model) {
+		return s, nil
+	}
+	s.Relay.Weights = s.Relay.Weights.WithHeld(engine, model, version)
+	s, actions := c.plan(s, now)
+	return s, append(actions, state.Note{
+		Event: "weights",
+		Pairs: []string{"endpoint", engine, "model", model, "version", strconv.FormatInt(version, 10)},
+	})
+}
+
+// heard takes what a peer told of weights.
+func (c Orders) heard(s state.State, e state.Pulse, now time.Time) (state.State, []state.Action) {
+	var actions []state.Action
+	s.Lease = s.Lease.WithTold(e.Relay.Lease, now)
+	for model, version := range e.Relay.Named {
+		next, more := c.named(s, state.Named{
+			Model:   model,
+			Version: version,
+		}, now)
+		s = next
+		actions = append(actions, more...)
+	}
+	for _, w := range e.Relay.Weights {
+		if _, ok := s.Members.Find(w.Engine); !ok {
+			continue
+		}
+		book := s.Relay.Weights.WithHeld(w.Engine, w.Model, w.Version)
+		if w.Ordered > book.Held(w.Engine, w.Model) && !s.Lease.Valid(now, now) {
+			book = book.WithOrder(weight.Order{
+				Engine:  w.Engine,
+				Model:   w.Model,
+				Version: w.Ordered,
+				Sent:    now,
+			})
+		}
+		s.Relay.Weights = book
+	}
+	return s, actions
+}
+
+// reported takes an engine's own word, asked for after an order.
+func (c Orders) reported(s state.State, e state.Reported, now time.Time) (state.State, []state.Action) {
+	o, ok := s.Relay.Weights.Ordered(e.Endpoint, now)
+	if e.Failed || !ok {
+		return s, nil
+	}
+	version, err := strconv.ParseInt(e.Report.Version, 10, 64)
+	if err != nil {
+		return s, []state.Action{
+			state.Note{
+				Event: "weights",
+				Pairs: []string{"endpoint", e.Endpoint, "model", o.Model, "reason", "the report names no version"},
+			},
+		}
+	}
+	next, actions := c.held(s, e.Endpoint, o.Model, version, now)
+	return next, actions
+}
+
+func (c Orders) ordered(s state.State, e state.Ordered, now time.Time) (state.State, []state.Action) {
+	book := s.Relay.Weights
+	switch e.Outcome {
+	case state.Holds:
+		book = book.WithHeld(e.Order.Engine, e.Order.Model, e.Order.Version).WithoutOrder(e.Order.Engine)
+	case state.Refused, state.Unsent, state.Unsure:
+		// An order whose outcome is not known is given again with the count of
+		// orders that it expects, so that only one of the two is carried out.
+		book = book.WithoutOrder(e.Order.Engine)
+	case state.Accepted:
+	}
+	s.Relay.Weights = book
+	actions := pulses(s)
+	if e.Outcome == state.Holds {
+		next, more := c.plan(s, now)
+		s = next
+		actions = append(actions, more...)
+	}
+	return s, append(actions, state.Note{
+		Event: "order",
+		Pairs: []string{
+			"endpoint", e.Order.Engine,
+			"model", e.Order.Model,
+			"version", strconv.FormatInt(e.Order.Version, 10),
+			"outcome", e.Outcome.String(),
+			"reason", e.Detail,
+		},
+	})
+}
+
+// plan gives the orders that are due, while this instance holds the lease, and
+// asks engines under order how far they are.
+func (c Orders) plan(s state.State, now time.Time) (state.State, []state.Action) {
+	if s.Leaving || !s.Lease.Valid(now, now.Add(OrderLimit)) {
+		return s, nil
+	}
+	invar.That(now.Before(s.Lease.Until()), invar.Fence, "orders are planned after the lease ended")
+	var actions []state.Action
+	for _, o := range s.Relay.Weights.Orders(now) {
+		if e, ok := s.Members.Find(o.Engine); ok {
+			actions = append(actions, state.AskLoad{
+				Endpoint: e,
+			})
+		}
+	}
+	for model := range s.Relay.Weights.AllNamed() {
+		engines := c.engines(s, model, now)
+		atOnce := max(loadLeast, int(math.Ceil(loadShare*float64(len(engines)))))
+		for _, o := range s.Relay.Weights.Plan(model, engines, atOnce, now) {
+			e, _ := s.Members.Find(o.Engine)
+			s.Relay.Weights = s.Relay.Weights.WithOrder(o)
+			actions = append(actions, state.SendOrder{
+				Endpoint: e,
+				Order:    o,
+				Fence:    s.Lease.Fence(),
+			})
+		}
+	}
+	return s, actions
+}
+
+// engines returns the engines of model with the work that they have.
+func (Orders) engines(s state.State, model string, now time.Time) []weight.Engine {
+	var out []weight.Engine
+	for _, v := range s.Relay.Site.Serves(model) {
+		for _, e := range s.Members.Pool(v.Name) {
+			if e.Node.Role != member.Engine || e.Suspect.After(now) {
+				continue
+			}
+			out = append(out, weight.Engine{
+				Name:    e.Node.Name,
+				Running: s.Loads.Peers(e.Node.Name, 0, now).Plus(s.Own.Work[e.Node.Name]).Calls,
+			})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ctrl/roster.go
@@ -0,0 +1,308 @@
+package ctrl
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/member"
+)
+
+const (
+	// returnTime is how long endpoints have to enter themselves again after the
+	// store was away. The platform grants two seconds; the rest is for reading.
+	returnTime = 2500 * time.Millisecond
+	// mateLife is how long an instance that is not heard is still told news.
+	mateLife = 30 * time.Second
+)
+
+// Roster looks after the endpoints of the registry and the other instances.
+type Roster struct{}
+
+// Step returns the state after e.
+func (c Roster) Step(s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
+	switch e := e.(type) {
+	case state.Tick:
+		return c.expired(s, now)
+	case state.Roster:
+		return c.read(s, e, now)
+	case state.Met:
+		return c.met(s, e.Mates, now), nil
+	case state.Pulse:
+		return c.heard(s, e, now)
+	case state.Followed:
+		return c.followed(s, e, now)
+	case state.Called:
+		return called(s, e, now), nil
+	}
+	return s, nil
+}
+
+// read takes what the registry said.
+func (c Roster) read(s state.State, e state.Roster, now time.Time) (state.State, []state.Action) {
+	if e.Version < s.Relay.Listing {
+		return s, nil
+	}
+	r := s.Relay
+	r.Listing = e.Version
+	s = s.WithRelay(r)
+	gone := e.Gone
+	if e.Whole {
+		gone = c.missing(s, e.Put)
+	}
+	var actions []state.Action
+	nodes := c.endpoints(s)
+	for _, l := range e.Put {
+		nodes[l.Node.Name] = l.Node
+	}
+	for _, name := range gone {
+		if _, ok := nodes[name]; !ok {
+			continue
+		}
+		if r.Follows && now.Sub(r.Since) >= returnTime {
+			delete(nodes, name)
+			actions = append(actions, endpointNote(name, "gone", e))
+			continue
+		}
+		s = c.going(s, name, r.Since.Add(returnTime), now)
+	}
+	s = c.stays(s, e.Put)
+	s = c.listed(s, nodes)
+	before := s.Members
+	for _, l := range e.Put {
+		s = s.WithMembers(s.Members.WithListing(l))
+		for model, version := range l.Weights {
+			s.Relay.Weights = s.Relay.Weights.WithHeld(l.Node.Name, model, version)
+		}
+		old, known := before.Find(l.Node.Name)
+		if l.Report.Leaving && !(known && old.Report.Leaving) {
+			actions = append(actions, endpointNote(l.Node.Name, "leaving", e))
+		}
+	}
+	if len(actions) > 0 {
+		actions = append(actions, pulses(s)...)
+	}
+	return s, actions
+}
+
+func endpointNote(name, what string, e state.Roster) state.Note {
+	return state.Note{
+		Event: "endpoint",
+		Pairs: []string{
+			"endpoint", name,
+			"state", what,
+			"listing", strconv.FormatInt(e.Version, 10),
+			"source", e.Source,
+		},
+	}
+}
+
+// endpoints returns the endpoints that are known, by name.
+func (Roster) endpoints(s state.State) map[string]member.Node {
+	nodes := map[string]member.Node{}
+	for _, r := range [...]member.Role{member.Engine, member.Service} {
+		for _, e := range s.Members.Nodes(r) {
+			nodes[e.Node.Name] = e.Node
+		}
+	}
+	return nodes
+}
+
+// missing returns the known endpoints that put lacks.
+func (c Roster) missing(s state.State, put []member.Listing) []string {
+	nodes := c.endpoints(s)
+	for _, l := range put {
+		delete(nodes, l.Node.Name)
+	}
+	return slices.Sorted(maps.Keys(nodes))
+}
+
+// listed has the state know exactly these endpoints and all mates.
+func (Roster) listed(s state.State, endpoints map[string]member.Node) state.State {
+	same := s.Members.Listed() && len(endpoints) == len(s.Members.Nodes(member.Engine))+len(s.Members.Nodes(member.Service))
+	for name, n := range endpoints {
+		old, ok := s.Members.Find(name)
+		same = same && ok && reflect.DeepEqual(old.Node, n)
+	}
+	same = same && len(s.Members.Nodes(member.Instance)) == len(s.Relay.Mates)
+	for _, m := range s.Relay.Mates {
+		old, ok := s.Members.Find(m.Name)
+		same = same && ok && old.Node.Addr == m.Addr
+	}
+	if same {
+		return s
+	}
+	nodes := slices.AppendSeq(slices.Clone(s.Relay.Mates), maps.Values(endpoints))
+	s = s.WithMembers(s.Members.WithList(nodes))
+	s.Relay.Weights = s.Relay.Weights.WithOnly(func(engine string) bool {
+		_, ok := endpoints[engine]
+		return ok
+	})
+	return s
+}
+
+// going has name count as gone at the given time unless it enters itself again.
+func (Roster) going(s state.State, name string, at, now time.Time) state.State {
+	if _, ok := s.Relay.Going[name]; ok {
+		return s
+	}
+	if !s.Relay.Follows {
+		at = now.Add(returnTime)
+	}
+	next := maps.Clone(s.Relay.Going)
+	if next == nil {
+		next = map[string]time.Time{}
+	}
+	next[name] = at
+	s.Relay.Going = next
+	return s
+}
+
+// stays forgets that endpoints which are entered were going.
+func (Roster) stays(s state.State, put []member.Listing) state.State {
+	var next map[string]time.Time
+	for _, l := range put {
+		if _, ok := s.Relay.Going[l.Node.Name]; !ok {
+			continue
+		}
+		if next == nil {
+			next = maps.Clone(s.Relay.Going)
+			s.Relay.Going = next
+		}
+		delete(next, l.Node.Name)
+	}
+	return s
+}
+
+// expired drops endpoints that did not return and instances that are not heard.
+func (c Roster) expired(s state.State, now time.Time) (state.State, []state.Action) {
+	var actions []state.Action
+	for _, name := range slices.Sorted(maps.Keys(s.Relay.Going)) {
+		if !s.Relay.Follows || now.Before(s.Relay.Going[name]) || now.Sub(s.Relay.Since) < returnTime {
+			continue
+		}
+		nodes := c.endpoints(s)
+		delete(nodes, name)
+		s = c.stays(s, []member.Listing{
+			{
+				Node: member.Node{
+					Name: name,
+				},
+			},
+		})
+		s = c.listed(s, nodes)
+		actions = append(actions, state.Note{
+			Event: "endpoint",
+			Pairs: []string{"endpoint", name, "state", "gone", "reason", "did not return with the store"},
+		})
+	}
+	alive := func(m member.Node) bool {
+		heard := s.Peer(m.Name).Heard
+		return heard.IsZero() || now.Sub(heard) < mateLife
+	}
+	if i := slices.IndexFunc(s.Relay.Mates, func(m member.Node) bool { return !alive(m) }); i >= 0 {
+		s.Relay.Mates = slices.Delete(slices.Clone(s.Relay.Mates), i, i+1)
+		s = c.listed(s, c.endpoints(s))
+	}
+	return s, actions
+}
+
+// met adds instances that were not known and takes new addresses.
+func (c Roster) met(s state.State, mates []member.Node, now time.Time) state.State {
+	next := slices.Clone(s.Relay.Mates)
+	changed := false
+	for _, m := range mates {
+		i := slices.IndexFunc(next, func(o member.Node) bool { return o.Name == m.Name })
+		switch {
+		case m.Name == s.Self.Name || m.Addr == "" || m.Addr == s.Self.Addr:
+		case i < 0:
+			next = append(next, m)
+			changed = true
+			s = s.WithPeer(m.Name, state.Peer{
+				Heard: now,
+			})
+		case next[i].Addr != m.Addr && now.Sub(s.Peer(m.Name).Heard) > member.Silence:
+			next[i] = m
+			changed = true
+		}
+	}
+	if !changed {
+		return s
+	}
+	slices.SortFunc(next, func(a, b member.Node) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	s.Relay.Mates = next
+	if !s.Members.Listed() {
+		// Instances alone do not make a registry.
+		return s
+	}
+	return c.listed(s, c.endpoints(s))
+}
+
+// heard takes what a peer told of endpoints and of other instances.
+func (c Roster) heard(s state.State, e state.Pulse, now time.Time) (state.State, []state.Action) {
+	mates := e.Relay.Mates
+	if e.Relay.Addr != "" && !e.Leaving {
+		mates = append(slices.Clone(mates), member.Node{
+			Name:   e.Name,
+			Role:   member.Instance,
+			Addr:   e.Relay.Addr,
+			Domain: e.Relay.Domain,
+		})
+	}
+	s = c.met(s, mates, now)
+	for _, name := range e.Drained {
+		n, ok := s.Members.Find(name)
+		if !ok || n.Report.Leaving {
+			continue
+		}
+		n.Report.Leaving = true
+		s = s.WithMembers(s.Members.WithListing(member.Listing{
+			Node:   n.Node,
+			Report: n.Report,
+		}))
+	}
+	if s.Relay.Follows || !e.Relay.Follows || e.Relay.Listing <= s.Relay.Listing {
+		return s, nil
+	}
+	return s, []state.Action{
+		state.FetchRoster{
+			From: member.Node{
+				Name: e.Name,
+				Addr: e.Relay.Addr,
+			},
+		},
+	}
+}
+
+// followed notes when the store is lost and regained.
+func (Roster) followed(s state.State, e state.Followed, now time.Time) (state.State, []state.Action) {
+	if s.Relay.Follows == e.OK && !s.Relay.Since.IsZero() {
+		return s, nil
+	}
+	r := s.Relay
+	first := r.Since.IsZero()
+	r.Follows = e.OK
+	r.Since = now
+	if first && e.OK {
+		// The first read after a start is whole: nothing has to return.
+		r.Since = now.Add(-returnTime)
+	}
+	what := "regained"
+	if !e.OK {
+		what = "lost"
+	}
+	return s.WithRelay(r), []state.Action{
+		state.Note{
+			Event: "dependency",
+			Pairs: []string{"name", "store", "state", what, "reason", e.Reason},
+		},
+	}
+}
--- a/internal/ctrl/step.go
+++ b/internal/ctrl/step.go
@@ -25,6 +25,18 @@
 	}
 }
 
+// Forwarding returns the controllers of an instance that forwards by routes.
+func Forwarding() []Controller {
+	return []Controller{
+		Promises{},
+		Roster{},
+		Mesh{},
+		Sites{},
+		Leases{},
+		Orders{},
+	}
+}
+
 // Step has each controller step in turn.
 func Step(cs []Controller, s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
 	var actions []state.Action
--- a/internal/oper/main.go
+++ b/internal/oper/main.go
@@ -35,6 +35,7 @@
 	format := app.Flag("output", "How to print: text or json.").Default("text").Enum("text", "json")
 	r := remote(app)
 	addServe(app, commands, stderr)
+	addHosted(app, commands, stdout)
 	addLint(app, commands)
 	addLoad(app, commands)
 	addChange(app, commands, r)
--- /dev/null
+++ b/internal/oper/platform.go
@@ -0,0 +1,45 @@
+package oper
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/baobabtally/baobabtally/internal/logs"
+	"github.com/baobabtally/baobabtally/platform"
+)
+
+// hosted runs an instance on the users' platform.
+type hosted struct {
+	settings *string
+	level    *string
+	stdout   io.Writer
+}
+
+func addHosted(app *kingpin.Application, commands map[string]command, stdout io.Writer) {
+	c := app.Command("platform", "Run an instance on the users' platform, which writes its settings.")
+	commands["platform"] = hosted{
+		settings: c.Flag("settings", "The file with the platform's settings.").Envar("BAOBABTALLY_CONFIG").Required().String(),
+		level:    c.Flag("level", "The least level that is logged.").Default("info").Enum("debug", "info", "warn", "error"),
+		stdout:   stdout,
+	}
+}
+
+func (c hosted) run(ctx context.Context, _ output) error {
+	text, err := os.ReadFile(*c.settings)
+	if err != nil {
+		return fmt.Errorf("the settings can't be read (%w): name a file with --settings", err)
+	}
+	s, err := platform.ParseSettings(string(text))
+	if err != nil {
+		return fmt.Errorf("%s: %w", *c.settings, err)
+	}
+	i, err := platform.New(s, logs.New(c.stdout, *c.level))
+	if err != nil {
+		return err
+	}
+	return i.Run(ctx)
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -15,6 +15,7 @@
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/policy"
+	"github.com/baobabtally/baobabtally/pkg/site"
 )
 
 // dialLimit is how long a connection to a peer may take.
@@ -57,6 +58,24 @@
 	return DecodeDocument(m), nil
 }
 
+// Site returns the forwarding configuration that a peer holds.
+func (c *Client) Site(ctx context.Context, from member.Node) (site.Site, error) {
+	m, err := c.peer(from).Site(ctx, &api.Nothing{})
+	if err != nil {
+		return site.Site{}, errors.Annotatef(err, "instance %s does not answer", from.Name)
+	}
+	return site.Unmarshal(m.GetData())
+}
+
+// Roster returns the endpoints that a peer knows.
+func (c *Client) Roster(ctx context.Context, from member.Node) (state.Roster, error) {
+	m, err := c.peer(from).Listing(ctx, &api.Nothing{})
+	if err != nil {
+		return state.Roster{}, errors.Annotatef(err, "instance %s does not answer", from.Name)
+	}
+	return decodeRoster(m.GetData(), from.Name)
+}
+
 // Stage hands a configuration over and returns the version that the peer then holds.
 func (c *Client) Stage(ctx context.Context, to member.Node, m *api.Document) (int64, error) {
 	p, err := c.peer(to).Stage(ctx, m)
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -24,6 +24,9 @@
 		Usage:   make(map[string]float32, len(p.Summary.Usage)),
 		Tally:   make(map[string]*api.Tally, len(p.Summary.Tally)),
 	}
+	if p.Relay.Addr != "" {
+		m.Relay = encodeRelay(p.Relay)
+	}
 	for k, w := range p.Summary.Work {
 		m.Work[k] = &api.Work{
 			Calls:  uint32(w.Calls),
@@ -58,6 +61,9 @@
 			Tally: make(map[string]alarm.Tally, len(m.GetTally())),
 		},
 	}
+	if m.GetRelay() != nil {
+		p.Relay = decodeRelay(m.GetRelay())
+	}
 	for k, w := range m.GetWork() {
 		p.Summary.Work[k] = load.Work{
 			Calls:  int(w.GetCalls()),
--- /dev/null
+++ b/internal/peer/relay.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"github.com/baobabtally/baobabtally/internal/api"
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/store"
+)
+
+func encodeRelay(r state.Relay) *api.Relay {
+	m := &api.Relay{
+		Addr:    r.Addr,
+		Domain:  r.Domain,
+		Site:    r.Site,
+		Listing: r.Listing,
+		Follows: r.Follows,
+		Named:   r.Named,
+		Lease: &api.Lease{
+			Version: r.Lease.Version,
+			Value:   r.Lease.Value,
+		},
+	}
+	for _, w := range r.Weights {
+		m.Weights = append(m.Weights, &api.Weights{
+			Engine:  w.Engine,
+			Model:   w.Model,
+			Version: w.Version,
+			Ordered: w.Ordered,
+		})
+	}
+	for _, n := range r.Mates {
+		m.Mates = append(m.Mates, &api.Mate{
+			Name:   n.Name,
+			Addr:   n.Addr,
+			Domain: n.Domain,
+		})
+	}
+	return m
+}
+
+func decodeRelay(m *api.Relay) state.Relay {
+	r := state.Relay{
+		Addr:    m.GetAddr(),
+		Domain:  m.GetDomain(),
+		Site:    m.GetSite(),
+		Listing: m.GetListing(),
+		Follows: m.GetFollows(),
+		Named:   m.GetNamed(),
+		Lease: store.Row{
+			Version: m.GetLease().GetVersion(),
+			Value:   m.GetLease().GetValue(),
+		},
+	}
+	for _, w := range m.GetWeights() {
+		r.Weights = append(r.Weights, state.EngineWeights{
+			Engine:  w.GetEngine(),
+			Model:   w.GetModel(),
+			Version: w.GetVersion(),
+			Ordered: w.GetOrdered(),
+		})
+	}
+	for _, n := range m.GetMates() {
+		r.Mates = append(r.Mates, member.Node{
+			Name:   n.GetName(),
+			Role:   member.Instance,
+			Addr:   n.GetAddr(),
+			Domain: n.GetDomain(),
+		})
+	}
+	return r
+}
+
+// roster is the endpoints as instances tell them to each other.
+type roster struct {
+	Version int64
+	Entries []member.Listing
+}
+
+func encodeRoster(s *state.State) ([]byte, error) {
+	out := roster{
+		Version: s.Relay.Listing,
+	}
+	for _, r := range [...]member.Role{member.Engine, member.Service} {
+		for _, e := range s.Members.Nodes(r) {
+			out.Entries = append(out.Entries, member.Listing{
+				Node:    e.Node,
+				Report:  e.Report,
+				Weights: s.Relay.Weights.HeldBy(e.Node.Name),
+			})
+		}
+	}
+	data, err := json.Marshal(out)
+	return data, errors.Trace(err)
+}
+
+func decodeRoster(data []byte, from string) (state.Roster, error) {
+	var in roster
+	if err := json.Unmarshal(data, &in); err != nil {
+		return state.Roster{}, errors.Annotate(err, "the peer's endpoints are malformed: run the same version on all instances")
+	}
+	return state.Roster{
+		Put:     in.Entries,
+		Version: in.Version,
+		Whole:   true,
+		Source:  from,
+	}, nil
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -6,6 +6,7 @@
 	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/ctrl"
 	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/site"
 )
 
 // loop is the control thread as peers reach it.
@@ -38,6 +39,22 @@
 	return EncodeDocument(s.loop.View().Config.Document()), nil
 }
 
+// Site returns the forwarding configuration in force.
+func (s Server) Site(context.Context, *api.Nothing) (*api.Blob, error) {
+	data, err := site.Marshal(s.loop.View().Relay.Site)
+	return &api.Blob{
+		Data: data,
+	}, err
+}
+
+// Listing returns the endpoints that are known.
+func (s Server) Listing(context.Context, *api.Nothing) (*api.Blob, error) {
+	data, err := encodeRoster(s.loop.View())
+	return &api.Blob{
+		Data: data,
+	}, err
+}
+
 // Stage puts a newer configuration in force and answers once it is.
 func (s Server) Stage(ctx context.Context, m *api.Document) (*api.Pulse, error) {
 	if s.loop.View().Config.Document().Version < m.GetVersion() {
--- /dev/null
+++ b/internal/relay/pick.go
@@ -0,0 +1,282 @@
+package relay
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/prefix"
+	"github.com/baobabtally/baobabtally/pkg/site"
+)
+
+const (
+	// readRate, in tokens a millisecond, is at what rate engines are taken to
+	// read prompts; the slowest of today's engines read 38.
+	readRate = 40.0
+	// moveRate, in tokens a millisecond, is at what rate cached parts are taken
+	// to move between engines.
+	moveRate = 170.0
+	// readWeight is how much a token that is read counts beside one of waiting:
+	// reading holds up others and puts out parts that others would have hit.
+	readWeight = 4.0
+	// callCost is what each call at an endpoint adds to the wait there.
+	callCost = 300 * time.Microsecond
+	// afarCost is added for an endpoint in another failure domain: the way, and
+	// the price of its bytes.
+	afarCost = 12 * time.Millisecond
+	// staleCost is added for an engine whose weights are not the wanted ones, once
+	// requests on them count less.
+	staleCost = 400 * time.Millisecond
+	// staleGrace is how long requests on replaced weights count in full.
+	staleGrace = 1500 * time.Millisecond
+	// staleMargin is how long before the end of the platform's bound no request
+	// is sent to replaced weights any more, since it may wait at the engine.
+	staleMargin = 1200 * time.Millisecond
+	// ownParts is how many parts at the end of a prompt belong to one request.
+	ownParts = 1
+	// connectionShare is the part of an endpoint's connections that all instances
+	// together may use.
+	connectionShare = 0.9
+)
+
+// choice is the endpoint that was chosen for an attempt.
+type choice struct {
+	endpoint member.Endpoint
+	// weights is the version that the endpoint must have, and salt keeps its
+	// cached parts apart.
+	weights int64
+	salt    string
+	// source and target are where cached parts may come from and go to.
+	source string
+	target string
+	// missed is the tokens that are expected to be read.
+	missed int
+	limit  int
+	cost   time.Duration
+	reason string
+}
+
+// choose picks an endpoint and logs the decision.
+func (x *exchange) choose() (choice, error) {
+	s := x.control.View()
+	now := x.now()
+	service, ok := s.Relay.Site.Service(x.request.Service)
+	if !ok {
+		return choice{}, fault.New(fault.Unavailable, "the configuration does not describe service %q: come back later", x.request.Service).WithRetry(busyRetry)
+	}
+	p := picker{
+		exchange: x,
+		state:    s,
+		service:  service,
+		now:      now,
+	}
+	c, ok := p.best()
+	if !ok {
+		return c, fault.New(fault.Unavailable, "no endpoint of %q takes work: come back later", x.request.Service).WithRetry(busyRetry)
+	}
+	c.limit = int(connectionShare * float64(service.Connections) / float64(x.instances()))
+	x.log.Info().Str("event", "route").Str("request", x.request.ID).Str("team", x.request.Team).
+		Str("route", x.request.Route.Name).Int("priority", x.request.Priority).
+		Str("endpoint", c.endpoint.Node.Name).Str("reason", c.reason).Int("missed", c.missed).
+		Int64("weights", c.weights).Int64("site", s.Relay.Site.Version()).Int64("listing", s.Relay.Listing).
+		Stringer("cost", c.cost.Round(time.Millisecond)).Int("attempt", x.attempts+1).Send()
+	return c, nil
+}
+
+// picker chooses among the endpoints of a service on one state.
+type picker struct {
+	*exchange
+	state   *state.State
+	service site.Service
+	now     time.Time
+}
+
+// best returns the endpoint with the least cost.
+func (p picker) best() (choice, bool) {
+	pool := p.pool()
+	if len(pool) == 0 {
+		return choice{}, false
+	}
+	if !p.request.Route.Prompts || len(p.request.Parts) == 0 {
+		return p.plain(pool), true
+	}
+	return p.prompt(pool)
+}
+
+// pool returns the endpoints that may be asked: those that are trusted and were
+// not tried, or else those that were not tried.
+func (p picker) pool() []member.Endpoint {
+	all := slices.DeleteFunc(slices.Clone(p.state.Members.Pool(p.request.Service)), func(e member.Endpoint) bool {
+		return slices.Contains(p.tried, e.Node.Name)
+	})
+	trusted := slices.DeleteFunc(slices.Clone(all), func(e member.Endpoint) bool {
+		return e.Suspect.After(p.now)
+	})
+	if len(trusted) == 0 {
+		return all
+	}
+	return trusted
+}
+
+// plain chooses for a request without a prompt: the nearest with the least work.
+func (p picker) plain(pool []member.Endpoint) choice {
+	best := choice{
+		cost:   math.MaxInt64,
+		reason: "load",
+	}
+	seed := xxhash.Sum64String(p.request.ID)
+	for i := range pool {
+		e := pool[(i+int(seed%uint64(len(pool))))%len(pool)]
+		cost := p.distance(e) + time.Duration(p.calls(e))*5*time.Millisecond
+		if cost < best.cost {
+			best.endpoint = e
+			best.cost = cost
+		}
+	}
+	return best
+}
+
+func (p picker) distance(e member.Endpoint) time.Duration {
+	if e.Node.Domain == p.state.Self.Domain {
+		return 0
+	}
+	return afarCost
+}
+
+// calls is how many calls are believed to be at e.
+func (p picker) calls(e member.Endpoint) int {
+	return p.state.Loads.Work(e.Node.Name, p.gauge.Work(e.Node.Name), 0, p.now).Calls
+}
+
+// prompt chooses for a request with a prompt.
+func (p picker) prompt(pool []member.Endpoint) (choice, bool) {
+	book := p.state.Relay.Weights
+	named := book.Named(p.request.Model)
+	age := p.now.Sub(named.Since)
+	homes := p.homes(pool)
+	best := choice{
+		cost: math.MaxInt64,
+	}
+	for _, e := range pool {
+		if _, busy := book.Ordered(e.Node.Name, p.now); busy {
+			continue
+		}
+		current := book.Current(e.Node.Name, p.request.Model)
+		if !current && age > p.bounds.WeightsIn-staleMargin {
+			continue
+		}
+		c := p.score(e, homes)
+		if !current && age > staleGrace {
+			c.cost += staleCost
+		}
+		if c.cost < best.cost {
+			best = c
+		}
+	}
+	if best.cost == math.MaxInt64 {
+		return best, false
+	}
+	best.weights = book.Held(best.endpoint.Node.Name, p.request.Model)
+	best.salt = p.salt(best.weights)
+	best.source, best.target = p.copies(best, homes)
+	return best, true
+}
+
+// salt keeps cached parts of models, versions and dedicated teams apart.
+func (p picker) salt(weights int64) string {
+	team := ""
+	if p.request.Dedicated {
+		team = p.request.Team
+	}
+	return prefix.Salt(team, p.request.Model, strconv.FormatInt(weights, 10))
+}
+
+// home is an endpoint that rendezvous hashing favours for a prompt.
+type home struct {
+	endpoint member.Endpoint
+	weight   uint64
+}
+
+// homes returns the endpoints in the order in which rendezvous hashing favours
+// them for the shared parts of the prompt.
+func (p picker) homes(pool []member.Endpoint) []home {
+	key := p.key()
+	out := make([]home, 0, len(pool))
+	for _, e := range pool {
+		out = append(out, home{
+			endpoint: e,
+			weight:   mix(key ^ e.Hash),
+		})
+	}
+	slices.SortFunc(out, func(a, b home) int { return cmp.Compare(b.weight, a.weight) })
+	return out[:min(len(out), 3)]
+}
+
+// key stands for the shared parts of the prompt, and the team where it shares
+// nothing with others.
+func (p picker) key() uint64 {
+	parts := p.request.Parts
+	shared := parts[:max(len(parts)-ownParts, 0)]
+	if len(shared) == 0 {
+		return xxhash.Sum64String(p.request.ID)
+	}
+	hashes := prefix.ChainParts(p.salt(0), shared)
+	return hashes[len(hashes)-1]
+}
+
+// shared is the tokens of the parts that other requests have too.
+func (p picker) shared() int {
+	parts := p.request.Parts
+	return prefix.Total(parts[:max(len(parts)-ownParts, 0)])
+}
+
+// score returns the choice of e with its cost.
+func (p picker) score(e member.Endpoint, homes []home) choice {
+	c := choice{
+		endpoint: e,
+		reason:   "load",
+	}
+	total := prefix.Total(p.request.Parts)
+	shared := p.shared()
+	own := total - shared
+	c.missed = total
+	moved := shared
+	if len(homes) > 0 && homes[0].endpoint.Node.Name == e.Node.Name {
+		c.missed = own
+		moved = 0
+		c.reason = "home"
+	}
+	work := p.state.Loads.Work(e.Node.Name, p.gauge.Work(e.Node.Name), readRate*1000, p.now)
+	c.cost = millis(float64(work.Tokens)/readRate) + time.Duration(work.Calls)*callCost +
+		millis(float64(own)/readRate) + millis(readWeight*float64(moved)/moveRate) + p.distance(e)
+	return c
+}
+
+// copies returns where cached parts may come from and go to.
+func (p picker) copies(c choice, homes []home) (string, string) {
+	for _, h := range homes {
+		if h.endpoint.Node.Name != c.endpoint.Node.Name && p.state.Relay.Weights.Held(h.endpoint.Node.Name, p.request.Model) == c.weights {
+			return h.endpoint.Node.Addr, ""
+		}
+	}
+	return "", ""
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// mix spreads the bits of x over the whole word (the finaliser of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
--- a/internal/state/action.go
+++ b/internal/state/action.go
@@ -4,6 +4,7 @@
 	"github.com/baobabtally/baobabtally/pkg/alarm"
 	"github.com/baobabtally/baobabtally/pkg/lease"
 	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/weight"
 )
 
 // Action is something that the control thread wants done elsewhere.
@@ -69,6 +70,30 @@
 	Attempt string
 }
 
+// FetchSite asks another instance for its forwarding configuration. Its event
+// is SiteFound.
+type FetchSite struct {
+	// From is the instance.
+	From member.Node
+}
+
+// FetchRoster asks another instance for the endpoints that it knows. Its event
+// is Roster.
+type FetchRoster struct {
+	// From is the instance.
+	From member.Node
+}
+
+// SendOrder has an engine take new weights. Its event is Ordered.
+type SendOrder struct {
+	// Endpoint is the engine.
+	Endpoint member.Endpoint
+	// Order is the order.
+	Order weight.Order
+	// Fence is the fencing number of the lease.
+	Fence int64
+}
+
 // Announce tells operators of an alarm that was raised or cleared. It has no event.
 type Announce struct {
 	// Alarm is the alarm.
@@ -107,6 +132,15 @@
 // Key names the action.
 func (a Fetch) Key() string { return "fetch/" + a.From.Name }
 
+// Key names the action.
+func (a FetchSite) Key() string { return "site/" + a.From.Name }
+
+// Key names the action.
+func (a FetchRoster) Key() string { return "roster/" + a.From.Name }
+
+// Key names the action.
+func (a SendOrder) Key() string { return "order/" + a.Endpoint.Node.Name }
+
 // Key names the action.
 func (a AskLease) Key() string { return "lease/" + a.Op.Row.Key }
 
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -8,7 +8,9 @@
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/policy"
+	"github.com/baobabtally/baobabtally/pkg/site"
 	"github.com/baobabtally/baobabtally/pkg/store"
+	"github.com/baobabtally/baobabtally/pkg/weight"
 )
 
 // Event is something that happened, as the control thread learns of it.
@@ -97,6 +99,122 @@
 	// Sent is when the call was sent that this pulse answers; zero for a
 	// pulse that came unasked.
 	Sent time.Time
+	// Relay is told by instances that forward by routes.
+	Relay Relay
+}
+
+// Relay is what instances that forward by routes tell each other besides.
+type Relay struct {
+	// Addr and Domain are the sender's; Addr is empty where it does not forward.
+	Addr   string
+	Domain string
+	// Site and Listing are the versions that the sender holds.
+	Site    int64
+	Listing int64
+	// Follows tells that the sender hears the platform's store.
+	Follows bool
+	// Lease is the row of the lease for orders.
+	Lease store.Row
+	// Named is the wanted version of each model's weights.
+	Named map[string]int64
+	// Weights is told by the instance that gives orders.
+	Weights []EngineWeights
+	// Mates are the other instances that the sender knows.
+	Mates []member.Node
+}
+
+// EngineWeights is what is known of one engine's weights.
+type EngineWeights struct {
+	// Engine and Model name the weights.
+	Engine string
+	Model  string
+	// Version is the one that the engine holds.
+	Version int64
+	// Ordered is the one that it was ordered to take, or 0.
+	Ordered int64
+}
+
+// SiteFound is a version of the forwarding configuration that was read.
+type SiteFound struct {
+	// Site is the configuration.
+	Site site.Site
+	// Source is the store or the peer that it came from.
+	Source string
+}
+
+// Named is a version of a model's weights that operators want.
+type Named struct {
+	// Model is the model.
+	Model string
+	// Version is the version.
+	Version int64
+}
+
+// Roster is what was read of the registry of endpoints.
+type Roster struct {
+	// Put are the entries that are new or changed.
+	Put []member.Listing
+	// Gone are the names whose entries are gone.
+	Gone []string
+	// Version grows with each change of the registry.
+	Version int64
+	// Whole tells that Put are all entries.
+	Whole bool
+	// Source is the store or the peer that it came from.
+	Source string
+}
+
+// Met is other instances that this one learned of.
+type Met struct {
+	// Mates are the instances.
+	Mates []member.Node
+}
+
+// Followed is the outcome of a read of the platform's store.
+type Followed struct {
+	// OK tells that the store answered.
+	OK bool
+	// Reason says why it did not.
+	Reason string
+}
+
+// Weighed is the version of a model that an engine was seen with.
+type Weighed struct {
+	// Engine, Model and Version tell what was seen.
+	Engine  string
+	Model   string
+	Version int64
+}
+
+// Outcome is what came of an order.
+type Outcome uint8
+
+const (
+	// Unsure is an order that was not answered; it may be carried out later.
+	Unsure Outcome = iota
+	// Accepted is an order that is being carried out.
+	Accepted
+	// Holds is an order whose end was reached before.
+	Holds
+	// Refused is an order that is not carried out.
+	Refused
+	// Unsent is an order that did not leave.
+	Unsent
+)
+
+// String returns the outcome as it stands in logs.
+func (o Outcome) String() string {
+	return [...]string{"unsure", "accepted", "holds", "refused", "unsent"}[o%5]
+}
+
+// Ordered is what came of an order.
+type Ordered struct {
+	// Order is the order.
+	Order weight.Order
+	// Outcome is what came of it.
+	Outcome Outcome
+	// Detail says why.
+	Detail string
 }
 
 // Found is a configuration that was found.
@@ -208,3 +326,24 @@
 
 // Event returns the event's name.
 func (Abandoned) Event() string { return "abandoned" }
+
+// Event returns the event's name.
+func (SiteFound) Event() string { return "site" }
+
+// Event returns the event's name.
+func (Named) Event() string { return "named" }
+
+// Event returns the event's name.
+func (Roster) Event() string { return "roster" }
+
+// Event returns the event's name.
+func (Met) Event() string { return "met" }
+
+// Event returns the event's name.
+func (Followed) Event() string { return "followed" }
+
+// Event returns the event's name.
+func (Weighed) Event() string { return "weighed" }
+
+// Event returns the event's name.
+func (Ordered) Event() string { return "ordered" }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -13,6 +13,8 @@
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/prefix"
+	"github.com/baobabtally/baobabtally/pkg/site"
+	"github.com/baobabtally/baobabtally/pkg/weight"
 )
 
 // Self is what an instance knows of itself from its settings.
@@ -23,6 +25,8 @@
 	Epoch string
 	// Domain is the instance's failure domain.
 	Domain string
+	// Addr is where other instances reach it; empty where the list says so.
+	Addr string
 }
 
 // Incarnation returns the name and epoch in one word.
@@ -50,10 +54,33 @@
 	Leaving bool
 	// Own is what the instance tells its peers.
 	Own Summary
+	// Relay is what an instance that forwards by routes knows besides.
+	Relay Routing
 	// peers is what is known of other instances. Invariant: never written.
 	peers map[string]Peer
 }
 
+// Routing is the state of an instance that forwards requests by routes.
+type Routing struct {
+	// On tells that the instance does.
+	On bool
+	// Site is the configuration in force.
+	Site site.Site
+	// Weights is which weights are wanted and which engines hold.
+	Weights weight.Book
+	// Listing is the version of the registry of endpoints that is known.
+	Listing int64
+	// Follows tells that the platform's store answers, and Since when it began
+	// or ceased to.
+	Follows bool
+	Since   time.Time
+	// Going are endpoints whose entries vanished while the store may have been
+	// forgetful, and when they count as gone. Invariant: never written.
+	Going map[string]time.Time
+	// Mates are the other instances. Invariant: never written.
+	Mates []member.Node
+}
+
 // Peer is what is known of another instance.
 type Peer struct {
 	// Epoch is its incarnation.
@@ -110,6 +137,22 @@
 	}
 }
 
+// Forwarding returns the state of an instance that just started and forwards
+// requests by routes. It gives orders under l.
+func Forwarding(self Self, l lease.Lease) State {
+	s := New(self)
+	s.Lease = l
+	s.Members = member.Unpolled()
+	s.Relay.On = true
+	return s
+}
+
+// WithRelay returns a copy of s with r.
+func (s State) WithRelay(r Routing) State {
+	s.Relay = r
+	return s
+}
+
 // WithMembers returns a copy of s with m.
 func (s State) WithMembers(m member.Set) State {
 	s.Members = m
@@ -213,6 +256,12 @@
 // instance that is stopping still takes what the balancer sends it.
 func (s State) Ready(now time.Time) (bool, string) {
 	switch {
+	case s.Relay.On && s.Relay.Site.Version() == 0:
+		return false, "no configuration was found in the store or at a peer"
+	case s.Relay.On && !s.Members.Listed():
+		return false, "the registry of endpoints was not read in the store or at a peer"
+	case s.Relay.On:
+		return true, ""
 	case !s.Config.Loaded():
 		return false, "no configuration was found in the table, the object store or at a peer"
 	case !s.Members.Listed():
--- /dev/null
+++ b/internal/watch/table_test.go
@@ -0,0 +1,172 @@
+package watch_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/baobabtally/baobabtally/internal/watch"
+	"github.com/baobabtally/baobabtally/pkg/store"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// answer is what the fake store gives to one read.
+type answer struct {
+	batch store.Batch
+	err   error
+}
+
+// script is a store that gives its answers in turn and then nothing new.
+type script struct {
+	mu      sync.Mutex
+	answers []answer
+	calls   []string
+	after   []int64
+}
+
+func (s *script) next(call string, after int64) (store.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, call)
+	s.after = append(s.after, after)
+	if len(s.answers) == 0 {
+		return store.Batch{
+			Version: after,
+		}, nil
+	}
+	a := s.answers[0]
+	s.answers = s.answers[1:]
+	return a.batch, a.err
+}
+
+func (s *script) Rows(context.Context, string) (store.Batch, error) { return s.next("rows", 0) }
+
+func (s *script) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (store.Batch, error) {
+	b, err := s.next("changes", after)
+	if err == nil && len(b.Rows) == 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	return b, err
+}
+
+// sink keeps what it is given.
+type sink struct {
+	batches []store.Batch
+	errs    []error
+}
+
+func (s *sink) Take(_ context.Context, b store.Batch) { s.batches = append(s.batches, b) }
+
+func (s *sink) Read(_ context.Context, err error) { s.errs = append(s.errs, err) }
+
+func rows(version int64, whole bool, values ...string) store.Batch {
+	b := store.Batch{
+		Version: version,
+		Whole:   whole,
+	}
+	for _, v := range values {
+		b.Rows = append(b.Rows, store.Row{
+			Key:     "k",
+			Value:   []byte(v),
+			Version: version,
+		})
+	}
+	return b
+}
+
+// play follows s for d.
+func play(t *testing.T, s *script, d time.Duration) *sink {
+	t.Helper()
+	got := &sink{}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), d)
+		defer cancel()
+		require.NoError(t, watch.New(s, "op", got, watch.WithWait(time.Second)).Run(ctx))
+	})
+	return got
+}
+
+func TestChangesFollowTheWholeTable(t *testing.T) {
+	s := &script{
+		answers: []answer{
+			{
+				batch: rows(3, true, "a"),
+			},
+			{
+				batch: rows(5, false, "b"),
+			},
+		},
+	}
+	got := play(t, s, 3*time.Second)
+	require.Equal(t, []store.Batch{rows(3, true, "a"), rows(5, false, "b")}, got.batches)
+	require.Equal(t, []int64{0, 3, 5}, s.after[:3])
+}
+
+func TestLostHistoryIsReadAnew(t *testing.T) {
+	s := &script{
+		answers: []answer{
+			{
+				batch: rows(3, true, "a"),
+			},
+			{
+				err: store.ErrCompacted,
+			},
+			{
+				batch: rows(9, true, "c"),
+			},
+		},
+	}
+	got := play(t, s, 2*time.Second)
+	require.Equal(t, []string{"rows", "changes", "rows"}, s.calls[:3])
+	require.Equal(t, []store.Batch{rows(3, true, "a"), rows(9, true, "c")}, got.batches)
+}
+
+func TestStaleAnswerIsNotTaken(t *testing.T) {
+	s := &script{
+		answers: []answer{
+			{
+				batch: rows(5, true, "new"),
+			},
+			{
+				err: store.ErrCompacted,
+			},
+			{
+				batch: rows(4, true, "old"),
+			},
+			{
+				batch: rows(6, true, "newer"),
+			},
+		},
+	}
+	got := play(t, s, 4*time.Second)
+	require.Equal(t, []store.Batch{rows(5, true, "new"), rows(6, true, "newer")}, got.batches)
+}
+
+func TestFailuresAreToldAndReadsGoOn(t *testing.T) {
+	s := &script{
+		answers: []answer{
+			{
+				err: store.ErrUnavailable,
+			},
+			{
+				err: store.ErrUnavailable,
+			},
+			{
+				batch: rows(1, true, "a"),
+			},
+		},
+	}
+	got := play(t, s, 3*time.Second)
+	require.ErrorIs(t, got.errs[0], store.ErrUnavailable)
+	require.NoError(t, got.errs[2])
+	require.Equal(t, []store.Batch{rows(1, true, "a")}, got.batches)
+}
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -36,13 +36,15 @@
 	Unavailable
 	// Lost is a request whose outcome is not known.
 	Lost
+	// Late is a request that was not answered in time.
+	Late
 	// Conflict is a change whose base is not the version in force.
 	Conflict
 )
 
 var kindNames = [...]string{
 	"internal", "invalid", "denied", "missing", "large", "uncovered", "mismatch",
-	"busy", "limited", "overload", "stale", "unavailable", "lost", "conflict",
+	"busy", "limited", "overload", "stale", "unavailable", "lost", "late", "conflict",
 }
 
 // String returns the kind as it stands in logs and problem documents.
--- a/pkg/weight/book.go
+++ b/pkg/weight/book.go
@@ -127,6 +127,12 @@
 // HeldBy returns the versions of all models of engine. It must not be written.
 func (b Book) HeldBy(engine string) map[string]int64 { return b.held[engine] }
 
+// Order returns the last order to engine that is not known to have ended.
+func (b Book) Order(engine string) (Order, bool) {
+	o, ok := b.orders[engine]
+	return o, ok
+}
+
 // Ordered returns the order that engine carries out at now, if any.
 func (b Book) Ordered(engine string, now time.Time) (Order, bool) {
 	o, ok := b.orders[engine]
