relay: copy shared parts by way of the store of cached prompts

Cause: engines drop the parts of a prompt after about 8 s, and a prompt comes again after 9 s on average; so most prompts were read again at their own engine.

--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -41,6 +41,8 @@
 	staleMargin = 1200 * time.Millisecond
 	// ownParts is how many parts at the end of a prompt belong to one request.
 	ownParts = 1
+	// leastShared is from how many shared tokens on copies are worth their calls.
+	leastShared = 1000
 	// connectionShare is the part of an endpoint's connections that all instances
 	// together may use.
 	connectionShare = 0.9
@@ -259,8 +261,16 @@
 	return c
 }
 
-// copies returns where cached parts may come from and go to.
+// copies returns where cached parts may come from and go to. The store of
+// cached prompts takes what an engine reads and gives it back to any engine,
+// also after the first one dropped it.
 func (p picker) copies(c choice, homes []home) (string, string) {
+	if p.shared() < leastShared {
+		return "", ""
+	}
+	if kept, ok := p.state.Relay.Site.Store(); ok {
+		return kept.Store, kept.Store
+	}
 	for _, h := range homes {
 		if h.endpoint.Node.Name != c.endpoint.Node.Name && p.state.Relay.Weights.Held(h.endpoint.Node.Name, p.request.Model) == c.weights {
 			return h.endpoint.Node.Addr, ""
