--- a/internal/ctrl/step.go
+++ b/internal/ctrl/step.go
@@ -42,6 +42,7 @@
 			Every: pulseTicks,
 		},
 		Sites{},
+		Follow{},
 		Leases{},
 		Orders{},
 	}
--- a/internal/relay/doer.go
+++ b/internal/relay/doer.go
@@ -32,6 +32,8 @@
 		return d.askLease(ctx, a)
 	case state.AskLoad:
 		return d.askLoad(ctx, a)
+	case state.AskCache:
+		return d.askCache(ctx, a)
 	case state.SendOrder:
 		return d.sendOrder(ctx, a)
 	case state.Announce:
@@ -113,6 +115,15 @@
 	}
 }
 
+func (d *doer) askCache(ctx context.Context, a state.AskCache) state.Event {
+	e, err := d.parts.Ends.Events(ctx, a.Endpoint.Node, a.After)
+	if err != nil {
+		d.failed("cache", a.Endpoint.Node.Name, err)
+		return nil
+	}
+	return e
+}
+
 // sendOrder asks the engine how many orders it took, so that an order which is
 // carried out late finds that another one came before it.
 func (d *doer) sendOrder(ctx context.Context, a state.SendOrder) state.Event {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -183,7 +183,7 @@
 		Endpoint: c.endpoint,
 		Request:  x.request,
 		Salt:     c.salt,
-		Priority: x.request.Priority,
+		Priority: x.request.Order(),
 		After:    x.after,
 		Weights:  c.weights,
 		Source:   c.source,
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -85,7 +85,7 @@
 	}
 	c.limit = int(connectionShare * float64(service.Connections) / float64(x.instances()))
 	x.log.Info().Str("event", "route").Str("request", x.request.ID).Str("team", x.request.Team).
-		Str("route", x.request.Route.Name).Int("priority", x.request.Priority).
+		Str("route", x.request.Route.Name).Int("order", x.request.Order()).
 		Str("endpoint", c.endpoint.Node.Name).Str("reason", c.reason).Int("missed", c.missed).
 		Int64("weights", c.weights).Int64("site", s.Relay.Site.Version()).Int64("listing", s.Relay.Listing).
 		Stringer("cost", c.cost.Round(time.Millisecond)).Int("attempt", x.attempts+1).Send()
@@ -187,7 +187,7 @@
 	}
 	best.weights = book.Held(best.endpoint.Node.Name, p.request.Model)
 	best.salt = p.salt(best.weights)
-	best.source, best.target = p.copies(best, homes)
+	best.source, best.target = p.copies(best)
 	return best, true
 }
 
@@ -229,8 +229,7 @@
 	if len(shared) == 0 {
 		return xxhash.Sum64String(p.request.ID)
 	}
-	hashes := prefix.ChainParts(p.salt(0), shared)
-	return hashes[len(hashes)-1]
+	return prefix.PartKey(p.salt(0), shared[len(shared)-1].ID)
 }
 
 // shared is the tokens of the parts that other requests have too.
@@ -263,20 +262,20 @@
 
 // copies returns where cached parts may come from and go to. The store of
 // cached prompts takes what an engine reads and gives it back to any engine,
-// also after the first one dropped it.
-func (p picker) copies(c choice, homes []home) (string, string) {
-	if p.shared() < leastShared {
+// also after the first one dropped it. It is sent nothing that it holds.
+func (p picker) copies(c choice) (string, string) {
+	kept, ok := p.state.Relay.Site.Store()
+	shared := p.request.Parts[:max(len(p.request.Parts)-ownParts, 0)]
+	if !ok || prefix.Total(shared) < leastShared {
 		return "", ""
 	}
-	if kept, ok := p.state.Relay.Site.Store(); ok {
-		return kept.Store, kept.Store
-	}
-	for _, h := range homes {
-		if h.endpoint.Node.Name != c.endpoint.Node.Name && p.state.Relay.Weights.Held(h.endpoint.Node.Name, p.request.Model) == c.weights {
-			return h.endpoint.Node.Addr, ""
+	keys := prefix.PartKeys(c.salt, shared)
+	for _, h := range p.state.Index.Lookup(keys, p.now) {
+		if h.Endpoint == kept.Name && h.Blocks == len(keys) {
+			return kept.Store, ""
 		}
 	}
-	return "", ""
+	return kept.Store, kept.Store
 }
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -289,4 +288,3 @@
 	x *= 0x94d049bb133111eb
 	return x ^ x>>31
 }
-
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,6 +70,8 @@
 type ends interface {
 	Open(ctx context.Context, a call.Attempt) (call.Reply, error)
 	Load(ctx context.Context, n member.Node) (member.Report, load.Work, error)
+	// Events returns what an endpoint stored and dropped after event number after.
+	Events(ctx context.Context, n member.Node, after int64) (state.Cached, error)
 	// Order has an engine take new weights if it took expected orders before.
 	// Just before the order leaves it asks may.
 	Order(ctx context.Context, n member.Node, o weight.Order, fence, expected int64, may func() bool) (state.Outcome, error)
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -80,6 +80,10 @@
 	Epoch string
 	// Events are in the order of their numbers.
 	Events []CacheEvent
+	// Next is where to go on, where the endpoint says so, and Lost tells that it
+	// dropped events before.
+	Next int64
+	Lost bool
 }
 
 // Pulse is what another instance told.
--- a/pkg/chain/request.go
+++ b/pkg/chain/request.go
@@ -95,10 +95,22 @@
 	Service string
 	// Dedicated tells that the team shares no cached prompts with others.
 	Dedicated bool
-	// Priority is the rank in the route's terms; 0 goes first.
+	// Priority is the rank in the route's terms, or in the team's where it has
+	// one; 0 goes first.
 	Priority int
 }
 
+// Order returns the place of a relayed request among those of its service; the
+// least goes first. A team's rank goes before the route's, which decides among
+// requests of equal teams.
+func (r Request) Order() int {
+	return orderSteps*r.Priority + min(r.Route.Priority, orderSteps-1)
+}
+
+// orderSteps is how many ranks of routes are told apart within a team's rank.
+// Engines know ten places in all.
+const orderSteps = 2
+
 // Resume names a stream and the offset of the next chunk that the caller wants.
 type Resume struct {
 	// Endpoint is the endpoint that makes the stream.
--- a/pkg/prefix/index.go
+++ b/pkg/prefix/index.go
@@ -257,6 +257,21 @@
 	return ix.withSource(endpoint, src), lost
 }
 
+// WithNext returns a copy of ix in which the events of endpoint are known before
+// number next. Where the endpoint itself says that events are lost, everything
+// learned up to now is void.
+func (ix Index) WithNext(endpoint, epoch string, next int64, lost bool, now time.Time) Index {
+	src, ok := ix.source(endpoint)
+	if !ok || src.epoch != epoch {
+		return ix
+	}
+	if lost {
+		src.void = now.UnixNano()
+	}
+	src.seq = next
+	return ix.withSource(endpoint, src)
+}
+
 // Seq returns the number of the last event of endpoint in its epoch.
 func (ix Index) Seq(endpoint string) int64 {
 	src, _ := ix.source(endpoint)
--- a/pkg/prefix/parts.go
+++ b/pkg/prefix/parts.go
@@ -14,24 +14,22 @@
 	Tokens int
 }
 
-// ChainParts returns a hash for each part. Like those of Chain, each covers the
-// salt and all parts up to its own.
-func ChainParts(salt string, parts []Part) []uint64 {
-	if len(parts) == 0 {
-		return nil
-	}
-	n := min(len(parts), maxBlocks)
-	hashes := make([]uint64, n)
-	prev := xxhash.Sum64String(salt)
-	var buf [24]byte
-	for i := range hashes {
-		binary.LittleEndian.PutUint64(buf[:8], prev)
-		binary.LittleEndian.PutUint64(buf[8:16], parts[i].ID)
-		binary.LittleEndian.PutUint64(buf[16:], uint64(parts[i].Tokens))
-		prev = xxhash.Sum64(buf[:])
-		hashes[i] = prev
+// PartKey returns the key under which an index holds a part. Parts of other
+// salts have other keys.
+func PartKey(salt string, id uint64) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], xxhash.Sum64String(salt))
+	binary.LittleEndian.PutUint64(buf[8:], id)
+	return xxhash.Sum64(buf[:])
+}
+
+// PartKeys returns the keys of parts in their order.
+func PartKeys(salt string, parts []Part) []uint64 {
+	keys := make([]uint64, 0, min(len(parts), maxBlocks))
+	for _, p := range parts[:cap(keys)] {
+		keys = append(keys, PartKey(salt, p.ID))
 	}
-	return hashes
+	return keys
 }
 
 // Total returns the tokens of all parts.
--- a/pkg/prefix/parts_test.go
+++ b/pkg/prefix/parts_test.go
@@ -8,7 +8,7 @@
 	"github.com/baobabtally/baobabtally/pkg/prefix"
 )
 
-func TestPartsShareTheHashesOfWhatTheyShare(t *testing.T) {
+func TestPartsShareTheKeysOfWhatTheyShare(t *testing.T) {
 	a := []prefix.Part{
 		{
 			ID:     1,
@@ -26,10 +26,11 @@
 			Tokens: 300,
 		},
 	}
-	ha, hb := prefix.ChainParts("s", a), prefix.ChainParts("s", b)
+	ha, hb := prefix.PartKeys("s", a), prefix.PartKeys("s", b)
 	require.Equal(t, ha[0], hb[0])
 	require.NotEqual(t, ha[1], hb[1])
-	require.NotEqual(t, ha[0], prefix.ChainParts("t", a)[0], "another salt shares nothing")
+	require.NotEqual(t, ha[0], prefix.PartKeys("t", a)[0], "another salt shares nothing")
 	require.Equal(t, 2300, prefix.Total(a))
-	require.Nil(t, prefix.ChainParts("s", nil))
+	require.Empty(t, prefix.PartKeys("s", nil))
+	require.Equal(t, prefix.PartKey("s", 3), hb[1])
 }
