relay, ctrl: follow the events of engines and price reading, moving and the store's link apart

The store's link (52 GB/s) was the bottleneck: each prompt without its parts at hand moved 1.65 GB over it. Found on the way: the index keeps eight holders of a part, which put the store out of hot parts; it has an index of its own now.

--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -26,6 +26,9 @@
 	// readWeight is how much a token that is read counts beside one of waiting:
 	// reading holds up others and puts out parts that others would have hit.
 	readWeight = 4.0
+	// storeWeight is how much a token that the store of cached prompts sends
+	// counts beside one from an engine: all engines share the store's link.
+	storeWeight = 3.0
 	// callCost is what each call at an endpoint adds to the wait there.
 	callCost = 300 * time.Microsecond
 	// afarCost is added for an endpoint in another failure domain: the way, and
@@ -63,6 +66,11 @@
 	limit  int
 	cost   time.Duration
 	reason string
+	// from is the address of an engine that holds more of the prompt.
+	from string
+	// kept tells that the store of cached prompts is believed to hold the shared
+	// parts.
+	kept bool
 }
 
 // choose picks an endpoint and logs the decision.
@@ -86,7 +94,7 @@
 	c.limit = int(connectionShare * float64(service.Connections) / float64(x.instances()))
 	x.log.Info().Str("event", "route").Str("request", x.request.ID).Str("team", x.request.Team).
 		Str("route", x.request.Route.Name).Int("order", x.request.Order()).
-		Str("endpoint", c.endpoint.Node.Name).Str("reason", c.reason).Int("missed", c.missed).
+		Str("endpoint", c.endpoint.Node.Name).Str("reason", c.reason).Int("missed", c.missed).Bool("kept", c.kept).Str("source", c.source).
 		Int64("weights", c.weights).Int64("site", s.Relay.Site.Version()).Int64("listing", s.Relay.Listing).
 		Stringer("cost", c.cost.Round(time.Millisecond)).Int("attempt", x.attempts+1).Send()
 	return c, nil
@@ -185,8 +193,6 @@
 	if best.cost == math.MaxInt64 {
 		return best, false
 	}
-	best.weights = book.Held(best.endpoint.Node.Name, p.request.Model)
-	best.salt = p.salt(best.weights)
 	best.source, best.target = p.copies(best)
 	return best, true
 }
@@ -224,58 +230,106 @@
 // key stands for the shared parts of the prompt, and the team where it shares
 // nothing with others.
 func (p picker) key() uint64 {
-	parts := p.request.Parts
-	shared := parts[:max(len(parts)-ownParts, 0)]
+	shared := p.sharedParts()
 	if len(shared) == 0 {
 		return xxhash.Sum64String(p.request.ID)
 	}
 	return prefix.PartKey(p.salt(0), shared[len(shared)-1].ID)
 }
 
-// shared is the tokens of the parts that other requests have too.
-func (p picker) shared() int {
-	parts := p.request.Parts
-	return prefix.Total(parts[:max(len(parts)-ownParts, 0)])
-}
-
 // score returns the choice of e with its cost.
 func (p picker) score(e member.Endpoint, homes []home) choice {
 	c := choice{
 		endpoint: e,
 		reason:   "load",
+		weights:  p.state.Relay.Weights.Held(e.Node.Name, p.request.Model),
+	}
+	c.salt = p.salt(c.weights)
+	shared := p.sharedParts()
+	total, all := prefix.Total(p.request.Parts), prefix.Total(shared)
+	held := p.held(p.state.Index, c.salt, shared)
+	local, kept, best := held[e.Node.Name], 0, 0
+	c.from, best = p.source(e, held)
+	if v, ok := p.state.Relay.Site.Store(); ok {
+		kept = p.held(p.state.Relay.Kept, c.salt, shared)[v.Name]
 	}
-	total := prefix.Total(p.request.Parts)
-	shared := p.shared()
-	own := total - shared
-	c.missed = total
-	moved := shared
+	c.kept = kept == all
 	if len(homes) > 0 && homes[0].endpoint.Node.Name == e.Node.Name {
-		c.missed = own
-		moved = 0
 		c.reason = "home"
+		if local < all {
+			// The home may hold more than was heard of.
+			local += (all - local) / 2
+		}
+	}
+	if local == all && all > 0 && c.reason != "home" {
+		c.reason = "prefix"
 	}
+	// An engine's own link is mostly idle; the store's serves all engines.
+	moved, moveCost := max(best-local, 0), 1.0
+	if kept > best {
+		moved, moveCost = max(kept-local, 0), storeWeight
+		c.from = ""
+	}
+	unread := all - max(kept, local, best)
+	c.missed = total - max(kept, local, best)
 	work := p.state.Loads.Work(e.Node.Name, p.gauge.Work(e.Node.Name), readRate*1000, p.now)
 	c.cost = millis(float64(work.Tokens)/readRate) + time.Duration(work.Calls)*callCost +
-		millis(float64(own)/readRate) + millis(readWeight*float64(moved)/moveRate) + p.distance(e)
+		millis(float64(c.missed)/readRate) + millis(readWeight*float64(unread)/readRate) +
+		millis(moveCost*float64(moved)/moveRate) + p.distance(e)
 	return c
 }
 
+// source returns the address of the engine other than e that holds the most, the
+// nearest to e among equals, and how many tokens it holds.
+func (p picker) source(e member.Endpoint, held map[string]int) (string, int) {
+	addr, most, near := "", 0, false
+	for name, tokens := range held {
+		o, ok := p.state.Members.Find(name)
+		if !ok || name == e.Node.Name || o.Suspect.After(p.now) || tokens < most {
+			continue
+		}
+		sameDomain := o.Node.Domain == e.Node.Domain
+		if tokens > most || sameDomain && !near {
+			addr, most, near = o.Node.Addr, tokens, sameDomain
+		}
+	}
+	return addr, most
+}
+
+// sharedParts are the parts that other requests have too.
+func (p picker) sharedParts() []prefix.Part {
+	return p.request.Parts[:max(len(p.request.Parts)-ownParts, 0)]
+}
+
+// held returns how many tokens of the first parts each endpoint is believed to
+// hold. Who holds a part is taken to hold those before it, since each use of the
+// one is a use of the others.
+func (p picker) held(ix prefix.Index, salt string, parts []prefix.Part) map[string]int {
+	out := map[string]int{}
+	for i, key := range prefix.PartKeys(salt, parts) {
+		for _, name := range ix.Holders(key, p.now) {
+			out[name] = prefix.Total(parts[:i+1])
+		}
+	}
+	return out
+}
+
 // copies returns where cached parts may come from and go to. The store of
 // cached prompts takes what an engine reads and gives it back to any engine,
 // also after the first one dropped it. It is sent nothing that it holds.
 func (p picker) copies(c choice) (string, string) {
-	kept, ok := p.state.Relay.Site.Store()
-	shared := p.request.Parts[:max(len(p.request.Parts)-ownParts, 0)]
-	if !ok || prefix.Total(shared) < leastShared {
+	store, ok := p.state.Relay.Site.Store()
+	if !ok || prefix.Total(p.sharedParts()) < leastShared {
 		return "", ""
 	}
-	keys := prefix.PartKeys(c.salt, shared)
-	for _, h := range p.state.Index.Lookup(keys, p.now) {
-		if h.Endpoint == kept.Name && h.Blocks == len(keys) {
-			return kept.Store, ""
-		}
+	source, target := store.Store, store.Store
+	if c.from != "" {
+		source = c.from
+	}
+	if c.kept {
+		target = ""
 	}
-	return kept.Store, kept.Store
+	return source, target
 }
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -70,6 +70,9 @@
 	Weights weight.Book
 	// Listing is the version of the registry of endpoints that is known.
 	Listing int64
+	// Kept is what the store of cached prompts holds. It is apart from the index
+	// of engines, whose entries for hot parts it would be put out of.
+	Kept prefix.Index
 	// Follows tells that the platform's store answers, and Since when it began
 	// or ceased to.
 	Follows bool
--- a/pkg/prefix/index.go
+++ b/pkg/prefix/index.go
@@ -111,6 +111,19 @@
 	return buf
 }
 
+// Holders returns the endpoints that are believed to hold the block of hash.
+func (ix Index) Holders(hash uint64, now time.Time) []string {
+	if ix.names == nil {
+		return nil
+	}
+	var runBuf [2 * maxHolders]run
+	var out []string
+	for _, r := range ix.begin(runBuf[:0], hash, now) {
+		out = append(out, r.name)
+	}
+	return out
+}
+
 // run is how many leading blocks one endpoint holds.
 type run struct {
 	name   string
