relay: hold work that is not urgent to a share of the engines' memory

Cause: pattern-notes came at twice their rate while a quarter of the engines was silent; their runs filled the engines' memory, cached parts were put out, and each urgent prompt was read whole.

--- a/internal/relay/filters.go
+++ b/internal/relay/filters.go
@@ -53,7 +53,7 @@
 	return next.Handle(ctx, r.WithTeam(team), w)
 }
 
-// urgentPriority is the highest number of the priorities that count as urgent.
+// urgentPriority is up to which priority a route is urgent.
 const urgentPriority = 0
 
 // ranks gives each request its labels and the policy by which it is owed
@@ -74,7 +74,7 @@
 		Percentile: 95,
 		Weight:     1,
 	}
-	if r.Priority <= urgentPriority {
+	if r.Route.Priority <= urgentPriority {
 		p.Rank = policy.Urgent
 	}
 	return next.Handle(ctx, r.WithPolicy(p), w)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -183,6 +183,7 @@
 		},
 		ranks{},
 		filter.NewAccount(d.tally, p.Meter),
+		newGate(d.loop, p.Now, p.Log),
 	)
 }
 
