--- a/internal/ctrl/follow.go
+++ b/internal/ctrl/follow.go
@@ -3,11 +3,24 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/prefix"
 )
 
+const (
+	// followShare is the part of the calls for events an endpoint takes that is
+	// used. Instances that started apart may disagree for a while on who follows.
+	followShare = 0.75
+	// followTotal is how many engines all instances follow together, each counted
+	// for each of its followers. It bounds the bytes of a large fleet.
+	followTotal = 100
+	// followTicks is the ticks between two reads of an endpoint's events.
+	followTicks = 4
+)
+
 // Follow learns from their events what endpoints have cached. Single events may
 // never arrive, so that the index is a belief: an endpoint that lacks what it
 // was believed to hold reads it.
@@ -17,6 +30,9 @@
 func (c Follow) Step(s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
 	switch e := e.(type) {
 	case state.Tick:
+		if s.Own.Beat%followTicks != 0 {
+			return s, nil
+		}
 		return s, c.polls(s)
 	case state.Cached:
 		return c.cached(s, e, now), nil
@@ -24,16 +40,26 @@
 	return s, nil
 }
 
-// polls asks the engines and the store of cached prompts for their events.
+// polls asks the engines and the store of cached prompts for their events, as
+// far as it is this instance's part to follow them.
 func (Follow) polls(s state.State) []state.Action {
 	var actions []state.Action
-	for _, e := range s.Members.Nodes(member.Engine) {
-		actions = append(actions, state.AskCache{
-			Endpoint: e,
-			After:    s.Index.Seq(e.Node.Name),
-		})
+	engines := max(len(s.Members.Nodes(member.Engine)), 1)
+	each := (followTotal + engines - 1) / engines
+	for _, v := range s.Relay.Site.Services() {
+		if len(v.Models) == 0 {
+			continue
+		}
+		for _, e := range s.Members.Pool(v.Name) {
+			if follows(s, e.Node.Name, min(each, share(v.Follows))) {
+				actions = append(actions, state.AskCache{
+					Endpoint: e,
+					After:    s.Index.Seq(e.Node.Name),
+				})
+			}
+		}
 	}
-	if kept, ok := s.Relay.Site.Store(); ok {
+	if kept, ok := s.Relay.Site.Store(); ok && FollowsStore(s) {
 		actions = append(actions, state.AskCache{
 			Endpoint: member.Endpoint{
 				Node: member.Node{
@@ -48,6 +74,28 @@
 	return actions
 }
 
+// FollowsStore tells whether this instance follows the store of cached prompts.
+func FollowsStore(s state.State) bool {
+	kept, ok := s.Relay.Site.Store()
+	return ok && follows(s, kept.Name, share(kept.Follows))
+}
+
+// share is how many of the calls that an endpoint takes at once are used.
+func share(limit int) int { return int(followShare * float64(limit)) }
+
+// follows tells whether this instance is among the given number of those that
+// follow an endpoint. Rendezvous hashing names the same ones everywhere without
+// messages.
+func follows(s state.State, endpoint string, most int) bool {
+	own, before := xxhash.Sum64String(endpoint+"/"+s.Self.Name), 0
+	for _, m := range s.Relay.Mates {
+		if xxhash.Sum64String(endpoint+"/"+m.Name) > own {
+			before++
+		}
+	}
+	return before < most
+}
+
 func (Follow) cached(s state.State, e state.Cached, now time.Time) state.State {
 	if kept, ok := s.Relay.Site.Store(); ok && kept.Name == e.Endpoint {
 		s.Relay.Kept = learn(s.Relay.Kept, e, now)
--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -1,8 +1,11 @@
 package ctrl
 
 import (
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/member"
@@ -82,16 +85,26 @@
 	return s, turn(s, now)
 }
 
-// pulses sends what this instance knows to all others.
+// pulses sends news to all others, or to some of a larger fleet that forwards by
+// routes: all of its instances have the news from the store and pass it on, and
+// it is enough that those which are cut off hear it from one of them.
 func pulses(s state.State) []state.Action {
-	return pulsesTo(s, s.Others())
+	others := s.Others()
+	if !s.Relay.On || len(others) <= fullMesh {
+		return pulsesTo(s, others)
+	}
+	from := int(xxhash.Sum64String(s.Self.Name)+s.Own.Beat) % len(others)
+	if from < 0 {
+		from += len(others)
+	}
+	return pulsesTo(s, append(slices.Clone(others[from:]), others[:from]...)[:fullMesh])
 }
 
 // turn sends it to those whose turn it is.
 func turn(s state.State, now time.Time) []state.Action {
 	others := s.Others()
 	n := len(others)
-	if n <= fullMesh || now.Sub(s.Config.Table()) > tableSilence {
+	if n <= fullMesh || !s.Relay.On && now.Sub(s.Config.Table()) > tableSilence {
 		return pulsesTo(s, others)
 	}
 	beat := int(s.Own.Beat)
@@ -142,7 +155,9 @@
 		Follows: s.Relay.Follows,
 		Lease:   s.Lease.Row(),
 		Named:   map[string]int64{},
-		Mates:   s.Relay.Mates,
+	}
+	if len(s.Relay.Mates) <= fullMesh {
+		r.Mates = s.Relay.Mates
 	}
 	book := s.Relay.Weights
 	for model, n := range book.AllNamed() {
--- a/internal/ctrl/roster.go
+++ b/internal/ctrl/roster.go
@@ -239,10 +239,6 @@
 		return 1
 	})
 	s.Relay.Mates = next
-	if !s.Members.Listed() {
-		// Instances alone do not make a registry.
-		return s
-	}
 	return c.listed(s, c.endpoints(s))
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -30,8 +30,16 @@
 
 // Beat takes a pulse and answers with this instance's own.
 func (s Server) Beat(_ context.Context, m *api.Pulse) (*api.Pulse, error) {
+	v := s.loop.View()
+	_, known := v.Members.Find(m.GetName())
 	s.loop.Post(DecodePulse(m))
-	return s.pulse(), nil
+	if known || m.GetRelay() == nil {
+		return s.pulse(), nil
+	}
+	// An instance that was not known may know few others.
+	p := ctrl.PulseOf(*v)
+	p.Relay.Mates = v.Relay.Mates
+	return EncodePulse(p), nil
 }
 
 // Fetch returns the configuration in force.
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -78,8 +78,9 @@
 		// taken back and its connection is of use to others.
 		detached, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 		defer cancel(nil)
-		stop := context.AfterFunc(ctx, func() {
-			if errors.Is(context.Cause(ctx), errLate) {
+		caller := ctx
+		stop := context.AfterFunc(caller, func() {
+			if errors.Is(context.Cause(caller), errLate) {
 				cancel(errLate)
 			}
 		})
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/baobabtally/baobabtally/internal/ctrl"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/fault"
 	"github.com/baobabtally/baobabtally/pkg/member"
@@ -326,7 +327,8 @@
 	if c.from != "" {
 		source = c.from
 	}
-	if c.kept {
+	if c.kept || !ctrl.FollowsStore(*p.state) {
+		// An instance that does not follow the store can't tell what it lacks.
 		target = ""
 	}
 	return source, target
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -68,7 +68,8 @@
 	Site site.Site
 	// Weights is which weights are wanted and which engines hold.
 	Weights weight.Book
-	// Listing is the version of the registry of endpoints that is known.
+	// Listing is the version of the registry of endpoints that is known; 0 before
+	// it was read.
 	Listing int64
 	// Kept is what the store of cached prompts holds. It is apart from the index
 	// of engines, whose entries for hot parts it would be put out of.
@@ -261,7 +262,7 @@
 	switch {
 	case s.Relay.On && s.Relay.Site.Version() == 0:
 		return false, "no configuration was found in the store or at a peer"
-	case s.Relay.On && !s.Members.Listed():
+	case s.Relay.On && s.Relay.Listing == 0:
 		return false, "the registry of endpoints was not read in the store or at a peer"
 	case s.Relay.On:
 		return true, ""
