relay, ctrl, oper: share the reads of the registry; trace a request through logs

Large fleets read the registry by turns and tell each other what they find; rivals read the lease the less often, the later their place. Entries that vanish together are given time to return. The holder tells news of weights in batches. Logs never block: they drop lines and say so; baobabtally trace prints a request's life and its cause.

--- a/internal/ctrl/leases.go
+++ b/internal/ctrl/leases.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/baobabtally/baobabtally/internal/state"
 )
 
@@ -24,6 +26,9 @@
 	default:
 		return s, nil
 	}
+	if s.Relay.On {
+		l = l.WithPlace(placeOf(s))
+	}
 	op, l, ok := l.Plan(now)
 	s = s.WithLease(l)
 	if !ok {
@@ -35,3 +40,14 @@
 		},
 	}
 }
+
+// placeOf returns how many other instances are to take the lease before this one.
+func placeOf(s state.State) int {
+	own, before := xxhash.Sum64String(s.Self.Name), 0
+	for _, m := range s.Relay.Mates {
+		if xxhash.Sum64String(m.Name) > own {
+			before++
+		}
+	}
+	return before
+}
--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -163,21 +163,6 @@
 	for model, n := range book.AllNamed() {
 		r.Named[model] = n.Version
 	}
-	if s.Lease.Fence() == 0 {
-		return r
-	}
-	for _, e := range s.Members.Nodes(member.Engine) {
-		for model, version := range book.HeldBy(e.Node.Name) {
-			w := state.EngineWeights{
-				Engine:  e.Node.Name,
-				Model:   model,
-				Version: version,
-			}
-			if o, ok := book.Order(e.Node.Name); ok && o.Model == model {
-				w.Ordered = o.Version
-			}
-			r.Weights = append(r.Weights, w)
-		}
-	}
+	r.Weights = s.Relay.News
 	return r
 }
--- a/internal/ctrl/orders.go
+++ b/internal/ctrl/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,7 +29,9 @@
 func (c Orders) Step(s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
 	switch e := e.(type) {
 	case state.Tick:
-		return c.plan(s, now)
+		s, actions := c.plan(s, now)
+		s, news := c.tell(s)
+		return s, append(actions, news...)
 	case state.Named:
 		return c.named(s, e, now)
 	case state.Pulse:
@@ -62,6 +65,7 @@
 		return s, nil
 	}
 	s.Relay.Weights = s.Relay.Weights.WithHeld(engine, model, version)
+	s = c.news(s, engine, model)
 	s, actions := c.plan(s, now)
 	return s, append(actions, state.Note{
 		Event: "weights",
@@ -130,7 +134,8 @@
 	case state.Accepted:
 	}
 	s.Relay.Weights = book
-	actions := pulses(s)
+	s = c.news(s, e.Order.Engine, e.Order.Model)
+	var actions []state.Action
 	if e.Outcome == state.Holds {
 		next, more := c.plan(s, now)
 		s = next
@@ -148,6 +153,34 @@
 	})
 }
 
+// news notes that the others have to be told of an engine, where this instance
+// gives the orders.
+func (Orders) news(s state.State, engine, model string) state.State {
+	if s.Lease.Fence() == 0 {
+		return s
+	}
+	w := state.EngineWeights{
+		Engine:  engine,
+		Model:   model,
+		Version: s.Relay.Weights.Held(engine, model),
+	}
+	if o, ok := s.Relay.Weights.Order(engine); ok && o.Model == model {
+		w.Ordered = o.Version
+	}
+	s.Relay.News = append(slices.Clone(s.Relay.News), w)
+	return s
+}
+
+// tell tells all others the news since the last tick.
+func (Orders) tell(s state.State) (state.State, []state.Action) {
+	if len(s.Relay.News) == 0 {
+		return s, nil
+	}
+	actions := pulsesTo(s, s.Others())
+	s.Relay.News = nil
+	return s, actions
+}
+
 // plan gives the orders that are due, while this instance holds the lease, and
 // asks engines under order how far they are.
 func (c Orders) plan(s state.State, now time.Time) (state.State, []state.Action) {
@@ -169,6 +202,7 @@
 		for _, o := range s.Relay.Weights.Plan(model, engines, atOnce, now) {
 			e, _ := s.Members.Find(o.Engine)
 			s.Relay.Weights = s.Relay.Weights.WithOrder(o)
+			s = c.news(s, o.Engine, o.Model)
 			actions = append(actions, state.SendOrder{
 				Endpoint: e,
 				Order:    o,
--- a/internal/ctrl/roster.go
+++ b/internal/ctrl/roster.go
@@ -15,6 +15,9 @@
 	// returnTime is how long endpoints have to enter themselves again after the
 	// store was away. The platform grants two seconds; the rest is for reading.
 	returnTime = 2500 * time.Millisecond
+	// manyGone is how many entries vanish at once only where the store was away
+	// unnoticed and forgot them. They may return.
+	manyGone = 3
 	// mateLife is how long an instance that is not heard is still told news.
 	mateLife = 30 * time.Second
 )
@@ -62,12 +65,12 @@
 		if _, ok := nodes[name]; !ok {
 			continue
 		}
-		if r.Follows && now.Sub(r.Since) >= returnTime {
+		if r.Follows && now.Sub(r.Since) >= returnTime && len(gone) < manyGone {
 			delete(nodes, name)
 			actions = append(actions, endpointNote(name, "gone", e))
 			continue
 		}
-		s = c.going(s, name, r.Since.Add(returnTime), now)
+		s = c.going(s, name, now.Add(returnTime))
 	}
 	s = c.stays(s, e.Put)
 	s = c.listed(s, nodes)
@@ -83,7 +86,8 @@
 		}
 	}
 	if len(actions) > 0 {
-		actions = append(actions, pulses(s)...)
+		// Other instances of a large fleet read the registry seldom.
+		actions = append(actions, pulsesTo(s, s.Others())...)
 	}
 	return s, actions
 }
@@ -145,13 +149,10 @@
 }
 
 // going has name count as gone at the given time unless it enters itself again.
-func (Roster) going(s state.State, name string, at, now time.Time) state.State {
+func (Roster) going(s state.State, name string, at time.Time) state.State {
 	if _, ok := s.Relay.Going[name]; ok {
 		return s
 	}
-	if !s.Relay.Follows {
-		at = now.Add(returnTime)
-	}
 	next := maps.Clone(s.Relay.Going)
 	if next == nil {
 		next = map[string]time.Time{}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -29,6 +29,9 @@
 	output   metric.Int64Counter
 	attempts metric.Int64Counter
 	breaches metric.Int64Counter
+	store    metric.Int64Counter
+	// decisions counts what changed the control state or left it.
+	decisions metric.Int64Counter
 }
 
 // firstBounds are the bounds, in seconds, of the times to first token.
@@ -58,12 +61,14 @@
 		}
 		return c
 	}
-	m.requests = counter("requests", "requests by team, rank and outcome")
+	m.requests = counter("requests", "requests by team, rank, route and outcome")
 	m.prompt = counter("prompt_tokens", "tokens of prompts by team")
 	m.cached = counter("cached_tokens", "tokens of prompts that the engine had cached; over prompt_tokens this is the hit rate")
 	m.missed = counter("recomputed_tokens", "tokens of prompts that the engine had to read")
 	m.output = counter("output_tokens", "tokens that were generated")
 	m.attempts = counter("extra_attempts", "attempts beyond the first of each request")
+	m.store = counter("store_calls", "calls to the platform's store by kind and outcome")
+	m.decisions = counter("decisions", "events of the control thread by kind")
 	m.breaches = counter("invariant_breaches", "promises that did not hold, by rule")
 	first, err := p.Float64Histogram("first_token_seconds",
 		metric.WithDescription("time to first token by rank"),
@@ -86,7 +91,7 @@
 	ctx := context.Background()
 	team := attribute.String("team", r.Team)
 	rank := attribute.String("rank", r.Policy.Rank.String())
-	m.requests.Add(ctx, 1, metric.WithAttributes(team, rank, attribute.String("outcome", outcome)))
+	m.requests.Add(ctx, 1, metric.WithAttributes(team, rank, attribute.String("route", r.Route.Name), attribute.String("outcome", outcome)))
 	if result.Attempts > 1 {
 		m.attempts.Add(ctx, int64(result.Attempts-1), metric.WithAttributes(rank))
 	}
@@ -99,6 +104,16 @@
 	m.output.Add(ctx, int64(result.Output), metric.WithAttributes(team))
 }
 
+// Store counts a call to the platform's store.
+func (m *Meter) Store(kind, outcome string) {
+	m.store.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.String("outcome", outcome)))
+}
+
+// Decision counts an event of the control thread.
+func (m *Meter) Decision(kind string) {
+	m.decisions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
+}
+
 // Breach counts a promise that did not hold.
 func (m *Meter) Breach(b invar.Breach) {
 	m.breaches.Add(context.Background(), 1, metric.WithAttributes(attribute.String("rule", b.Rule.String())))
--- a/internal/oper/main.go
+++ b/internal/oper/main.go
@@ -37,6 +37,7 @@
 	addServe(app, commands, stderr)
 	addHosted(app, commands, stdout)
 	addLint(app, commands)
+	addTrace(app, commands)
 	addLoad(app, commands)
 	addChange(app, commands, r)
 	addAsk(app, commands, r)
--- a/internal/oper/platform.go
+++ b/internal/oper/platform.go
@@ -37,7 +37,9 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", *c.settings, err)
 	}
-	i, err := platform.New(s, logs.New(c.stdout, *c.level))
+	out := logs.Lossy(c.stdout)
+	defer func() { _ = out.Close() }()
+	i, err := platform.New(s, logs.Bounded(logs.New(out, *c.level)))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/oper/trace_test.go
@@ -0,0 +1,43 @@
+package oper_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabtally/baobabtally/internal/oper"
+)
+
+func TestTraceFindsTheCause(t *testing.T) {
+	for _, c := range []struct {
+		name, log, want string
+	}{
+		{
+			name: "refused early",
+			log:  "time=1 level=info event=refuse request=r1 team=loom reason=expected wait=900ms\n",
+			want: "cause: refused before it was sent (expected wait 900ms of team loom): not run",
+		},
+		{
+			name: "unknown outcome",
+			log: "  2.1 n1 time=2 level=warn event=fail request=r1 endpoint=b1 attempt=1 cause=broken detail=\"read: connection \\\"reset\\\"\"\n" +
+				"time=3 level=warn event=end request=r1 endpoint=b1 reason=lost run=unknown detail=\"look it up\"\n",
+			want: `cause: lost, run=unknown: look it up; attempt 1 at b1: broken (read: connection "reset")`,
+		},
+		{
+			name: "served",
+			log:  "time=4 level=info event=end request=r1 endpoint=b1 first=3ms took=9ms\ntime=1 event=route request=r1\n",
+			want: "cause: served by b1 after 9ms, first byte after 3ms",
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "log")
+			require.NoError(t, os.WriteFile(file, []byte(c.log+"time=9 event=end request=other reason=late\n"), 0o600))
+			var out, errs bytes.Buffer
+			require.Zero(t, oper.Main([]string{"trace", "r1", file}, &out, &errs), errs.String())
+			require.Contains(t, out.String(), c.want)
+		})
+	}
+}
--- a/internal/relay/doer.go
+++ b/internal/relay/doer.go
@@ -165,6 +165,7 @@
 }
 
 func (d *doer) note(a state.Note) {
+	d.parts.Meter.Decision(a.Event)
 	line := d.parts.Log.Info().Str("event", a.Event)
 	for i := 0; i+1 < len(a.Pairs); i += 2 {
 		if a.Pairs[i+1] != "" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,9 +34,14 @@
 	// operatorWait is how long the store holds back a read of what operators
 	// write, within the 30 s that the store allows.
 	operatorWait = 20 * time.Second
-	// rosterPause is the time between two reads of the registry, a fraction of
-	// the time after which a leaving endpoint must get no requests.
+	// rosterPause is the time between two reads of the registry by all instances
+	// of a small fleet, a fraction of the time after which a leaving endpoint must
+	// get no requests. Larger fleets share the reads: whoever finds news tells all.
 	rosterPause = 900 * time.Millisecond
+	// rosterFleet is how many instances read that often, and rosterLongest the
+	// longest pause of one of many.
+	rosterFleet   = 9
+	rosterLongest = 8 * time.Second
 	// rosterWait is how long the store holds such a read back.
 	rosterWait = 300 * time.Millisecond
 )
@@ -80,6 +85,8 @@
 // meter counts outcomes.
 type meter interface {
 	Outcome(r chain.Request, result chain.Result, outcome string)
+	// Decision counts what the control thread noted.
+	Decision(kind string)
 }
 
 // Parts is what an instance is put together from.
@@ -164,11 +171,21 @@
 		}, watch.WithWait(operatorWait)),
 		registry: watch.New(p.Store, registry, registrySink{
 			intake: in,
-		}, watch.WithWait(rosterWait), watch.WithPause(rosterPause)),
+		}, watch.WithWait(rosterWait), watch.WithPause(func() time.Duration { return pauseOf(loop.View()) })),
 		done: make(chan struct{}),
 	}
 }
 
+// pauseOf returns the time between two reads of the registry. It is short while
+// endpoints are missing that may return.
+func pauseOf(s *state.State) time.Duration {
+	if len(s.Relay.Going) > 0 {
+		return rosterPause
+	}
+	share := (len(s.Relay.Mates) + rosterFleet) / rosterFleet
+	return min(rosterPause*time.Duration(share), rosterLongest)
+}
+
 // chain returns the filter chain.
 func (d *doer) chain() chain.Handler {
 	p := d.parts
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -81,6 +81,9 @@
 	// Going are endpoints whose entries vanished while the store may have been
 	// forgetful, and when they count as gone. Invariant: never written.
 	Going map[string]time.Time
+	// News is what the others have to be told of engines' weights. Invariant:
+	// never written.
+	News []EngineWeights
 	// Mates are the other instances. Invariant: never written.
 	Mates []member.Node
 }
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -42,7 +42,7 @@
 	name   string
 	sink   Sink
 	wait   time.Duration
-	pause  time.Duration
+	pause  func() time.Duration
 	// version is that of the newest change that was seen, and rows the version
 	// of each row.
 	version int64
@@ -60,9 +60,9 @@
 	return func(t *Table) { t.wait = d }
 }
 
-// WithPause sets the least time between two reads.
-func WithPause(d time.Duration) Option {
-	return func(t *Table) { t.pause = d }
+// WithPause has pause tell the least time between two reads, after each one.
+func WithPause(pause func() time.Duration) Option {
+	return func(t *Table) { t.pause = pause }
 }
 
 // New returns a table that reads nothing before Run.
@@ -71,6 +71,7 @@
 		source: s,
 		name:   name,
 		sink:   sink,
+		pause:  func() time.Duration { return 0 },
 		rows:   map[string]int64{},
 		done:   make(chan struct{}),
 	}
@@ -94,7 +95,7 @@
 			return nil
 		}
 		t.sink.Read(ctx, err)
-		rest := t.pause - time.Since(begin)
+		rest := t.pause() - time.Since(begin)
 		if err != nil {
 			rest = pause
 			pause = min(2*pause, lastPause)
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -15,6 +15,8 @@
 	Length = 6 * time.Second
 	// renewEvery is how often a holder renews and a rival reads.
 	renewEvery = 2 * time.Second
+	// lastPlace bounds how much less often a rival reads the row.
+	lastPlace = 20
 	// Margin is how much longer a rival waits.
 	Margin = 1 * time.Second
 )
@@ -52,6 +54,8 @@
 	length time.Duration
 	renew  time.Duration
 	quiet  time.Duration
+	// place is how many others are to take the lease before this one.
+	place int
 }
 
 // Option changes a lease that New makes.
@@ -97,6 +101,9 @@
 		return Op{}, l, false
 	}
 	l.next = now.Add(l.renew)
+	if holder != l.self {
+		l.next = now.Add(l.renew * time.Duration(1+l.place))
+	}
 	op := Op{
 		Sent: now,
 		Row: store.Row{
@@ -199,6 +206,13 @@
 	return l
 }
 
+// WithPlace returns the lease of an instance before which others are to take it.
+// It reads the row less often, so that a large fleet asks little of the table.
+func (l Lease) WithPlace(others int) Lease {
+	l.place = min(others, lastPlace)
+	return l
+}
+
 // WithYield returns a lease that is given back and not taken again.
 func (l Lease) WithYield() Lease {
 	l.yield = true
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -145,3 +145,39 @@
 	require.True(t, b.Valid(now, now))
 	require.EqualValues(t, 2, b.Fence())
 }
+
+func TestNewHolderWaitsForTheQuietTime(t *testing.T) {
+	const (
+		length = 2 * time.Second
+		quiet  = 3 * time.Second
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		var tab table
+		opts := []lease.Option{lease.WithLength(length, 500*time.Millisecond), lease.WithQuiet(quiet)}
+		holders := []lease.Lease{lease.New("lease/orders", "a@1", opts...), lease.New("lease/orders", "b@1", opts...)}
+		last, lastAt := -1, time.Time{}
+		now := start
+		for range rapid.IntRange(20, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(50, 900).Draw(t, "ms")) * time.Millisecond)
+			tab.down = rapid.IntRange(0, 9).Draw(t, "down") == 0
+			i := rapid.IntRange(0, 1).Draw(t, "who")
+			if rapid.IntRange(0, 9).Draw(t, "told") == 0 {
+				holders[i] = holders[i].WithTold(holders[1-i].Row(), now)
+			}
+			op, next, ok := holders[i].Plan(now)
+			holders[i] = next
+			if ok {
+				holders[i] = tab.do(next, op)
+			}
+			for j := range holders {
+				if !holders[j].Valid(now, now) {
+					continue
+				}
+				if last >= 0 && last != j && now.Sub(lastAt) < quiet {
+					t.Fatalf("holder %d gives orders %s after holder %d", j, now.Sub(lastAt), last)
+				}
+				last, lastAt = j, now
+			}
+		}
+	})
+}
