lease: a new holder renews at once

The next holder had planned its next look by its place among the rivals, up to 14 s, and let its own lease lapse.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -197,6 +197,7 @@
 	l.row = op.Row
 	l.row.Version = version
 	l.seen = op.Sent
+	l.next = op.Sent.Add(l.renew)
 	holder, fence := decode(op.Row.Value)
 	l.until = time.Time{}
 	if holder == l.self {
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -181,3 +181,22 @@
 		}
 	})
 }
+
+func TestHolderOfALatePlaceRenewsInTime(t *testing.T) {
+	var tab table
+	l := lease.New("lease/orders", "a@1", lease.WithLength(2*time.Second, 500*time.Millisecond)).WithPlace(20)
+	now, held := start, time.Time{}
+	for range 600 {
+		now = now.Add(100 * time.Millisecond)
+		if op, next, ok := l.Plan(now); ok {
+			l = tab.do(next, op)
+		} else {
+			l = next
+		}
+		if l.Valid(now, now) && held.IsZero() {
+			held = now
+		}
+		require.True(t, held.IsZero() || l.Valid(now, now), "the lease lapsed %s after it was taken", now.Sub(held))
+	}
+	require.False(t, held.IsZero())
+}
