--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -27,6 +27,9 @@
 	// readWeight is how much a token that is read counts beside one of waiting:
 	// reading holds up others and puts out parts that others would have hit.
 	readWeight = 4.0
+	// homeShare is the part of what was not heard of that the home of a prompt is
+	// taken to hold.
+	homeShare = 0.8
 	// storeWeight is how much a token that the store of cached prompts sends
 	// counts beside one from an engine: all engines share the store's link.
 	storeWeight = 3.0
@@ -259,7 +262,7 @@
 		c.reason = "home"
 		if local < all {
 			// The home may hold more than was heard of.
-			local += (all - local) / 2
+			local += int(homeShare * float64(all-local))
 		}
 	}
 	if local == all && all > 0 && c.reason != "home" {
