--- a/Makefile
+++ b/Makefile
@@ -37,18 +37,19 @@
 	STEPS=$(STEPS) go test -count=1 -timeout 0 ./internal/proof -run Promises -v -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 
 # bench plays the users' workloads with five seeds, prints tables of medians and
-# draws docs/flood.png and docs/herd.png. OUTPUT=json prints JSON.
+# draws flood.png and herd.png into PLOTS. OUTPUT=json prints JSON.
+PLOTS ?= out
 bench:
 	@mkdir -p out
-	@OUT=$(CURDIR)/out/bench OUTPUT=$(OUTPUT) PLOTS=$(CURDIR)/docs go test -count=1 -timeout 0 -tags bench ./internal/report -run 'TestReport|TestPlots'
+	@OUT=$(CURDIR)/out/bench OUTPUT=$(OUTPUT) PLOTS=$(CURDIR)/$(PLOTS) go test -count=1 -timeout 0 -tags bench ./internal/report -run 'TestReport|TestPlots'
 	@cat out/bench
 
 # slopes measures what docs/CAPACITY.md builds on and stores the table.
 slopes: build
 	bin/slopes --commit "$$(git rev-parse --short HEAD)" | tee docs/SLOPES.md
 
-# generate makes the code of internal/api anew; a build does not need it.
+# generate makes the code of internal/rpcapi anew; a build does not need it.
 generate:
 	go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 	go install github.com/twitchtv/twirp/protoc-gen-twirp@v8.1.3+incompatible
-	protoc --proto_path=. --go_out=. --go_opt=module=github.com/baobabtally/baobabtally --twirp_out=. --twirp_opt=module=github.com/baobabtally/baobabtally internal/api/api.proto
+	protoc --proto_path=. --go_out=. --go_opt=module=github.com/baobabtally/baobabtally --twirp_out=. --twirp_opt=module=github.com/baobabtally/baobabtally internal/rpcapi/api.proto
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -6,9 +6,9 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/client"
 	"github.com/baobabtally/baobabtally/internal/peer"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/label"
 	"github.com/baobabtally/baobabtally/pkg/load"
@@ -40,7 +40,7 @@
 
 // peers hands configurations to other instances.
 type peers interface {
-	Stage(ctx context.Context, to member.Node, m *api.Document) (int64, error)
+	Stage(ctx context.Context, to member.Node, m *rpcapi.Document) (int64, error)
 }
 
 // orders gives orders to endpoints.
@@ -113,15 +113,15 @@
 }
 
 // Get returns the configuration in force.
-func (s Server) Get(context.Context, *api.Nothing) (*api.Document, error) {
+func (s Server) Get(context.Context, *rpcapi.Nothing) (*rpcapi.Document, error) {
 	return peer.EncodeDocument(s.loop.View().Config.Document()), nil
 }
 
 // Plan returns what a change would alter, and changes nothing.
-func (s Server) Plan(_ context.Context, c *api.Change) (*api.Applied, error) {
+func (s Server) Plan(_ context.Context, c *rpcapi.Change) (*rpcapi.Applied, error) {
 	doc := s.loop.View().Config.Document()
 	next, problems := doc.WithText(doc.Version+1, c.GetChange(), c.GetAuthor(), c.GetText())
-	return &api.Applied{
+	return &rpcapi.Applied{
 		Version:  doc.Version,
 		State:    "planned",
 		Alters:   doc.Compare(next),
@@ -130,13 +130,13 @@
 }
 
 // Explain returns how a request would be treated, and why.
-func (s Server) Explain(_ context.Context, q *api.Question) (*api.Answer, error) {
+func (s Server) Explain(_ context.Context, q *rpcapi.Question) (*rpcapi.Answer, error) {
 	st := s.loop.View()
 	now := s.now()
 	labels := label.FromMap(q.GetLabels()).With("team", q.GetTeam()).With("model", q.GetModel())
 	p, ok := st.Config.Document().Match(labels)
 	if !ok {
-		return &api.Answer{
+		return &rpcapi.Answer{
 			Remedy: "no policy covers " + labels.String() + ": add one whose cover selects it",
 		}, nil
 	}
@@ -153,7 +153,7 @@
 		Loads: st.Loads,
 		Own:   s.gauge,
 	})
-	answer := &api.Answer{
+	answer := &rpcapi.Answer{
 		Policy: p.Name,
 		Rank:   p.Rank.String(),
 	}
@@ -172,11 +172,11 @@
 }
 
 // Status returns what this instance knows.
-func (s Server) Status(context.Context, *api.Nothing) (*api.State, error) {
+func (s Server) Status(context.Context, *rpcapi.Nothing) (*rpcapi.State, error) {
 	st := s.loop.View()
 	now := s.now()
 	ok, why := st.Ready(now)
-	out := &api.State{
+	out := &rpcapi.State{
 		Name:    st.Self.Name,
 		Epoch:   st.Self.Epoch,
 		Version: st.Config.Document().Version,
@@ -195,9 +195,9 @@
 	return out, nil
 }
 
-func (s Server) node(st *state.State, n member.Endpoint, now time.Time) *api.Node {
+func (s Server) node(st *state.State, n member.Endpoint, now time.Time) *rpcapi.Node {
 	w := st.Loads.Work(n.Node.Name, s.gauge.Work(n.Node.Name), n.Report.Prefill, now)
-	out := &api.Node{
+	out := &rpcapi.Node{
 		Name:    n.Node.Name,
 		Role:    n.Node.Role.String(),
 		Addr:    n.Node.Addr,
@@ -205,7 +205,7 @@
 		Leaving: n.Report.Leaving || n.Node.Leaving,
 		Suspect: n.Suspect.After(now),
 		Epoch:   n.Report.Epoch,
-		Work: &api.Work{
+		Work: &rpcapi.Work{
 			Calls:  uint32(w.Calls),
 			Tokens: uint32(w.Tokens),
 		},
@@ -217,10 +217,10 @@
 }
 
 // Alarms returns the promises and their alarms.
-func (s Server) Alarms(context.Context, *api.Nothing) (*api.AlarmList, error) {
-	out := &api.AlarmList{}
+func (s Server) Alarms(context.Context, *rpcapi.Nothing) (*rpcapi.AlarmList, error) {
+	out := &rpcapi.AlarmList{}
 	for _, a := range s.loop.View().Alarms.Alarms() {
-		m := &api.Alarm{
+		m := &rpcapi.Alarm{
 			Promise:  a.Promise,
 			Missed:   a.Missed,
 			Allowed:  a.Allowed,
--- a/internal/admin/apply.go
+++ b/internal/admin/apply.go
@@ -10,8 +10,8 @@
 
 	"github.com/juju/errors"
 
-	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/peer"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/conf"
 	"github.com/baobabtally/baobabtally/pkg/member"
@@ -51,7 +51,7 @@
 )
 
 // Apply makes a change and answers once it is in force everywhere.
-func (s Server) Apply(ctx context.Context, c *api.Change) (*api.Applied, error) {
+func (s Server) Apply(ctx context.Context, c *rpcapi.Change) (*rpcapi.Applied, error) {
 	if c.GetChange() == "" {
 		return refusal("the change has no id: send one that is unique"), nil
 	}
@@ -85,12 +85,12 @@
 }
 
 // current returns the newest configuration of the table.
-func (s Server) current(ctx context.Context) (store.Row, *api.Document, error) {
+func (s Server) current(ctx context.Context) (store.Row, *rpcapi.Document, error) {
 	row, err := s.table.Get(ctx, Key)
 	if errors.Is(err, store.ErrMissing) {
 		return store.Row{
 			Key: Key,
-		}, &api.Document{}, nil
+		}, &rpcapi.Document{}, nil
 	}
 	if err != nil {
 		return row, nil, err
@@ -100,7 +100,7 @@
 }
 
 // commit writes m in place of row, or returns why that failed.
-func (s Server) commit(ctx context.Context, row store.Row, m *api.Document, c *api.Change) *api.Applied {
+func (s Server) commit(ctx context.Context, row store.Row, m *rpcapi.Document, c *rpcapi.Change) *rpcapi.Applied {
 	value, err := peer.MarshalDocument(m)
 	if err != nil {
 		return refusal(err.Error())
@@ -123,7 +123,7 @@
 }
 
 // settle finds out whether a change whose answer was lost was made.
-func (s Server) settle(ctx context.Context, c *api.Change) *api.Applied {
+func (s Server) settle(ctx context.Context, c *rpcapi.Change) *rpcapi.Applied {
 	for range settleTries {
 		_, current, err := s.current(ctx)
 		switch {
@@ -137,15 +137,15 @@
 			break
 		}
 	}
-	return &api.Applied{
+	return &rpcapi.Applied{
 		State:  unknown,
 		Remedy: "the table's answer was lost and can't be settled yet: apply the same change id again, which never makes it twice",
 	}
 }
 
 // spread has all instances hold m and answers once that is so.
-func (s Server) spread(ctx context.Context, m *api.Document, alters []string, problems []policy.Problem) *api.Applied {
-	out := &api.Applied{
+func (s Server) spread(ctx context.Context, m *rpcapi.Document, alters []string, problems []policy.Problem) *rpcapi.Applied {
+	out := &rpcapi.Applied{
 		Version:  m.GetVersion(),
 		State:    staged,
 		Alters:   alters,
@@ -179,7 +179,7 @@
 
 // keep writes m to the object store, from which a herd restarts while the
 // table is down.
-func (s Server) keep(ctx context.Context, m *api.Document) error {
+func (s Server) keep(ctx context.Context, m *rpcapi.Document) error {
 	value, err := peer.MarshalDocument(m)
 	if err != nil {
 		return err
@@ -195,7 +195,7 @@
 }
 
 // stage hands m to those that were not found to hold it.
-func (s Server) stage(ctx context.Context, sp conf.Spread, others []member.Node, m *api.Document) conf.Spread {
+func (s Server) stage(ctx context.Context, sp conf.Spread, others []member.Node, m *rpcapi.Document) conf.Spread {
 	missing := sp.Missing()
 	held := make([]int64, len(others))
 	var all sync.WaitGroup
@@ -226,12 +226,12 @@
 }
 
 // History returns the last versions, the newest first.
-func (s Server) History(ctx context.Context, _ *api.Nothing) (*api.Documents, error) {
+func (s Server) History(ctx context.Context, _ *rpcapi.Nothing) (*rpcapi.Documents, error) {
 	keys, err := s.object.Last(ctx, Prefix, shownVersions)
 	if err != nil {
 		return nil, errors.Annotate(err, "the history can't be read: retry later")
 	}
-	out := &api.Documents{}
+	out := &rpcapi.Documents{}
 	for _, k := range keys {
 		data, err := s.object.Get(ctx, k)
 		if err != nil {
@@ -266,18 +266,18 @@
 }
 
 // made tells whether c is among the changes that led to m.
-func made(m *api.Document, c *api.Change) bool {
+func made(m *rpcapi.Document, c *rpcapi.Change) bool {
 	return slices.Contains(m.GetPast(), c.GetChange())
 }
 
-func conflict(c *api.Change, current *api.Document) string {
+func conflict(c *rpcapi.Change, current *rpcapi.Document) string {
 	v := strconv.FormatInt(current.GetVersion(), 10)
 	return "change " + c.GetChange() + " conflicts with version " + v + " by " + current.GetAuthor() +
 		": fetch " + v + ", reapply your change and send it with --base " + v
 }
 
-func refusal(remedy string) *api.Applied {
-	return &api.Applied{
+func refusal(remedy string) *rpcapi.Applied {
+	return &rpcapi.Applied{
 		State:  refused,
 		Remedy: remedy,
 	}
@@ -285,10 +285,10 @@
 
 func objectKey(version int64) string { return fmt.Sprintf("%s%012d", Prefix, version) }
 
-func encodeProblems(ps []policy.Problem) []*api.Problem {
-	var out []*api.Problem
+func encodeProblems(ps []policy.Problem) []*rpcapi.Problem {
+	var out []*rpcapi.Problem
 	for _, p := range ps {
-		out = append(out, &api.Problem{
+		out = append(out, &rpcapi.Problem{
 			Policy: p.Policy,
 			Line:   int32(p.Line),
 			Remedy: p.Remedy,
--- a/internal/admin/drain.go
+++ b/internal/admin/drain.go
@@ -6,8 +6,8 @@
 
 	"github.com/twitchtv/twirp"
 
-	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/client"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/pkg/invar"
 )
 
@@ -15,7 +15,7 @@
 const orderLimit = 1500 * time.Millisecond
 
 // Drain orders an endpoint to take no new work.
-func (s Server) Drain(ctx context.Context, t *api.Target) (*api.Nothing, error) {
+func (s Server) Drain(ctx context.Context, t *rpcapi.Target) (*rpcapi.Nothing, error) {
 	st := s.loop.View()
 	n, ok := st.Members.Find(t.GetName())
 	if !ok {
@@ -38,5 +38,5 @@
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
-	return &api.Nothing{}, nil
+	return &rpcapi.Nothing{}, nil
 }
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -9,12 +9,12 @@
 	"time"
 
 	"github.com/baobabtally/baobabtally/internal/admin"
-	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/call"
 	"github.com/baobabtally/baobabtally/internal/client"
 	"github.com/baobabtally/baobabtally/internal/core"
 	"github.com/baobabtally/baobabtally/internal/model"
 	"github.com/baobabtally/baobabtally/internal/peer"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/load"
@@ -87,7 +87,7 @@
 			Domain: fmt.Sprint("d", i%s.Domains),
 		})
 	}
-	value, err := peer.MarshalDocument(&api.Document{
+	value, err := peer.MarshalDocument(&rpcapi.Document{
 		Version: 1,
 		Change:  "bench",
 		Text:    policies,
@@ -175,7 +175,7 @@
 	if err != nil {
 		return policy.Document{}, err
 	}
-	m, err := s.Fetch(ctx, &api.Nothing{})
+	m, err := s.Fetch(ctx, &rpcapi.Nothing{})
 	if err != nil {
 		return policy.Document{}, err
 	}
@@ -183,7 +183,7 @@
 }
 
 // Stage hands over a configuration.
-func (f *fleet) Stage(ctx context.Context, to member.Node, m *api.Document) (int64, error) {
+func (f *fleet) Stage(ctx context.Context, to member.Node, m *rpcapi.Document) (int64, error) {
 	s, err := f.peer(to)
 	if err != nil {
 		return 0, err
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,12 +8,12 @@
 	"github.com/rs/zerolog"
 
 	"github.com/baobabtally/baobabtally/internal/admin"
-	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/call"
 	"github.com/baobabtally/baobabtally/internal/client"
 	"github.com/baobabtally/baobabtally/internal/ctrl"
 	"github.com/baobabtally/baobabtally/internal/filter"
 	"github.com/baobabtally/baobabtally/internal/peer"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/claim"
@@ -47,7 +47,7 @@
 type peers interface {
 	Beat(ctx context.Context, to member.Node, p state.Pulse) (state.Pulse, error)
 	Fetch(ctx context.Context, from member.Node) (policy.Document, error)
-	Stage(ctx context.Context, to member.Node, m *api.Document) (int64, error)
+	Stage(ctx context.Context, to member.Node, m *rpcapi.Document) (int64, error)
 }
 
 // ends is the endpoints.
--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -48,10 +48,10 @@
 	c.step(state.Tick{})
 }
 
-// names returns the endpoints that take work of service.
-func (c *control) names(service string) []string {
+// names returns the endpoints that take work.
+func (c *control) names() []string {
 	var out []string
-	for _, e := range c.state.Members.Pool(service) {
+	for _, e := range c.state.Members.Pool("llm") {
 		out = append(out, e.Node.Name)
 	}
 	return out
@@ -127,7 +127,7 @@
 		Gone:    []string{"e1"},
 		Version: 11,
 	})
-	require.Equal(t, []string{"e2"}, c.names("llm"))
+	require.Equal(t, []string{"e2"}, c.names())
 }
 
 func TestEntriesThatVanishWithTheStoreMayReturn(t *testing.T) {
@@ -138,28 +138,28 @@
 		OK: true,
 	})
 	c.step(roster(20))
-	require.Equal(t, []string{"e1", "e2"}, c.names("llm"), "the platform grants them two seconds")
+	require.Equal(t, []string{"e1", "e2"}, c.names(), "the platform grants them two seconds")
 	c.now = c.now.Add(time.Second)
 	c.step(state.Roster{
 		Put:     []member.Listing{listing("e1", false)},
 		Version: 21,
 	})
 	c.wait(2 * time.Second)
-	require.Equal(t, []string{"e1"}, c.names("llm"))
+	require.Equal(t, []string{"e1"}, c.names())
 }
 
 func TestManyEntriesThatVanishAtOnceMayReturn(t *testing.T) {
 	c := serving(t, "e1", "e2", "e3", "e4")
 	c.step(roster(20, "e4"))
-	require.Len(t, c.names("llm"), 4)
+	require.Len(t, c.names(), 4)
 	c.wait(3 * time.Second)
-	require.Equal(t, []string{"e4"}, c.names("llm"))
+	require.Equal(t, []string{"e4"}, c.names())
 }
 
 func TestStaleRosterIsNotTaken(t *testing.T) {
 	c := serving(t, "e1", "e2")
 	c.step(roster(9, "e1"))
-	require.Equal(t, []string{"e1", "e2"}, c.names("llm"))
+	require.Equal(t, []string{"e1", "e2"}, c.names())
 }
 
 func TestPeerTellsOfLeavingEndpoint(t *testing.T) {
@@ -168,7 +168,7 @@
 		Name:    "n1",
 		Drained: []string{"e1"},
 	})
-	require.Equal(t, []string{"e2"}, c.names("llm"))
+	require.Equal(t, []string{"e2"}, c.names())
 }
 
 func TestRestartedEndpointOfTheSameNameStartsAnew(t *testing.T) {
--- a/internal/ctrl/roster.go
+++ b/internal/ctrl/roster.go
@@ -81,7 +81,7 @@
 			s.Relay.Weights = s.Relay.Weights.WithHeld(l.Node.Name, model, version)
 		}
 		old, known := before.Find(l.Node.Name)
-		if l.Report.Leaving && !(known && old.Report.Leaving) {
+		if l.Report.Leaving && (!known || !old.Report.Leaving) {
 			actions = append(actions, endpointNote(l.Node.Name, "leaving", e))
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,13 +13,13 @@
 	"github.com/rs/zerolog"
 
 	"github.com/baobabtally/baobabtally/internal/admin"
-	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/client"
 	"github.com/baobabtally/baobabtally/internal/core"
 	"github.com/baobabtally/baobabtally/internal/front"
 	"github.com/baobabtally/baobabtally/internal/meter"
 	"github.com/baobabtally/baobabtally/internal/peer"
 	"github.com/baobabtally/baobabtally/internal/plat"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/setup"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/invar"
@@ -162,8 +162,8 @@
 	e := echo.New()
 	front.Mount(e, i.core.Handler, i.core.Loop, stream.NewSigner(secret))
 	e.GET("/metrics", echo.WrapHandler(i.meter.Handler()))
-	e.POST(api.PeerPathPrefix+"*", echo.WrapHandler(peer.Guard(secret, api.NewPeerServer(i.core.Peer))))
-	e.POST(api.AdminPathPrefix+"*", echo.WrapHandler(peer.Guard(secret, api.NewAdminServer(i.core.Admin))))
+	e.POST(rpcapi.PeerPathPrefix+"*", echo.WrapHandler(peer.Guard(secret, rpcapi.NewPeerServer(i.core.Peer))))
+	e.POST(rpcapi.AdminPathPrefix+"*", echo.WrapHandler(peer.Guard(secret, rpcapi.NewAdminServer(i.core.Admin))))
 	return &http.Server{
 		Handler:           e,
 		ReadHeaderTimeout: headerLimit,
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -13,8 +13,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/stretchr/testify/require"
 
-	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/peer"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/stand"
 )
 
@@ -236,7 +236,7 @@
 
 func TestPolicyThatSelectsNoEndpointIsTold(t *testing.T) {
 	f := newFleet(t, 1, 1)
-	value, err := peer.MarshalDocument(&api.Document{
+	value, err := peer.MarshalDocument(&rpcapi.Document{
 		Version: 2,
 		Change:  "second",
 		Text:    "[[policy]]\nname = \"usual\"\ncover = \"\"\nserve = \"gpu=none\"\n",
@@ -251,11 +251,11 @@
 
 func TestOperatorsMustShowTheSecret(t *testing.T) {
 	f := newFleet(t, 1, 1)
-	_, err := api.NewAdminProtobufClient("http://"+f.addr(0), f.http).Get(t.Context(), &api.Nothing{})
+	_, err := rpcapi.NewAdminProtobufClient("http://"+f.addr(0), f.http).Get(t.Context(), &rpcapi.Nothing{})
 	require.Error(t, err)
 	client := peer.HTTP([]byte(secret))
 	t.Cleanup(client.CloseIdleConnections)
-	doc, err := api.NewAdminProtobufClient("http://"+f.addr(0), client).Get(t.Context(), &api.Nothing{})
+	doc, err := rpcapi.NewAdminProtobufClient("http://"+f.addr(0), client).Get(t.Context(), &rpcapi.Nothing{})
 	require.NoError(t, err)
 	require.EqualValues(t, 1, doc.GetVersion())
 }
--- a/internal/daemon/demo.go
+++ b/internal/daemon/demo.go
@@ -9,9 +9,9 @@
 	"github.com/juju/errors"
 
 	"github.com/baobabtally/baobabtally/internal/admin"
-	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/peer"
 	"github.com/baobabtally/baobabtally/internal/plat"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/setup"
 	"github.com/baobabtally/baobabtally/internal/stand"
 )
@@ -119,7 +119,7 @@
 
 // seed puts the first policies into the table.
 func seed(t *stand.Table) error {
-	value, err := peer.MarshalDocument(&api.Document{
+	value, err := peer.MarshalDocument(&rpcapi.Document{
 		Version: 1,
 		Change:  "demo",
 		Author:  "demo",
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -20,10 +20,10 @@
 	"github.com/tmaxmax/go-sse"
 	"go.uber.org/goleak"
 
-	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/daemon"
 	"github.com/baobabtally/baobabtally/internal/peer"
 	"github.com/baobabtally/baobabtally/internal/plat"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/setup"
 	"github.com/baobabtally/baobabtally/internal/stand"
 )
@@ -77,7 +77,7 @@
 		f.node(fmt.Sprintf("e%d", i), "engine", addr, "small")
 	}
 	f.node("b0", "service", f.serve(f.service), "billing")
-	value, err := peer.MarshalDocument(&api.Document{
+	value, err := peer.MarshalDocument(&rpcapi.Document{
 		Version: 1,
 		Change:  "first",
 		Text:    "[[policy]]\nname = \"usual\"\ncover = \"\"\n",
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -51,7 +51,7 @@
 	return err == nil
 }
 
-func ask(ctx context.Context, p *link.Pool, addr, id string) (string, error) {
+func ask(ctx context.Context, p *link.Pool, addr string) (string, error) {
 	c, err := p.Get(ctx, addr, 2, true)
 	if err != nil {
 		return "", err
@@ -61,7 +61,7 @@
 		Path:   "/x",
 		Host:   "h",
 		Header: http.Header{
-			"X-Id": {id},
+			"X-Id": {"a"},
 		},
 		Body: []byte("body"),
 		Echo: "X-Id",
@@ -92,7 +92,7 @@
 		}
 	})
 	for range 3 {
-		got, err := ask(t.Context(), p, addr, "a")
+		got, err := ask(t.Context(), p, addr)
 		require.NoError(t, err)
 		require.Equal(t, "one", got)
 	}
@@ -108,7 +108,7 @@
 		}
 		accept(r)
 	})
-	got, err := ask(t.Context(), p, addr, "a")
+	got, err := ask(t.Context(), p, addr)
 	require.NoError(t, err)
 	require.Equal(t, "good", got)
 }
@@ -125,7 +125,7 @@
 		accept(r)
 	})
 	for range 2 {
-		got, err := ask(t.Context(), p, addr, "a")
+		got, err := ask(t.Context(), p, addr)
 		require.NoError(t, err)
 		require.Equal(t, "one", got)
 		time.Sleep(60 * time.Millisecond)
@@ -141,7 +141,7 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nall of it")
 		}
 	})
-	got, err := ask(t.Context(), p, addr, "a")
+	got, err := ask(t.Context(), p, addr)
 	require.NoError(t, err)
 	require.Equal(t, "all of it", got)
 }
@@ -154,7 +154,7 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 100\r\n\r\npart")
 		}
 	})
-	_, err := ask(t.Context(), p, addr, "a")
+	_, err := ask(t.Context(), p, addr)
 	require.ErrorContains(t, err, "unexpected EOF")
 }
 
@@ -167,7 +167,7 @@
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err := ask(ctx, p, addr, "a")
+	_, err := ask(ctx, p, addr)
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
--- a/internal/oper/ask.go
+++ b/internal/oper/ask.go
@@ -11,13 +11,13 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/twitchtv/twirp"
 
-	"github.com/baobabtally/baobabtally/internal/api"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 )
 
 // ask asks an instance one question.
 type ask struct {
 	target target
-	do     func(ctx context.Context, c api.Admin, out output) error
+	do     func(ctx context.Context, c rpcapi.Admin, out output) error
 }
 
 func (a ask) run(ctx context.Context, out output) error {
@@ -41,7 +41,7 @@
 }
 
 func addAsk(app *kingpin.Application, commands map[string]command, t target) {
-	add := func(name, help string, do func(ctx context.Context, c api.Admin, out output) error) {
+	add := func(name, help string, do func(ctx context.Context, c rpcapi.Admin, out output) error) {
 		app.Command(name, help)
 		commands[name] = ask{
 			target: t,
@@ -60,8 +60,8 @@
 	name := d.Arg("endpoint", "The endpoint's name.").Required().String()
 	commands["drain"] = ask{
 		target: t,
-		do: func(ctx context.Context, c api.Admin, out output) error {
-			_, err := c.Drain(ctx, &api.Target{
+		do: func(ctx context.Context, c rpcapi.Admin, out output) error {
+			_, err := c.Drain(ctx, &rpcapi.Target{
 				Name: *name,
 			})
 			if err == nil {
@@ -80,8 +80,8 @@
 	prompt := c.Flag("prompt", "A file with the prompt.").String()
 	commands["explain"] = ask{
 		target: t,
-		do: func(ctx context.Context, c api.Admin, out output) error {
-			q := &api.Question{
+		do: func(ctx context.Context, c rpcapi.Admin, out output) error {
+			q := &rpcapi.Question{
 				Team:   *team,
 				Model:  *model,
 				Labels: *labels,
@@ -98,8 +98,8 @@
 	}
 }
 
-func get(ctx context.Context, c api.Admin, out output) error {
-	res, err := c.Get(ctx, &api.Nothing{})
+func get(ctx context.Context, c rpcapi.Admin, out output) error {
+	res, err := c.Get(ctx, &rpcapi.Nothing{})
 	if err != nil {
 		return err
 	}
@@ -108,7 +108,7 @@
 	})
 }
 
-func explain(ctx context.Context, c api.Admin, q *api.Question, out output) error {
+func explain(ctx context.Context, c rpcapi.Admin, q *rpcapi.Question, out output) error {
 	res, err := c.Explain(ctx, q)
 	if err != nil {
 		return err
@@ -130,8 +130,8 @@
 	return err
 }
 
-func status(ctx context.Context, c api.Admin, out output) error {
-	res, err := c.Status(ctx, &api.Nothing{})
+func status(ctx context.Context, c rpcapi.Admin, out output) error {
+	res, err := c.Status(ctx, &rpcapi.Nothing{})
 	if err != nil {
 		return err
 	}
@@ -147,8 +147,8 @@
 	})
 }
 
-func alarms(ctx context.Context, c api.Admin, out output) error {
-	res, err := c.Alarms(ctx, &api.Nothing{})
+func alarms(ctx context.Context, c rpcapi.Admin, out output) error {
+	res, err := c.Alarms(ctx, &rpcapi.Nothing{})
 	if err != nil {
 		return err
 	}
--- a/internal/oper/change.go
+++ b/internal/oper/change.go
@@ -10,7 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/google/uuid"
 
-	"github.com/baobabtally/baobabtally/internal/api"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 )
 
 // change sends policies to an instance, to plan or to apply them.
@@ -50,12 +50,12 @@
 		return err
 	}
 	if !c.apply {
-		res, err := client.Plan(ctx, &api.Change{
+		res, err := client.Plan(ctx, &rpcapi.Change{
 			Text: string(text),
 		})
 		return show(out, res, err)
 	}
-	m := &api.Change{
+	m := &rpcapi.Change{
 		Change: *c.id,
 		Author: *c.author,
 		Text:   string(text),
@@ -72,7 +72,7 @@
 }
 
 // show prints the outcome of a change; one that was not accepted is an error.
-func show(out output, res *api.Applied, err error) error {
+func show(out output, res *rpcapi.Applied, err error) error {
 	if err != nil {
 		return err
 	}
@@ -108,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	res, err := client.History(ctx, &api.Nothing{})
+	res, err := client.History(ctx, &rpcapi.Nothing{})
 	if err != nil {
 		return err
 	}
--- a/internal/oper/main.go
+++ b/internal/oper/main.go
@@ -10,8 +10,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/peer"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/setup"
 )
 
@@ -73,7 +73,7 @@
 }
 
 // client returns a client of the instance.
-func (t target) client() (api.Admin, error) {
+func (t target) client() (rpcapi.Admin, error) {
 	src := setup.Source{
 		File: *t.file,
 		Env:  *t.env,
@@ -82,5 +82,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return api.NewAdminProtobufClient("http://"+*t.server, peer.HTTP(secret)), nil
+	return rpcapi.NewAdminProtobufClient("http://"+*t.server, peer.HTTP(secret)), nil
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -11,7 +11,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/baobabtally/baobabtally/internal/api"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/policy"
@@ -26,14 +26,14 @@
 	http *http.Client
 	// mu guards peers, by address.
 	mu    sync.Mutex
-	peers map[string]api.Peer
+	peers map[string]rpcapi.Peer
 }
 
 // NewClient returns a client that shows secret to its peers.
 func NewClient(secret []byte) *Client {
 	return &Client{
 		http:  HTTP(secret),
-		peers: map[string]api.Peer{},
+		peers: map[string]rpcapi.Peer{},
 	}
 }
 
@@ -51,7 +51,7 @@
 
 // Fetch returns the configuration that a peer holds.
 func (c *Client) Fetch(ctx context.Context, from member.Node) (policy.Document, error) {
-	m, err := c.peer(from).Fetch(ctx, &api.Nothing{})
+	m, err := c.peer(from).Fetch(ctx, &rpcapi.Nothing{})
 	if err != nil {
 		return policy.Document{}, errors.Annotatef(err, "instance %s does not answer", from.Name)
 	}
@@ -60,7 +60,7 @@
 
 // Site returns the forwarding configuration that a peer holds.
 func (c *Client) Site(ctx context.Context, from member.Node) (site.Site, error) {
-	m, err := c.peer(from).Site(ctx, &api.Nothing{})
+	m, err := c.peer(from).Site(ctx, &rpcapi.Nothing{})
 	if err != nil {
 		return site.Site{}, errors.Annotatef(err, "instance %s does not answer", from.Name)
 	}
@@ -69,7 +69,7 @@
 
 // Roster returns the endpoints that a peer knows.
 func (c *Client) Roster(ctx context.Context, from member.Node) (state.Roster, error) {
-	m, err := c.peer(from).Listing(ctx, &api.Nothing{})
+	m, err := c.peer(from).Listing(ctx, &rpcapi.Nothing{})
 	if err != nil {
 		return state.Roster{}, errors.Annotatef(err, "instance %s does not answer", from.Name)
 	}
@@ -77,17 +77,17 @@
 }
 
 // Stage hands a configuration over and returns the version that the peer then holds.
-func (c *Client) Stage(ctx context.Context, to member.Node, m *api.Document) (int64, error) {
+func (c *Client) Stage(ctx context.Context, to member.Node, m *rpcapi.Document) (int64, error) {
 	p, err := c.peer(to).Stage(ctx, m)
 	return p.GetVersion(), errors.Annotatef(err, "instance %s does not answer", to.Name)
 }
 
-func (c *Client) peer(n member.Node) api.Peer {
+func (c *Client) peer(n member.Node) rpcapi.Peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.peers[n.Addr]
 	if p == nil {
-		p = api.NewPeerProtobufClient("http://"+n.Addr, c.http)
+		p = rpcapi.NewPeerProtobufClient("http://"+n.Addr, c.http)
 		c.peers[n.Addr] = p
 	}
 	return p
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -4,7 +4,7 @@
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/baobabtally/baobabtally/internal/api"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/alarm"
 	"github.com/baobabtally/baobabtally/pkg/load"
@@ -12,23 +12,23 @@
 )
 
 // EncodePulse returns p as a message.
-func EncodePulse(p state.Pulse) *api.Pulse {
-	m := &api.Pulse{
+func EncodePulse(p state.Pulse) *rpcapi.Pulse {
+	m := &rpcapi.Pulse{
 		Name:    p.Name,
 		Epoch:   p.Epoch,
 		Version: p.Version,
 		Leaving: p.Leaving,
 		Drained: p.Drained,
 		Beat:    p.Summary.Beat,
-		Work:    make(map[string]*api.Work, len(p.Summary.Work)),
+		Work:    make(map[string]*rpcapi.Work, len(p.Summary.Work)),
 		Usage:   make(map[string]float32, len(p.Summary.Usage)),
-		Tally:   make(map[string]*api.Tally, len(p.Summary.Tally)),
+		Tally:   make(map[string]*rpcapi.Tally, len(p.Summary.Tally)),
 	}
 	if p.Relay.Addr != "" {
 		m.Relay = encodeRelay(p.Relay)
 	}
 	for k, w := range p.Summary.Work {
-		m.Work[k] = &api.Work{
+		m.Work[k] = &rpcapi.Work{
 			Calls:  uint32(w.Calls),
 			Tokens: uint32(w.Tokens),
 			Unread: uint32(w.Unread),
@@ -38,7 +38,7 @@
 		m.Usage[k] = float32(u)
 	}
 	for k, t := range p.Summary.Tally {
-		m.Tally[k] = &api.Tally{
+		m.Tally[k] = &rpcapi.Tally{
 			Good: uint32(t.Good),
 			Bad:  uint32(t.Bad),
 		}
@@ -47,7 +47,7 @@
 }
 
 // DecodePulse returns the pulse of a message.
-func DecodePulse(m *api.Pulse) state.Pulse {
+func DecodePulse(m *rpcapi.Pulse) state.Pulse {
 	p := state.Pulse{
 		Name:    m.GetName(),
 		Epoch:   m.GetEpoch(),
@@ -84,8 +84,8 @@
 }
 
 // EncodeDocument returns d as a message.
-func EncodeDocument(d policy.Document) *api.Document {
-	return &api.Document{
+func EncodeDocument(d policy.Document) *rpcapi.Document {
+	return &rpcapi.Document{
 		Version: d.Version,
 		Change:  d.Change,
 		Author:  d.Author,
@@ -94,20 +94,20 @@
 }
 
 // DecodeDocument returns the document of a message.
-func DecodeDocument(m *api.Document) policy.Document {
+func DecodeDocument(m *rpcapi.Document) policy.Document {
 	d, _ := policy.Decode(m.GetVersion(), m.GetChange(), m.GetAuthor(), m.GetText())
 	return d
 }
 
 // MarshalDocument returns m as it is kept in the table and the object store.
-func MarshalDocument(m *api.Document) ([]byte, error) {
+func MarshalDocument(m *rpcapi.Document) ([]byte, error) {
 	data, err := proto.Marshal(m)
 	return data, errors.Trace(err)
 }
 
 // UnmarshalDocument reads what MarshalDocument wrote.
-func UnmarshalDocument(data []byte) (*api.Document, error) {
-	m := &api.Document{}
+func UnmarshalDocument(data []byte) (*rpcapi.Document, error) {
+	m := &rpcapi.Document{}
 	err := proto.Unmarshal(data, m)
 	return m, errors.Annotate(err, "the kept configuration is malformed: apply it again")
 }
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -5,27 +5,27 @@
 
 	"github.com/juju/errors"
 
-	"github.com/baobabtally/baobabtally/internal/api"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/store"
 )
 
-func encodeRelay(r state.Relay) *api.Relay {
-	m := &api.Relay{
+func encodeRelay(r state.Relay) *rpcapi.Relay {
+	m := &rpcapi.Relay{
 		Addr:    r.Addr,
 		Domain:  r.Domain,
 		Site:    r.Site,
 		Listing: r.Listing,
 		Follows: r.Follows,
 		Named:   r.Named,
-		Lease: &api.Lease{
+		Lease: &rpcapi.Lease{
 			Version: r.Lease.Version,
 			Value:   r.Lease.Value,
 		},
 	}
 	for _, w := range r.Weights {
-		m.Weights = append(m.Weights, &api.Weights{
+		m.Weights = append(m.Weights, &rpcapi.Weights{
 			Engine:  w.Engine,
 			Model:   w.Model,
 			Version: w.Version,
@@ -33,7 +33,7 @@
 		})
 	}
 	for _, n := range r.Mates {
-		m.Mates = append(m.Mates, &api.Mate{
+		m.Mates = append(m.Mates, &rpcapi.Mate{
 			Name:   n.Name,
 			Addr:   n.Addr,
 			Domain: n.Domain,
@@ -42,7 +42,7 @@
 	return m
 }
 
-func decodeRelay(m *api.Relay) state.Relay {
+func decodeRelay(m *rpcapi.Relay) state.Relay {
 	r := state.Relay{
 		Addr:    m.GetAddr(),
 		Domain:  m.GetDomain(),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/ctrl"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/site"
 )
@@ -29,7 +29,7 @@
 }
 
 // Beat takes a pulse and answers with this instance's own.
-func (s Server) Beat(_ context.Context, m *api.Pulse) (*api.Pulse, error) {
+func (s Server) Beat(_ context.Context, m *rpcapi.Pulse) (*rpcapi.Pulse, error) {
 	v := s.loop.View()
 	_, known := v.Members.Find(m.GetName())
 	s.loop.Post(DecodePulse(m))
@@ -43,28 +43,28 @@
 }
 
 // Fetch returns the configuration in force.
-func (s Server) Fetch(context.Context, *api.Nothing) (*api.Document, error) {
+func (s Server) Fetch(context.Context, *rpcapi.Nothing) (*rpcapi.Document, error) {
 	return EncodeDocument(s.loop.View().Config.Document()), nil
 }
 
 // Site returns the forwarding configuration in force.
-func (s Server) Site(context.Context, *api.Nothing) (*api.Blob, error) {
+func (s Server) Site(context.Context, *rpcapi.Nothing) (*rpcapi.Blob, error) {
 	data, err := site.Marshal(s.loop.View().Relay.Site)
-	return &api.Blob{
+	return &rpcapi.Blob{
 		Data: data,
 	}, err
 }
 
 // Listing returns the endpoints that are known.
-func (s Server) Listing(context.Context, *api.Nothing) (*api.Blob, error) {
+func (s Server) Listing(context.Context, *rpcapi.Nothing) (*rpcapi.Blob, error) {
 	data, err := encodeRoster(s.loop.View())
-	return &api.Blob{
+	return &rpcapi.Blob{
 		Data: data,
 	}, err
 }
 
 // Stage puts a newer configuration in force and answers once it is.
-func (s Server) Stage(ctx context.Context, m *api.Document) (*api.Pulse, error) {
+func (s Server) Stage(ctx context.Context, m *rpcapi.Document) (*rpcapi.Pulse, error) {
 	if s.loop.View().Config.Document().Version < m.GetVersion() {
 		found := state.NewFound(DecodeDocument(m))
 		if err := s.loop.Tell(ctx, found); err != nil {
@@ -77,4 +77,4 @@
 	return s.pulse(), nil
 }
 
-func (s Server) pulse() *api.Pulse { return EncodePulse(ctrl.PulseOf(*s.loop.View())) }
+func (s Server) pulse() *rpcapi.Pulse { return EncodePulse(ctrl.PulseOf(*s.loop.View())) }
--- a/internal/proof/callers_test.go
+++ b/internal/proof/callers_test.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
-	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/filter"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
 	"github.com/baobabtally/baobabtally/pkg/label"
@@ -203,7 +203,7 @@
 	}
 	w.calls.Go(func() {
 		version := s.core.Loop.View().Config.Document().Version
-		res, err := s.core.Admin.Apply(s.ctx, &api.Change{
+		res, err := s.core.Admin.Apply(s.ctx, &rpcapi.Change{
 			Change: id,
 			Author: "ops",
 			Text:   policyText(base),
--- a/internal/proof/fakes_test.go
+++ b/internal/proof/fakes_test.go
@@ -10,11 +10,11 @@
 	"time"
 
 	"github.com/baobabtally/baobabtally/internal/admin"
-	"github.com/baobabtally/baobabtally/internal/api"
 	"github.com/baobabtally/baobabtally/internal/call"
 	"github.com/baobabtally/baobabtally/internal/client"
 	"github.com/baobabtally/baobabtally/internal/ctrl"
 	"github.com/baobabtally/baobabtally/internal/peer"
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/member"
@@ -222,7 +222,7 @@
 	if err != nil {
 		return policy.Document{}, store.ErrUnavailable
 	}
-	m, err := s.core.Peer.Fetch(ctx, &api.Nothing{})
+	m, err := s.core.Peer.Fetch(ctx, &rpcapi.Nothing{})
 	if err != nil {
 		return policy.Document{}, err
 	}
@@ -230,7 +230,7 @@
 }
 
 // Stage hands over a configuration.
-func (l *link) Stage(ctx context.Context, to member.Node, m *api.Document) (int64, error) {
+func (l *link) Stage(ctx context.Context, to member.Node, m *rpcapi.Document) (int64, error) {
 	s, err := l.other(to)
 	if err != nil {
 		return 0, store.ErrUnavailable
@@ -360,7 +360,7 @@
 
 // seed puts a first configuration into the table and the object store.
 func (w *world) seed() {
-	value, err := peer.MarshalDocument(&api.Document{
+	value, err := peer.MarshalDocument(&rpcapi.Document{
 		Version: 1,
 		Change:  "seed",
 		Past:    []string{"seed"},
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -369,8 +369,9 @@
 		return !x.begun
 	case site.Stream:
 		return x.request.Route.Resumable && (!x.begun || x.after != "")
+	default:
+		return false
 	}
-	return false
 }
 
 // more tells whether another attempt may follow. Attempts that surely did not
--- a/internal/relay/join.go
+++ b/internal/relay/join.go
@@ -37,18 +37,18 @@
 		Mates: i.parts.Seeds,
 	}
 	if err := i.Loop.Tell(ctx, seeds); err != nil {
-		return nil
+		return errors.Trace(err)
 	}
-	for {
+	for ctx.Err() == nil {
 		pause := rejoin
 		if err := i.enter(ctx); err != nil {
 			i.parts.Log.Debug().Str("event", "join").Err(err).Send()
 			pause = joinPause
 		}
-		if retry.Wait(ctx, pause) != nil {
-			return nil
-		}
+		// The end of ctx ends the loop.
+		_ = retry.Wait(ctx, pause)
 	}
+	return nil
 }
 
 // enter reads the rows of all instances and writes this one's where it differs.
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -252,8 +252,9 @@
 	shared := p.sharedParts()
 	total, all := prefix.Total(p.request.Parts), prefix.Total(shared)
 	held := p.held(p.state.Index, c.salt, shared)
-	local, kept, best := held[e.Node.Name], 0, 0
-	c.from, best = p.source(e, held)
+	local, kept := held[e.Node.Name], 0
+	from, best := p.source(e, held)
+	c.from = from
 	if v, ok := p.state.Relay.Site.Store(); ok {
 		kept = p.held(p.state.Relay.Kept, c.salt, shared)[v.Name]
 	}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -130,7 +130,7 @@
 // follows tells that peers keep this instance informed of another's hold, so
 // that the table need not be read.
 func (l Lease) follows(holder string, now time.Time) bool {
-	return !l.told.IsZero() && l.told == l.seen && holder != l.self && holder != "" &&
+	return !l.told.IsZero() && l.told.Equal(l.seen) && holder != l.self && holder != "" &&
 		now.Sub(l.seen) < l.length+l.quiet+Margin
 }
 
