--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -216,10 +216,9 @@
 	require.NoError(t, err)
 	require.Equal(t, "no", string(data))
 	p.Put(c, resp)
-	_, err = c.Do(t.Context(), link.Request{
-		Method: http.MethodGet,
-		Path:   "/",
-		Host:   "h",
-	})
-	require.Error(t, err, "the connection must not carry another request")
+	require.EqualValues(t, 1, p.Dialed())
+	next, err := p.Get(t.Context(), addr, 1, true)
+	require.NoError(t, err)
+	require.EqualValues(t, 2, p.Dialed(), "the connection must not carry another request")
+	p.Drop(next)
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -221,7 +221,7 @@
 			return err
 		}
 		counted.First()
-		watch.next(x.gap())
+		watch.next(x.patience())
 		if err := x.begin(reply.Head()); err != nil {
 			return err
 		}
--- a/internal/relay/patience.go
+++ b/internal/relay/patience.go
@@ -20,13 +20,13 @@
 	longSilence = 10 * time.Second
 )
 
-// patience is how long the caller of a stream waits for the next event.
+// waits is how long the caller of a stream waits for the next event.
 func (x *exchange) waits() time.Duration {
 	r := x.request.Route
 	return max(patienceLeast, patienceTargets*r.Target, patienceGaps*r.Gap)
 }
 
-// patience is how long an attempt may stay without its first event.
+// patience is how long an attempt may stay without its next event.
 func (x *exchange) patience() time.Duration {
 	if !x.request.Stream || !x.request.Route.Resumable {
 		return longSilence
@@ -34,9 +34,6 @@
 	return time.Duration(silentShare * float64(x.waits()))
 }
 
-// gap is how long an attempt may stay without its next event.
-func (x *exchange) gap() time.Duration { return x.patience() }
-
 // watchdog gives an attempt up that stays silent.
 type watchdog struct {
 	timer *time.Timer
