ctrl, platform: tell peers of entries that are gone, twice; reload on SIGHUP; a silent store of prompts is not used

An instance of a large fleet reads the registry every 8 s, and pulses named engines that say they are leaving but not those whose entries are gone; a pulse under way kept the next from starting. TestPeersHearOfEndpointsThatAreGone failed before. SIGHUP ended the process; it now has it read its settings again.

--- a/internal/ctrl/follow.go
+++ b/internal/ctrl/follow.go
@@ -35,7 +35,7 @@
 		}
 		return s, c.polls(s)
 	case state.Cached:
-		return c.cached(s, e, now), nil
+		return c.cached(s, e, now)
 	}
 	return s, nil
 }
@@ -96,12 +96,35 @@
 	return before < most
 }
 
-func (Follow) cached(s state.State, e state.Cached, now time.Time) state.State {
-	if kept, ok := s.Relay.Site.Store(); ok && kept.Name == e.Endpoint {
+func (c Follow) cached(s state.State, e state.Cached, now time.Time) (state.State, []state.Action) {
+	kept, ok := s.Relay.Site.Store()
+	switch {
+	case ok && kept.Name == e.Endpoint:
+		return c.kept(s, e, now)
+	case e.Failed:
+		return s, nil
+	}
+	return s.WithIndex(learn(s.Index, e, now)), nil
+}
+
+// kept takes what the store of cached prompts told, or that it is away.
+func (Follow) kept(s state.State, e state.Cached, now time.Time) (state.State, []state.Action) {
+	var actions []state.Action
+	if s.Relay.KeptAway != e.Failed {
+		what := "regained"
+		if e.Failed {
+			what = "lost"
+		}
+		actions = append(actions, state.Note{
+			Event: "dependency",
+			Pairs: []string{"name", "store of cached prompts", "state", what},
+		})
+	}
+	s.Relay.KeptAway = e.Failed
+	if !e.Failed {
 		s.Relay.Kept = learn(s.Relay.Kept, e, now)
-		return s
 	}
-	return s.WithIndex(learn(s.Index, e, now))
+	return s, actions
 }
 
 // learn returns ix after the events of e.
--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -301,3 +301,38 @@
 	_, busy := other.state.Relay.Weights.Ordered(told[0].Engine, other.now)
 	require.True(t, busy, "peers keep requests away from engines under order")
 }
+
+func TestSilentStoreOfCachedPromptsIsNotUsed(t *testing.T) {
+	c := serving(t, "e1")
+	c.step(state.SiteFound{
+		Site: site.New(6, site.WithServices(site.Service{
+			Name:  "keep",
+			Store: "10.0.0.9:1",
+		})),
+	})
+	c.step(state.Cached{
+		Endpoint: "keep",
+		Failed:   true,
+	})
+	require.True(t, c.state.Relay.KeptAway)
+	c.step(state.Cached{
+		Endpoint: "keep",
+		Epoch:    "7",
+		Next:     3,
+	})
+	require.False(t, c.state.Relay.KeptAway)
+	require.EqualValues(t, 3, c.state.Relay.Kept.Seq("keep"))
+}
+
+func TestPeersHearOfEndpointsThatAreGone(t *testing.T) {
+	c := serving(t, "e1", "e2")
+	c.step(state.Roster{
+		Gone:    []string{"e1"},
+		Version: 11,
+	})
+	other := serving(t, "e1", "e2")
+	other.step(ctrl.PulseOf(c.state))
+	require.Equal(t, []string{"e2"}, other.names())
+	c.wait(time.Minute)
+	require.Empty(t, ctrl.PulseOf(c.state).Drained)
+}
--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -131,13 +131,17 @@
 
 // PulseOf returns what an instance in state s tells its peers.
 func PulseOf(s state.State) state.Pulse {
+	drained := s.Members.Leaving()
+	for name := range s.Relay.Left {
+		drained = append(drained, name)
+	}
 	return state.Pulse{
 		Name:    s.Self.Name,
 		Epoch:   s.Self.Epoch,
 		Version: s.Config.Document().Version,
 		Leaving: s.Leaving,
 		Summary: s.Own,
-		Drained: s.Members.Leaving(),
+		Drained: drained,
 		Relay:   relayOf(s),
 	}
 }
--- a/internal/ctrl/roster.go
+++ b/internal/ctrl/roster.go
@@ -18,6 +18,11 @@
 	// manyGone is how many entries vanish at once only where the store was away
 	// unnoticed and forgot them. They may return.
 	manyGone = 3
+	// leftLife is how long peers are told of an entry that was removed: longer
+	// than the longest pause between two reads of the registry.
+	leftLife = 10 * time.Second
+	// loudTime is for how long all others are told news at each tick.
+	loudTime = 500 * time.Millisecond
 	// mateLife is how long an instance that is not heard is still told news.
 	mateLife = 30 * time.Second
 )
@@ -29,7 +34,9 @@
 func (c Roster) Step(s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
 	switch e := e.(type) {
 	case state.Tick:
-		return c.expired(s, now)
+		s, actions := c.expired(s, now)
+		s, told := c.quiet(s, now)
+		return s, append(actions, told...)
 	case state.Roster:
 		return c.read(s, e, now)
 	case state.Met:
@@ -67,6 +74,7 @@
 		}
 		if r.Follows && now.Sub(r.Since) >= returnTime && len(gone) < manyGone {
 			delete(nodes, name)
+			s = c.left(s, name, now)
 			actions = append(actions, endpointNote(name, "gone", e))
 			continue
 		}
@@ -86,7 +94,9 @@
 		}
 	}
 	if len(actions) > 0 {
-		// Other instances of a large fleet read the registry seldom.
+		// Other instances of a large fleet read the registry seldom. A pulse that
+		// is under way may not tell them yet.
+		s.Relay.Loud = now.Add(loudTime)
 		actions = append(actions, pulsesTo(s, s.Others())...)
 	}
 	return s, actions
@@ -104,6 +114,33 @@
 	}
 }
 
+// left notes that the entry of name was removed at now.
+func (Roster) left(s state.State, name string, now time.Time) state.State {
+	next := maps.Clone(s.Relay.Left)
+	if next == nil {
+		next = map[string]time.Time{}
+	}
+	next[name] = now
+	s.Relay.Left = next
+	return s
+}
+
+// quiet forgets what all others have heard, or tells them once more.
+func (Roster) quiet(s state.State, now time.Time) (state.State, []state.Action) {
+	old := func(_ string, at time.Time) bool { return now.Sub(at) > leftLife }
+	for name, at := range s.Relay.Left {
+		if old(name, at) {
+			s.Relay.Left = maps.Clone(s.Relay.Left)
+			maps.DeleteFunc(s.Relay.Left, old)
+			break
+		}
+	}
+	if now.After(s.Relay.Loud) {
+		return s, nil
+	}
+	return s, pulsesTo(s, s.Others())
+}
+
 // endpoints returns the endpoints that are known, by name.
 func (Roster) endpoints(s state.State) map[string]member.Node {
 	nodes := map[string]member.Node{}
--- a/internal/oper/platform.go
+++ b/internal/oper/platform.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -43,5 +45,27 @@
 	if err != nil {
 		return err
 	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	go c.reload(i, hup)
 	return i.Run(ctx)
 }
+
+// reload hands changed settings to i at each signal, until i ends.
+func (c hosted) reload(i *platform.Instance, hup <-chan os.Signal) {
+	for {
+		select {
+		case <-hup:
+			text, err := os.ReadFile(*c.settings)
+			if err == nil {
+				err = i.Reload(string(text))
+			}
+			if err != nil {
+				i.Warn("reload", fmt.Errorf("%s: %w; the settings before stay in force", *c.settings, err))
+			}
+		case <-i.Done():
+			return
+		}
+	}
+}
--- a/internal/relay/doer.go
+++ b/internal/relay/doer.go
@@ -119,7 +119,10 @@
 	e, err := d.parts.Ends.Events(ctx, a.Endpoint.Node, a.After)
 	if err != nil {
 		d.failed("cache", a.Endpoint.Node.Name, err)
-		return nil
+		return state.Cached{
+			Endpoint: a.Endpoint.Node.Name,
+			Failed:   true,
+		}
 	}
 	return e
 }
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -255,7 +255,7 @@
 	local, kept := held[e.Node.Name], 0
 	from, best := p.source(e, held)
 	c.from = from
-	if v, ok := p.state.Relay.Site.Store(); ok {
+	if v, ok := p.state.Relay.Site.Store(); ok && !p.state.Relay.KeptAway {
 		kept = p.held(p.state.Relay.Kept, c.salt, shared)[v.Name]
 	}
 	c.kept = kept == all
@@ -327,6 +327,9 @@
 	if !ok || prefix.Total(p.sharedParts()) < leastShared {
 		return "", ""
 	}
+	if p.state.Relay.KeptAway {
+		return c.from, ""
+	}
 	source, target := store.Store, store.Store
 	if c.from != "" {
 		source = c.from
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -84,6 +84,8 @@
 	// dropped events before.
 	Next int64
 	Lost bool
+	// Failed tells that the endpoint did not answer.
+	Failed bool
 }
 
 // Pulse is what another instance told.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -74,6 +74,9 @@
 	// Kept is what the store of cached prompts holds. It is apart from the index
 	// of engines, whose entries for hot parts it would be put out of.
 	Kept prefix.Index
+	// KeptAway tells that the store of cached prompts does not answer. An engine
+	// would wait for it for some hundred milliseconds.
+	KeptAway bool
 	// Follows tells that the platform's store answers, and Since when it began
 	// or ceased to.
 	Follows bool
@@ -81,6 +84,11 @@
 	// Going are endpoints whose entries vanished while the store may have been
 	// forgetful, and when they count as gone. Invariant: never written.
 	Going map[string]time.Time
+	// Left are endpoints whose entries were removed lately, and when. Invariant:
+	// never written.
+	Left map[string]time.Time
+	// Loud is until when all others are told at each tick.
+	Loud time.Time
 	// News is what the others have to be told of engines' weights. Invariant:
 	// never written.
 	News []EngineWeights
