--- a/internal/core/doer.go
+++ b/internal/core/doer.go
@@ -8,6 +8,7 @@
 
 	"github.com/baobabtally/baobabtally/internal/admin"
 	"github.com/baobabtally/baobabtally/internal/filter"
+	"github.com/baobabtally/baobabtally/internal/logs"
 	"github.com/baobabtally/baobabtally/internal/peer"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/load"
@@ -47,9 +48,9 @@
 		// A stream that is not cancelled ends by itself some time later.
 		_ = d.parts.Ends.Cancel(ctx, a.Endpoint.Node, a.Attempt)
 	case state.Announce:
-		d.announce(a)
+		logs.Alarm(d.log, a.Alarm)
 	case state.Note:
-		d.note(a)
+		logs.Note(d.log, a.Event, a.Pairs)
 	}
 	return nil
 }
@@ -167,24 +168,6 @@
 	return e
 }
 
-func (d doer) announce(a state.Announce) {
-	what := "cleared"
-	if a.Alarm.Active() {
-		what = "raised"
-	}
-	d.log.Error().Str("event", "alarm").Str("promise", a.Alarm.Promise).Str("state", what).
-		Float64("missed", a.Alarm.Missed).Float64("allowed", a.Alarm.Allowed).
-		Float64("forecast", a.Alarm.Forecast).Send()
-}
-
-func (d doer) note(a state.Note) {
-	line := d.log.Info().Str("event", a.Event)
-	for i := 0; i+1 < len(a.Pairs); i += 2 {
-		line = line.Str(a.Pairs[i], a.Pairs[i+1])
-	}
-	line.Send()
-}
-
 // failed logs a platform call that failed. The controllers go on without it.
 func (d doer) failed(what string, err error) {
 	d.log.Debug().Str("event", "platform").Str("reason", what).Err(err).Send()
--- a/internal/relay/doer.go
+++ b/internal/relay/doer.go
@@ -5,6 +5,7 @@
 
 	"github.com/baobabtally/baobabtally/internal/ctrl"
 	"github.com/baobabtally/baobabtally/internal/filter"
+	"github.com/baobabtally/baobabtally/internal/logs"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/load"
 )
@@ -37,9 +38,10 @@
 	case state.SendOrder:
 		return d.sendOrder(ctx, a)
 	case state.Announce:
-		d.announce(a)
+		logs.Alarm(d.parts.Log, a.Alarm)
 	case state.Note:
-		d.note(a)
+		d.parts.Meter.Decision(a.Event)
+		logs.Note(d.parts.Log, a.Event, a.Pairs)
 	}
 	return nil
 }
@@ -157,27 +159,6 @@
 	return e
 }
 
-func (d *doer) announce(a state.Announce) {
-	what := "cleared"
-	if a.Alarm.Active() {
-		what = "raised"
-	}
-	d.parts.Log.Error().Str("event", "alarm").Str("promise", a.Alarm.Promise).Str("state", what).
-		Float64("missed", a.Alarm.Missed).Float64("allowed", a.Alarm.Allowed).
-		Float64("forecast", a.Alarm.Forecast).Send()
-}
-
-func (d *doer) note(a state.Note) {
-	d.parts.Meter.Decision(a.Event)
-	line := d.parts.Log.Info().Str("event", a.Event)
-	for i := 0; i+1 < len(a.Pairs); i += 2 {
-		if a.Pairs[i+1] != "" {
-			line = line.Str(a.Pairs[i], a.Pairs[i+1])
-		}
-	}
-	line.Send()
-}
-
 // failed logs a call that failed. The controllers go on without its answer.
 func (d *doer) failed(what, name string, err error) {
 	d.parts.Log.Debug().Str("event", "unanswered").Str("reason", what).Str("name", name).Err(err).Send()
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -224,7 +224,7 @@
 	for _, e := range pool {
 		out = append(out, home{
 			endpoint: e,
-			weight:   mix(key ^ e.Hash),
+			weight:   e.Weight(key),
 		})
 	}
 	slices.SortFunc(out, func(a, b home) int { return cmp.Compare(b.weight, a.weight) })
@@ -342,12 +342,3 @@
 }
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
-
-// mix spreads the bits of x over the whole word (the finaliser of SplitMix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/pkg/member/node.go
+++ b/pkg/member/node.go
@@ -98,3 +98,16 @@
 	// blamed tells that others say the endpoint is leaving.
 	blamed bool
 }
+
+// Weight returns the endpoint's weight for key in rendezvous hashing; the
+// greatest is favoured.
+func (e Endpoint) Weight(key uint64) uint64 { return mix(key ^ e.Hash) }
+
+// mix spreads the bits of x over the whole word (the finaliser of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/pkg/route/favour.go
+++ b/pkg/route/favour.go
@@ -22,7 +22,7 @@
 	// Of a short prompt the first half is taken to be shared.
 	key := q.Hashes[min(keyBlock, (len(q.Hashes)-1)/2)]
 	for i, e := range pool {
-		w := mix(key ^ e.Hash)
+		w := e.Weight(key)
 		if len(top) == favoured && w <= top[favoured-1].weight {
 			continue
 		}
@@ -44,12 +44,3 @@
 	}
 	return top
 }
-
-// mix spreads the bits of x over the whole word (the finaliser of SplitMix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
