--- a/internal/ctrl/follow.go
+++ b/internal/ctrl/follow.go
@@ -1,6 +1,8 @@
 package ctrl
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -8,6 +10,7 @@
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/prefix"
+	"github.com/baobabtally/baobabtally/pkg/site"
 )
 
 const (
@@ -59,25 +62,27 @@
 			}
 		}
 	}
-	if kept, ok := s.Relay.Site.Store(); ok && FollowsStore(s) {
+	for _, v := range s.Relay.Site.Stores() {
+		if !FollowsStore(s, v) {
+			continue
+		}
 		actions = append(actions, state.AskCache{
 			Endpoint: member.Endpoint{
 				Node: member.Node{
-					Name:   kept.Name,
-					Addr:   kept.Store,
-					Domain: kept.Domain,
+					Name:   v.Name,
+					Addr:   v.Store,
+					Domain: v.Domain,
 				},
 			},
-			After: s.Relay.Kept.Seq(kept.Name),
+			After: s.Relay.Kept.Seq(v.Name),
 		})
 	}
 	return actions
 }
 
-// FollowsStore tells whether this instance follows the store of cached prompts.
-func FollowsStore(s state.State) bool {
-	kept, ok := s.Relay.Site.Store()
-	return ok && follows(s, kept.Name, share(kept.Follows))
+// FollowsStore tells whether this instance follows a store of cached prompts.
+func FollowsStore(s state.State, store site.Service) bool {
+	return follows(s, store.Name, share(store.Follows))
 }
 
 // share is how many of the calls that an endpoint takes at once are used.
@@ -97,9 +102,9 @@
 }
 
 func (c Follow) cached(s state.State, e state.Cached, now time.Time) (state.State, []state.Action) {
-	kept, ok := s.Relay.Site.Store()
+	isStore := slices.ContainsFunc(s.Relay.Site.Stores(), func(v site.Service) bool { return v.Name == e.Endpoint })
 	switch {
-	case ok && kept.Name == e.Endpoint:
+	case isStore:
 		return c.kept(s, e, now)
 	case e.Failed:
 		return s, nil
@@ -107,20 +112,25 @@
 	return s.WithIndex(learn(s.Index, e, now)), nil
 }
 
-// kept takes what the store of cached prompts told, or that it is away.
+// kept takes what a store of cached prompts told, or that it is away.
 func (Follow) kept(s state.State, e state.Cached, now time.Time) (state.State, []state.Action) {
 	var actions []state.Action
-	if s.Relay.KeptAway != e.Failed {
+	if s.Relay.Away[e.Endpoint] != e.Failed {
 		what := "regained"
 		if e.Failed {
 			what = "lost"
 		}
 		actions = append(actions, state.Note{
 			Event: "dependency",
-			Pairs: []string{"name", "store of cached prompts", "state", what},
+			Pairs: []string{"name", e.Endpoint, "state", what, "reason", "store of cached prompts"},
 		})
+		next := maps.Clone(s.Relay.Away)
+		if next == nil {
+			next = map[string]bool{}
+		}
+		next[e.Endpoint] = e.Failed
+		s.Relay.Away = next
 	}
-	s.Relay.KeptAway = e.Failed
 	if !e.Failed {
 		s.Relay.Kept = learn(s.Relay.Kept, e, now)
 	}
--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -314,13 +314,13 @@
 		Endpoint: "keep",
 		Failed:   true,
 	})
-	require.True(t, c.state.Relay.KeptAway)
+	require.True(t, c.state.Relay.Away["keep"])
 	c.step(state.Cached{
 		Endpoint: "keep",
 		Epoch:    "7",
 		Next:     3,
 	})
-	require.False(t, c.state.Relay.KeptAway)
+	require.False(t, c.state.Relay.Away["keep"])
 	require.EqualValues(t, 3, c.state.Relay.Kept.Seq("keep"))
 }
 
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -30,6 +30,9 @@
 	// homeShare is the part of what was not heard of that the home of a prompt is
 	// taken to hold.
 	homeShare = 0.8
+	// spread is an odd number that spreads the bits of a hash (2^64 over the
+	// golden ratio).
+	spread = 0x9e3779b97f4a7c15
 	// storeWeight is how much a token that the store of cached prompts sends
 	// counts beside one from an engine: all engines share the store's link.
 	storeWeight = 3.0
@@ -255,7 +258,7 @@
 	local, kept := held[e.Node.Name], 0
 	from, best := p.source(e, held)
 	c.from = from
-	if v, ok := p.state.Relay.Site.Store(); ok && !p.state.Relay.KeptAway {
+	if v, ok := p.store(); ok {
 		kept = p.held(p.state.Relay.Kept, c.salt, shared)[v.Name]
 	}
 	c.kept = kept == all
@@ -319,22 +322,39 @@
 	return out
 }
 
+// store returns the store of cached prompts for the shared parts. Rendezvous
+// hashing spreads the prompts over the stores that answer.
+func (p picker) store() (site.Service, bool) {
+	var best site.Service
+	var most uint64
+	key, found := p.key(), false
+	for _, v := range p.state.Relay.Site.Stores() {
+		if p.state.Relay.Away[v.Name] {
+			continue
+		}
+		if w := xxhash.Sum64String(v.Name) ^ key; !found || w*spread > most {
+			best, most, found = v, w*spread, true
+		}
+	}
+	return best, found
+}
+
 // copies returns where cached parts may come from and go to. The store of
 // cached prompts takes what an engine reads and gives it back to any engine,
 // also after the first one dropped it. It is sent nothing that it holds.
 func (p picker) copies(c choice) (string, string) {
-	store, ok := p.state.Relay.Site.Store()
-	if !ok || prefix.Total(p.sharedParts()) < leastShared {
+	if prefix.Total(p.sharedParts()) < leastShared {
 		return "", ""
 	}
-	if p.state.Relay.KeptAway {
+	store, ok := p.store()
+	if !ok {
 		return c.from, ""
 	}
 	source, target := store.Store, store.Store
 	if c.from != "" {
 		source = c.from
 	}
-	if c.kept || !ctrl.FollowsStore(*p.state) {
+	if c.kept || !ctrl.FollowsStore(*p.state, store) {
 		// An instance that does not follow the store can't tell what it lacks.
 		target = ""
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -71,12 +71,12 @@
 	// Listing is the version of the registry of endpoints that is known; 0 before
 	// it was read.
 	Listing int64
-	// Kept is what the store of cached prompts holds. It is apart from the index
-	// of engines, whose entries for hot parts it would be put out of.
+	// Kept is what the stores of cached prompts hold. It is apart from the index
+	// of engines, whose entries for hot parts they would be put out of.
 	Kept prefix.Index
-	// KeptAway tells that the store of cached prompts does not answer. An engine
-	// would wait for it for some hundred milliseconds.
-	KeptAway bool
+	// Away are the stores of cached prompts that do not answer. An engine would
+	// wait for one for some hundred milliseconds. Invariant: never written.
+	Away map[string]bool
 	// Follows tells that the platform's store answers, and Since when it began
 	// or ceased to.
 	Follows bool
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -226,14 +226,9 @@
 	return out
 }
 
-// Store returns the store of cached prompts, if there is one.
-func (s Site) Store() (Service, bool) {
-	for _, v := range s.Services() {
-		if v.Store != "" {
-			return v, true
-		}
-	}
-	return Service{}, false
+// Stores returns the stores of cached prompts in the order of their names.
+func (s Site) Stores() []Service {
+	return slices.DeleteFunc(s.Services(), func(v Service) bool { return v.Store == "" })
 }
 
 // Serves returns the services that serve model.
