weight, ctrl: judge each version of weights from its own naming

Cause: found by reading. The age of replaced weights was counted from the newest name, so that an engine which missed several versions was used past the bound of the first (VERSION). TestEngineIsBehindSinceTheFirstVersionThatItLacks failed before.

--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -336,3 +336,18 @@
 	c.wait(time.Minute)
 	require.Empty(t, ctrl.PulseOf(c.state).Drained)
 }
+
+func TestEndpointThatReturnsIsNotToldAsGone(t *testing.T) {
+	c := serving(t, "e1", "e2")
+	c.step(state.Roster{
+		Gone:    []string{"e1"},
+		Version: 11,
+	})
+	require.Equal(t, []string{"e1"}, ctrl.PulseOf(c.state).Drained)
+	c.step(state.Roster{
+		Put:     []member.Listing{listing("e1", false)},
+		Version: 12,
+	})
+	require.Empty(t, ctrl.PulseOf(c.state).Drained)
+	require.Equal(t, []string{"e1", "e2"}, c.names())
+}
--- a/internal/ctrl/roster.go
+++ b/internal/ctrl/roster.go
@@ -199,20 +199,26 @@
 	return s
 }
 
-// stays forgets that endpoints which are entered were going.
+// stays forgets that endpoints which are entered were going or had left.
 func (Roster) stays(s state.State, put []member.Listing) state.State {
-	var next map[string]time.Time
-	for _, l := range put {
-		if _, ok := s.Relay.Going[l.Node.Name]; !ok {
-			continue
-		}
-		if next == nil {
-			next = maps.Clone(s.Relay.Going)
-			s.Relay.Going = next
+	s.Relay.Going = without(s.Relay.Going, put)
+	s.Relay.Left = without(s.Relay.Left, put)
+	return s
+}
+
+// without returns times without the entries of put.
+func without(times map[string]time.Time, put []member.Listing) map[string]time.Time {
+	listed := func(name string, _ time.Time) bool {
+		return slices.ContainsFunc(put, func(l member.Listing) bool { return l.Node.Name == name })
+	}
+	for name, at := range times {
+		if listed(name, at) {
+			times = maps.Clone(times)
+			maps.DeleteFunc(times, listed)
+			return times
 		}
-		delete(next, l.Node.Name)
 	}
-	return s
+	return times
 }
 
 // expired drops endpoints that did not return and instances that are not heard.
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -48,7 +48,7 @@
 	staleGrace = 1500 * time.Millisecond
 	// staleMargin is how long before the end of the platform's bound no request
 	// is sent to replaced weights any more, since it may wait at the engine.
-	staleMargin = 1200 * time.Millisecond
+	staleMargin = 1800 * time.Millisecond
 	// ownParts is how many parts at the end of a prompt belong to one request.
 	ownParts = 1
 	// leastShared is from how many shared tokens on copies are worth their calls.
@@ -175,8 +175,6 @@
 // prompt chooses for a request with a prompt.
 func (p picker) prompt(pool []member.Endpoint) (choice, bool) {
 	book := p.state.Relay.Weights
-	named := book.Named(p.request.Model)
-	age := p.now.Sub(named.Since)
 	homes := p.homes(pool)
 	best := choice{
 		cost: math.MaxInt64,
@@ -185,12 +183,13 @@
 		if _, busy := book.Ordered(e.Node.Name, p.now); busy {
 			continue
 		}
-		current := book.Current(e.Node.Name, p.request.Model)
-		if !current && age > p.bounds.WeightsIn-staleMargin {
+		since, behind := book.Behind(e.Node.Name, p.request.Model)
+		age := p.now.Sub(since)
+		if behind && age > p.bounds.WeightsIn-staleMargin {
 			continue
 		}
 		c := p.score(e, homes)
-		if !current && age > staleGrace {
+		if behind && age > staleGrace {
 			c.cost += staleCost
 		}
 		if c.cost < best.cost {
--- a/pkg/weight/book.go
+++ b/pkg/weight/book.go
@@ -11,6 +11,10 @@
 // been seen to carry out. Runs of many seconds may end first.
 const orderLife = 12 * time.Second
 
+// keptNames is how many names of a model are kept: more than are made within
+// the time in which engines have to take them.
+const keptNames = 16
+
 // Named is the version of a model that is wanted.
 type Named struct {
 	// Version grows with each release of the model. It is 0 before the first.
@@ -35,6 +39,9 @@
 type Book struct {
 	// named is by model. Invariant: never written once published.
 	named map[string]Named
+	// past is the last names of each model, the oldest first. Invariant: never
+	// written once published.
+	past map[string][]Named
 	// held is the version of each model by engine. Invariant: never written.
 	held map[string]map[string]int64
 	// orders is the orders under way by engine. Invariant: never written.
@@ -56,9 +63,28 @@
 		Since:   now,
 	}
 	b.named = next
+	past := maps.Clone(b.past)
+	if past == nil {
+		past = map[string][]Named{}
+	}
+	names := append(slices.Clone(past[model]), next[model])
+	past[model] = names[max(len(names)-keptNames, 0):]
+	b.past = past
 	return b
 }
 
+// Behind returns since when engine lacks a version of model that is wanted, and
+// whether it does. Each version is judged from its own naming.
+func (b Book) Behind(engine, model string) (time.Time, bool) {
+	held := b.held[engine][model]
+	for _, n := range b.past[model] {
+		if n.Version > held {
+			return n.Since, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // WithHeld returns a copy of b in which engine was seen with version of model.
 func (b Book) WithHeld(engine, model string, version int64) Book {
 	if version <= b.held[engine][model] {
--- a/pkg/weight/book_test.go
+++ b/pkg/weight/book_test.go
@@ -108,3 +108,19 @@
 	require.Zero(t, b.Held("e1", "m"))
 	require.EqualValues(t, 1, b.Held("e2", "m"))
 }
+
+func TestEngineIsBehindSinceTheFirstVersionThatItLacks(t *testing.T) {
+	b := weight.Book{}.WithHeld("e1", "m", 1)
+	_, behind := b.Behind("e1", "m")
+	require.False(t, behind)
+	for i := range 40 {
+		b = b.WithNamed("m", int64(2+i), start.Add(time.Duration(i)*time.Second))
+	}
+	b = b.WithHeld("e2", "m", 40)
+	since, behind := b.Behind("e2", "m")
+	require.True(t, behind)
+	require.Equal(t, start.Add(39*time.Second), since)
+	since, behind = b.Behind("e1", "m")
+	require.True(t, behind)
+	require.False(t, since.After(start.Add(30*time.Second)), "names that were dropped are older than those that are kept")
+}
