--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -57,7 +57,7 @@
 	return out
 }
 
-func listing(name string, leaving bool) member.Listing {
+func listing(name string) member.Listing {
 	return member.Listing{
 		Node: member.Node{
 			Name:   name,
@@ -65,9 +65,6 @@
 			Addr:   name + ":1",
 			Models: []string{"llm"},
 		},
-		Report: member.Report{
-			Leaving: leaving,
-		},
 		Weights: map[string]int64{
 			"m": 1,
 		},
@@ -81,7 +78,7 @@
 		Whole:   true,
 	}
 	for _, n := range names {
-		r.Put = append(r.Put, listing(n, false))
+		r.Put = append(r.Put, listing(n))
 	}
 	return r
 }
@@ -141,7 +138,7 @@
 	require.Equal(t, []string{"e1", "e2"}, c.names(), "the platform grants them two seconds")
 	c.now = c.now.Add(time.Second)
 	c.step(state.Roster{
-		Put:     []member.Listing{listing("e1", false)},
+		Put:     []member.Listing{listing("e1")},
 		Version: 21,
 	})
 	c.wait(2 * time.Second)
@@ -181,7 +178,7 @@
 	}
 	e, _ := c.state.Members.Find("e1")
 	require.True(t, e.Suspect.After(c.now))
-	l := listing("e1", false)
+	l := listing("e1")
 	l.Node.Start = "7"
 	c.step(state.Roster{
 		Put:     []member.Listing{l},
@@ -345,7 +342,7 @@
 	})
 	require.Equal(t, []string{"e1"}, ctrl.PulseOf(c.state).Drained)
 	c.step(state.Roster{
-		Put:     []member.Listing{listing("e1", false)},
+		Put:     []member.Listing{listing("e1")},
 		Version: 12,
 	})
 	require.Empty(t, ctrl.PulseOf(c.state).Drained)
