ctrl: entries that vanish together are gone unless they are most of all

Traced by the lines of event=endpoint; the store was never away. Now only more than half of all entries are given time to return. TestFewEntriesThatVanishAtOnceAreGone failed before.

--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -145,7 +145,13 @@
 	require.Equal(t, []string{"e1"}, c.names())
 }
 
-func TestManyEntriesThatVanishAtOnceMayReturn(t *testing.T) {
+func TestFewEntriesThatVanishAtOnceAreGone(t *testing.T) {
+	c := serving(t, "e1", "e2", "e3", "e4", "e5", "e6", "e7")
+	c.step(roster(20, "e1", "e2", "e3", "e4"))
+	require.Equal(t, []string{"e1", "e2", "e3", "e4"}, c.names(), "three that leave without a word get no new work")
+}
+
+func TestMostEntriesThatVanishAtOnceMayReturn(t *testing.T) {
 	c := serving(t, "e1", "e2", "e3", "e4")
 	c.step(roster(20, "e4"))
 	require.Len(t, c.names(), 4)
--- a/internal/ctrl/roster.go
+++ b/internal/ctrl/roster.go
@@ -15,9 +15,10 @@
 	// returnTime is how long endpoints have to enter themselves again after the
 	// store was away. The platform grants two seconds; the rest is for reading.
 	returnTime = 2500 * time.Millisecond
-	// manyGone is how many entries vanish at once only where the store was away
-	// unnoticed and forgot them. They may return.
-	manyGone = 3
+	// mostGone is the share of all entries that vanishes at once only where the
+	// store was away unnoticed and forgot them. They may return; fewer count as
+	// gone, since they may be leaving without a word.
+	mostGone = 0.5
 	// leftLife is how long peers are told of an entry that was removed: longer
 	// than the longest pause between two reads of the registry.
 	leftLife = 10 * time.Second
@@ -65,6 +66,7 @@
 	}
 	var actions []state.Action
 	nodes := c.endpoints(s)
+	forgotten := float64(len(gone)) > mostGone*float64(len(nodes))
 	for _, l := range e.Put {
 		nodes[l.Node.Name] = l.Node
 	}
@@ -72,7 +74,7 @@
 		if _, ok := nodes[name]; !ok {
 			continue
 		}
-		if r.Follows && now.Sub(r.Since) >= returnTime && len(gone) < manyGone {
+		if r.Follows && now.Sub(r.Since) >= returnTime && !forgotten {
 			delete(nodes, name)
 			s = c.left(s, name, now)
 			actions = append(actions, endpointNote(name, "gone", e))
