state, relay: name the routing state apart from what pulses tell

State.Relay and Pulse.Relay had one name and two types; the first is State.Routing now. A watchdog is made by newWatchdog. No behaviour changes.

--- a/internal/ctrl/follow.go
+++ b/internal/ctrl/follow.go
@@ -49,7 +49,7 @@
 	var actions []state.Action
 	engines := max(len(s.Members.Nodes(member.Engine)), 1)
 	each := (followTotal + engines - 1) / engines
-	for _, v := range s.Relay.Site.Services() {
+	for _, v := range s.Routing.Site.Services() {
 		if len(v.Models) == 0 {
 			continue
 		}
@@ -62,7 +62,7 @@
 			}
 		}
 	}
-	for _, v := range s.Relay.Site.Stores() {
+	for _, v := range s.Routing.Site.Stores() {
 		if !FollowsStore(s, v) {
 			continue
 		}
@@ -74,7 +74,7 @@
 					Domain: v.Domain,
 				},
 			},
-			After: s.Relay.Kept.Seq(v.Name),
+			After: s.Routing.Kept.Seq(v.Name),
 		})
 	}
 	return actions
@@ -93,7 +93,7 @@
 // messages.
 func follows(s state.State, endpoint string, most int) bool {
 	own, before := xxhash.Sum64String(endpoint+"/"+s.Self.Name), 0
-	for _, m := range s.Relay.Mates {
+	for _, m := range s.Routing.Mates {
 		if xxhash.Sum64String(endpoint+"/"+m.Name) > own {
 			before++
 		}
@@ -102,7 +102,7 @@
 }
 
 func (c Follow) cached(s state.State, e state.Cached, now time.Time) (state.State, []state.Action) {
-	isStore := slices.ContainsFunc(s.Relay.Site.Stores(), func(v site.Service) bool { return v.Name == e.Endpoint })
+	isStore := slices.ContainsFunc(s.Routing.Site.Stores(), func(v site.Service) bool { return v.Name == e.Endpoint })
 	switch {
 	case isStore:
 		return c.kept(s, e, now)
@@ -115,7 +115,7 @@
 // kept takes what a store of cached prompts told, or that it is away.
 func (Follow) kept(s state.State, e state.Cached, now time.Time) (state.State, []state.Action) {
 	var actions []state.Action
-	if s.Relay.Away[e.Endpoint] != e.Failed {
+	if s.Routing.Away[e.Endpoint] != e.Failed {
 		what := "regained"
 		if e.Failed {
 			what = "lost"
@@ -124,15 +124,15 @@
 			Event: "dependency",
 			Pairs: []string{"name", e.Endpoint, "state", what, "reason", "store of cached prompts"},
 		})
-		next := maps.Clone(s.Relay.Away)
+		next := maps.Clone(s.Routing.Away)
 		if next == nil {
 			next = map[string]bool{}
 		}
 		next[e.Endpoint] = e.Failed
-		s.Relay.Away = next
+		s.Routing.Away = next
 	}
 	if !e.Failed {
-		s.Relay.Kept = learn(s.Relay.Kept, e, now)
+		s.Routing.Kept = learn(s.Routing.Kept, e, now)
 	}
 	return s, actions
 }
--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -107,7 +107,7 @@
 	c.step(state.SiteFound{
 		Site: site.New(4),
 	})
-	require.EqualValues(t, 5, c.state.Relay.Site.Version())
+	require.EqualValues(t, 5, c.state.Routing.Site.Version())
 	c.step(state.Pulse{
 		Name: "n1",
 		Relay: state.Relay{
@@ -243,7 +243,7 @@
 	require.Empty(t, c.orders())
 	c.hold(t)
 	c.wait(100 * time.Millisecond)
-	require.Len(t, c.state.Relay.Weights.Orders(c.now), 2)
+	require.Len(t, c.state.Routing.Weights.Orders(c.now), 2)
 	c.wait(10 * time.Second)
 	require.Empty(t, c.orders(), "the lease is over")
 }
@@ -262,13 +262,13 @@
 	})
 	c.hold(t)
 	c.wait(100 * time.Millisecond)
-	_, under := c.state.Relay.Weights.Ordered("e1", c.now)
+	_, under := c.state.Routing.Weights.Ordered("e1", c.now)
 	require.True(t, under)
 	c.step(state.Ordered{
 		Order:   first[0],
 		Outcome: state.Holds,
 	})
-	require.True(t, c.state.Relay.Weights.Current("e1", "m"))
+	require.True(t, c.state.Routing.Weights.Current("e1", "m"))
 }
 
 func TestNewsOfOrdersReachPeers(t *testing.T) {
@@ -301,7 +301,7 @@
 			Weights: told,
 		},
 	})
-	_, busy := other.state.Relay.Weights.Ordered(told[0].Engine, other.now)
+	_, busy := other.state.Routing.Weights.Ordered(told[0].Engine, other.now)
 	require.True(t, busy, "peers keep requests away from engines under order")
 }
 
@@ -317,14 +317,14 @@
 		Endpoint: "keep",
 		Failed:   true,
 	})
-	require.True(t, c.state.Relay.Away["keep"])
+	require.True(t, c.state.Routing.Away["keep"])
 	c.step(state.Cached{
 		Endpoint: "keep",
 		Epoch:    "7",
 		Next:     3,
 	})
-	require.False(t, c.state.Relay.Away["keep"])
-	require.EqualValues(t, 3, c.state.Relay.Kept.Seq("keep"))
+	require.False(t, c.state.Routing.Away["keep"])
+	require.EqualValues(t, 3, c.state.Routing.Kept.Seq("keep"))
 }
 
 func TestPeersHearOfEndpointsThatAreGone(t *testing.T) {
--- a/internal/ctrl/leases.go
+++ b/internal/ctrl/leases.go
@@ -26,7 +26,7 @@
 	default:
 		return s, nil
 	}
-	if s.Relay.On {
+	if s.Routing.On {
 		l = l.WithPlace(placeOf(s))
 	}
 	op, l, ok := l.Plan(now)
@@ -44,7 +44,7 @@
 // placeOf returns how many other instances are to take the lease before this one.
 func placeOf(s state.State) int {
 	own, before := xxhash.Sum64String(s.Self.Name), 0
-	for _, m := range s.Relay.Mates {
+	for _, m := range s.Routing.Mates {
 		if xxhash.Sum64String(m.Name) > own {
 			before++
 		}
--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -90,7 +90,7 @@
 // it is enough that those which are cut off hear it from one of them.
 func pulses(s state.State) []state.Action {
 	others := s.Others()
-	if !s.Relay.On || len(others) <= fullMesh {
+	if !s.Routing.On || len(others) <= fullMesh {
 		return pulsesTo(s, others)
 	}
 	from := int(xxhash.Sum64String(s.Self.Name)+s.Own.Beat) % len(others)
@@ -104,7 +104,7 @@
 func turn(s state.State, now time.Time) []state.Action {
 	others := s.Others()
 	n := len(others)
-	if n <= fullMesh || !s.Relay.On && now.Sub(s.Config.Table()) > tableSilence {
+	if n <= fullMesh || !s.Routing.On && now.Sub(s.Config.Table()) > tableSilence {
 		return pulsesTo(s, others)
 	}
 	beat := int(s.Own.Beat)
@@ -132,7 +132,7 @@
 // PulseOf returns what an instance in state s tells its peers.
 func PulseOf(s state.State) state.Pulse {
 	drained := s.Members.Leaving()
-	for name := range s.Relay.Left {
+	for name := range s.Routing.Left {
 		drained = append(drained, name)
 	}
 	return state.Pulse{
@@ -148,25 +148,25 @@
 
 // relayOf returns what an instance that forwards by routes tells besides.
 func relayOf(s state.State) state.Relay {
-	if !s.Relay.On {
+	if !s.Routing.On {
 		return state.Relay{}
 	}
 	r := state.Relay{
 		Addr:    s.Self.Addr,
 		Domain:  s.Self.Domain,
-		Site:    s.Relay.Site.Version(),
-		Listing: s.Relay.Listing,
-		Follows: s.Relay.Follows,
+		Site:    s.Routing.Site.Version(),
+		Listing: s.Routing.Listing,
+		Follows: s.Routing.Follows,
 		Lease:   s.Lease.Row(),
 		Named:   map[string]int64{},
 	}
-	if len(s.Relay.Mates) <= fullMesh {
-		r.Mates = s.Relay.Mates
+	if len(s.Routing.Mates) <= fullMesh {
+		r.Mates = s.Routing.Mates
 	}
-	book := s.Relay.Weights
+	book := s.Routing.Weights
 	for model, n := range book.AllNamed() {
 		r.Named[model] = n.Version
 	}
-	r.Weights = s.Relay.News
+	r.Weights = s.Routing.News
 	return r
 }
--- a/internal/ctrl/orders.go
+++ b/internal/ctrl/orders.go
@@ -47,10 +47,10 @@
 }
 
 func (c Orders) named(s state.State, e state.Named, now time.Time) (state.State, []state.Action) {
-	if e.Version <= s.Relay.Weights.Named(e.Model).Version {
+	if e.Version <= s.Routing.Weights.Named(e.Model).Version {
 		return s, nil
 	}
-	s.Relay.Weights = s.Relay.Weights.WithNamed(e.Model, e.Version, now)
+	s.Routing.Weights = s.Routing.Weights.WithNamed(e.Model, e.Version, now)
 	note := state.Note{
 		Event: "named",
 		Pairs: []string{"model", e.Model, "version", strconv.FormatInt(e.Version, 10)},
@@ -61,10 +61,10 @@
 
 // held notes the weights that an engine was seen with, and plans on.
 func (c Orders) held(s state.State, engine, model string, version int64, now time.Time) (state.State, []state.Action) {
-	if _, ok := s.Members.Find(engine); !ok || version <= s.Relay.Weights.Held(engine, model) {
+	if _, ok := s.Members.Find(engine); !ok || version <= s.Routing.Weights.Held(engine, model) {
 		return s, nil
 	}
-	s.Relay.Weights = s.Relay.Weights.WithHeld(engine, model, version)
+	s.Routing.Weights = s.Routing.Weights.WithHeld(engine, model, version)
 	s = c.news(s, engine, model)
 	s, actions := c.plan(s, now)
 	return s, append(actions, state.Note{
@@ -89,7 +89,7 @@
 		if _, ok := s.Members.Find(w.Engine); !ok {
 			continue
 		}
-		book := s.Relay.Weights.WithHeld(w.Engine, w.Model, w.Version)
+		book := s.Routing.Weights.WithHeld(w.Engine, w.Model, w.Version)
 		if w.Ordered > book.Held(w.Engine, w.Model) && !s.Lease.Valid(now, now) {
 			book = book.WithOrder(weight.Order{
 				Engine:  w.Engine,
@@ -98,14 +98,14 @@
 				Sent:    now,
 			})
 		}
-		s.Relay.Weights = book
+		s.Routing.Weights = book
 	}
 	return s, actions
 }
 
 // reported takes an engine's own word, asked for after an order.
 func (c Orders) reported(s state.State, e state.Reported, now time.Time) (state.State, []state.Action) {
-	o, ok := s.Relay.Weights.Ordered(e.Endpoint, now)
+	o, ok := s.Routing.Weights.Ordered(e.Endpoint, now)
 	if e.Failed || !ok {
 		return s, nil
 	}
@@ -123,7 +123,7 @@
 }
 
 func (c Orders) ordered(s state.State, e state.Ordered, now time.Time) (state.State, []state.Action) {
-	book := s.Relay.Weights
+	book := s.Routing.Weights
 	switch e.Outcome {
 	case state.Holds:
 		book = book.WithHeld(e.Order.Engine, e.Order.Model, e.Order.Version).WithoutOrder(e.Order.Engine)
@@ -133,7 +133,7 @@
 		book = book.WithoutOrder(e.Order.Engine)
 	case state.Accepted:
 	}
-	s.Relay.Weights = book
+	s.Routing.Weights = book
 	s = c.news(s, e.Order.Engine, e.Order.Model)
 	var actions []state.Action
 	if e.Outcome == state.Holds {
@@ -162,22 +162,22 @@
 	w := state.EngineWeights{
 		Engine:  engine,
 		Model:   model,
-		Version: s.Relay.Weights.Held(engine, model),
+		Version: s.Routing.Weights.Held(engine, model),
 	}
-	if o, ok := s.Relay.Weights.Order(engine); ok && o.Model == model {
+	if o, ok := s.Routing.Weights.Order(engine); ok && o.Model == model {
 		w.Ordered = o.Version
 	}
-	s.Relay.News = append(slices.Clone(s.Relay.News), w)
+	s.Routing.News = append(slices.Clone(s.Routing.News), w)
 	return s
 }
 
 // tell tells all others the news since the last tick.
 func (Orders) tell(s state.State) (state.State, []state.Action) {
-	if len(s.Relay.News) == 0 {
+	if len(s.Routing.News) == 0 {
 		return s, nil
 	}
 	actions := pulsesTo(s, s.Others())
-	s.Relay.News = nil
+	s.Routing.News = nil
 	return s, actions
 }
 
@@ -189,19 +189,19 @@
 	}
 	invar.That(now.Before(s.Lease.Until()), invar.Fence, "orders are planned after the lease ended")
 	var actions []state.Action
-	for _, o := range s.Relay.Weights.Orders(now) {
+	for _, o := range s.Routing.Weights.Orders(now) {
 		if e, ok := s.Members.Find(o.Engine); ok {
 			actions = append(actions, state.AskLoad{
 				Endpoint: e,
 			})
 		}
 	}
-	for model := range s.Relay.Weights.AllNamed() {
+	for model := range s.Routing.Weights.AllNamed() {
 		engines := c.engines(s, model, now)
 		atOnce := max(loadLeast, int(math.Ceil(loadShare*float64(len(engines)))))
-		for _, o := range s.Relay.Weights.Plan(model, engines, atOnce, now) {
+		for _, o := range s.Routing.Weights.Plan(model, engines, atOnce, now) {
 			e, _ := s.Members.Find(o.Engine)
-			s.Relay.Weights = s.Relay.Weights.WithOrder(o)
+			s.Routing.Weights = s.Routing.Weights.WithOrder(o)
 			s = c.news(s, o.Engine, o.Model)
 			actions = append(actions, state.SendOrder{
 				Endpoint: e,
@@ -216,7 +216,7 @@
 // engines returns the engines of model with the work that they have.
 func (Orders) engines(s state.State, model string, now time.Time) []weight.Engine {
 	var out []weight.Engine
-	for _, v := range s.Relay.Site.Serves(model) {
+	for _, v := range s.Routing.Site.Serves(model) {
 		for _, e := range s.Members.Pool(v.Name) {
 			if e.Node.Role != member.Engine || e.Suspect.After(now) {
 				continue
--- a/internal/ctrl/roster.go
+++ b/internal/ctrl/roster.go
@@ -54,12 +54,12 @@
 
 // read takes what the registry said.
 func (c Roster) read(s state.State, e state.Roster, now time.Time) (state.State, []state.Action) {
-	if e.Version < s.Relay.Listing {
+	if e.Version < s.Routing.Listing {
 		return s, nil
 	}
-	r := s.Relay
+	r := s.Routing
 	r.Listing = e.Version
-	s = s.WithRelay(r)
+	s = s.WithRouting(r)
 	gone := e.Gone
 	if e.Whole {
 		gone = c.missing(s, e.Put)
@@ -88,7 +88,7 @@
 	for _, l := range e.Put {
 		s = s.WithMembers(s.Members.WithListing(l))
 		for model, version := range l.Weights {
-			s.Relay.Weights = s.Relay.Weights.WithHeld(l.Node.Name, model, version)
+			s.Routing.Weights = s.Routing.Weights.WithHeld(l.Node.Name, model, version)
 		}
 		old, known := before.Find(l.Node.Name)
 		if l.Report.Leaving && (!known || !old.Report.Leaving) {
@@ -98,7 +98,7 @@
 	if len(actions) > 0 {
 		// Other instances of a large fleet read the registry seldom. A pulse that
 		// is under way may not tell them yet.
-		s.Relay.Loud = now.Add(loudTime)
+		s.Routing.Loud = now.Add(loudTime)
 		actions = append(actions, pulsesTo(s, s.Others())...)
 	}
 	return s, actions
@@ -118,26 +118,26 @@
 
 // left notes that the entry of name was removed at now.
 func (Roster) left(s state.State, name string, now time.Time) state.State {
-	next := maps.Clone(s.Relay.Left)
+	next := maps.Clone(s.Routing.Left)
 	if next == nil {
 		next = map[string]time.Time{}
 	}
 	next[name] = now
-	s.Relay.Left = next
+	s.Routing.Left = next
 	return s
 }
 
 // quiet forgets what all others have heard, or tells them once more.
 func (Roster) quiet(s state.State, now time.Time) (state.State, []state.Action) {
 	old := func(_ string, at time.Time) bool { return now.Sub(at) > leftLife }
-	for name, at := range s.Relay.Left {
+	for name, at := range s.Routing.Left {
 		if old(name, at) {
-			s.Relay.Left = maps.Clone(s.Relay.Left)
-			maps.DeleteFunc(s.Relay.Left, old)
+			s.Routing.Left = maps.Clone(s.Routing.Left)
+			maps.DeleteFunc(s.Routing.Left, old)
 			break
 		}
 	}
-	if now.After(s.Relay.Loud) {
+	if now.After(s.Routing.Loud) {
 		return s, nil
 	}
 	return s, pulsesTo(s, s.Others())
@@ -170,17 +170,17 @@
 		old, ok := s.Members.Find(name)
 		same = same && ok && reflect.DeepEqual(old.Node, n)
 	}
-	same = same && len(s.Members.Nodes(member.Instance)) == len(s.Relay.Mates)
-	for _, m := range s.Relay.Mates {
+	same = same && len(s.Members.Nodes(member.Instance)) == len(s.Routing.Mates)
+	for _, m := range s.Routing.Mates {
 		old, ok := s.Members.Find(m.Name)
 		same = same && ok && old.Node.Addr == m.Addr
 	}
 	if same {
 		return s
 	}
-	nodes := slices.AppendSeq(slices.Clone(s.Relay.Mates), maps.Values(endpoints))
+	nodes := slices.AppendSeq(slices.Clone(s.Routing.Mates), maps.Values(endpoints))
 	s = s.WithMembers(s.Members.WithList(nodes))
-	s.Relay.Weights = s.Relay.Weights.WithOnly(func(engine string) bool {
+	s.Routing.Weights = s.Routing.Weights.WithOnly(func(engine string) bool {
 		_, ok := endpoints[engine]
 		return ok
 	})
@@ -189,22 +189,22 @@
 
 // going has name count as gone at the given time unless it enters itself again.
 func (Roster) going(s state.State, name string, at time.Time) state.State {
-	if _, ok := s.Relay.Going[name]; ok {
+	if _, ok := s.Routing.Going[name]; ok {
 		return s
 	}
-	next := maps.Clone(s.Relay.Going)
+	next := maps.Clone(s.Routing.Going)
 	if next == nil {
 		next = map[string]time.Time{}
 	}
 	next[name] = at
-	s.Relay.Going = next
+	s.Routing.Going = next
 	return s
 }
 
 // stays forgets that endpoints which are entered were going or had left.
 func (Roster) stays(s state.State, put []member.Listing) state.State {
-	s.Relay.Going = without(s.Relay.Going, put)
-	s.Relay.Left = without(s.Relay.Left, put)
+	s.Routing.Going = without(s.Routing.Going, put)
+	s.Routing.Left = without(s.Routing.Left, put)
 	return s
 }
 
@@ -226,8 +226,8 @@
 // expired drops endpoints that did not return and instances that are not heard.
 func (c Roster) expired(s state.State, now time.Time) (state.State, []state.Action) {
 	var actions []state.Action
-	for _, name := range slices.Sorted(maps.Keys(s.Relay.Going)) {
-		if !s.Relay.Follows || now.Before(s.Relay.Going[name]) || now.Sub(s.Relay.Since) < returnTime {
+	for _, name := range slices.Sorted(maps.Keys(s.Routing.Going)) {
+		if !s.Routing.Follows || now.Before(s.Routing.Going[name]) || now.Sub(s.Routing.Since) < returnTime {
 			continue
 		}
 		nodes := c.endpoints(s)
@@ -249,8 +249,8 @@
 		heard := s.Peer(m.Name).Heard
 		return heard.IsZero() || now.Sub(heard) < mateLife
 	}
-	if i := slices.IndexFunc(s.Relay.Mates, func(m member.Node) bool { return !alive(m) }); i >= 0 {
-		s.Relay.Mates = slices.Delete(slices.Clone(s.Relay.Mates), i, i+1)
+	if i := slices.IndexFunc(s.Routing.Mates, func(m member.Node) bool { return !alive(m) }); i >= 0 {
+		s.Routing.Mates = slices.Delete(slices.Clone(s.Routing.Mates), i, i+1)
 		s = c.listed(s, c.endpoints(s))
 	}
 	return s, actions
@@ -258,7 +258,7 @@
 
 // met adds instances that were not known and takes new addresses.
 func (c Roster) met(s state.State, mates []member.Node, now time.Time) state.State {
-	next := slices.Clone(s.Relay.Mates)
+	next := slices.Clone(s.Routing.Mates)
 	changed := false
 	for _, m := range mates {
 		i := slices.IndexFunc(next, func(o member.Node) bool { return o.Name == m.Name })
@@ -284,7 +284,7 @@
 		}
 		return 1
 	})
-	s.Relay.Mates = next
+	s.Routing.Mates = next
 	return c.listed(s, c.endpoints(s))
 }
 
@@ -311,7 +311,7 @@
 			Report: n.Report,
 		}))
 	}
-	if s.Relay.Follows || !e.Relay.Follows || e.Relay.Listing <= s.Relay.Listing {
+	if s.Routing.Follows || !e.Relay.Follows || e.Relay.Listing <= s.Routing.Listing {
 		return s, nil
 	}
 	return s, []state.Action{
@@ -326,10 +326,10 @@
 
 // followed notes when the store is lost and regained.
 func (Roster) followed(s state.State, e state.Followed, now time.Time) (state.State, []state.Action) {
-	if s.Relay.Follows == e.OK && !s.Relay.Since.IsZero() {
+	if s.Routing.Follows == e.OK && !s.Routing.Since.IsZero() {
 		return s, nil
 	}
-	r := s.Relay
+	r := s.Routing
 	first := r.Since.IsZero()
 	r.Follows = e.OK
 	r.Since = now
@@ -341,7 +341,7 @@
 	if !e.OK {
 		what = "lost"
 	}
-	return s.WithRelay(r), []state.Action{
+	return s.WithRouting(r), []state.Action{
 		state.Note{
 			Event: "dependency",
 			Pairs: []string{"name", "store", "state", what, "reason", e.Reason},
--- a/internal/ctrl/sites.go
+++ b/internal/ctrl/sites.go
@@ -18,7 +18,7 @@
 		return c.found(s, e)
 	case state.Pulse:
 		from, ok := s.Members.Find(e.Name)
-		if !ok || e.Relay.Site <= s.Relay.Site.Version() {
+		if !ok || e.Relay.Site <= s.Routing.Site.Version() {
 			return s, nil
 		}
 		return s, []state.Action{
@@ -31,7 +31,7 @@
 }
 
 func (Sites) found(s state.State, e state.SiteFound) (state.State, []state.Action) {
-	r := s.Relay
+	r := s.Routing
 	if e.Site.Version() <= r.Site.Version() {
 		return s, nil
 	}
@@ -45,7 +45,7 @@
 		},
 	}
 	r.Site = e.Site
-	s = s.WithRelay(r)
+	s = s.WithRouting(r)
 	// Peers are told at once: some of them may not reach the store.
 	return s, append(pulses(s), note)
 }
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -82,14 +82,14 @@
 
 func encodeRoster(s *state.State) ([]byte, error) {
 	out := roster{
-		Version: s.Relay.Listing,
+		Version: s.Routing.Listing,
 	}
 	for _, r := range [...]member.Role{member.Engine, member.Service} {
 		for _, e := range s.Members.Nodes(r) {
 			out.Entries = append(out.Entries, member.Listing{
 				Node:    e.Node,
 				Report:  e.Report,
-				Weights: s.Relay.Weights.HeldBy(e.Node.Name),
+				Weights: s.Routing.Weights.HeldBy(e.Node.Name),
 			})
 		}
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -38,7 +38,7 @@
 	}
 	// An instance that was not known may know few others.
 	p := ctrl.PulseOf(*v)
-	p.Relay.Mates = v.Relay.Mates
+	p.Relay.Mates = v.Routing.Mates
 	return EncodePulse(p), nil
 }
 
@@ -49,7 +49,7 @@
 
 // Site returns the forwarding configuration in force.
 func (s Server) Site(context.Context, *rpcapi.Nothing) (*rpcapi.Blob, error) {
-	data, err := site.Marshal(s.loop.View().Relay.Site)
+	data, err := site.Marshal(s.loop.View().Routing.Site)
 	return &rpcapi.Blob{
 		Data: data,
 	}, err
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -69,7 +69,7 @@
 	defer counted.End()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := newWatch(x.patience(), cancel)
+	watch := newWatchdog(x.patience(), cancel)
 	defer watch.stop()
 	reply, err := x.ends.Open(ctx, call.Attempt{
 		ID:       x.request.ID,
@@ -273,7 +273,7 @@
 }
 
 // instances returns how many instances share a budget.
-func (x *exchange) instances() int { return len(x.control.View().Relay.Mates) + 1 }
+func (x *exchange) instances() int { return len(x.control.View().Routing.Mates) + 1 }
 
 func gone(err error) error {
 	return fault.New(fault.Lost, "the caller left before the answer ended (%v): send the request again if it may be repeated", err).WithRun(fault.Unknown)
--- a/internal/relay/filters.go
+++ b/internal/relay/filters.go
@@ -27,7 +27,7 @@
 // Filter passes r on with its route.
 func (f routes) Filter(ctx context.Context, r chain.Request, w chain.Writer, next chain.Handler) (chain.Result, error) {
 	path, _, _ := strings.Cut(r.Path, "?")
-	route, ok := f.view.View().Relay.Site.Route(r.Host, path)
+	route, ok := f.view.View().Routing.Site.Route(r.Host, path)
 	if !ok {
 		return chain.Result{}, fault.New(fault.Missing, "no route of host %q begins this path: correct the host or the path", r.Host)
 	}
@@ -41,7 +41,7 @@
 
 // Filter passes r on with its team. Requests of anonymous routes have none.
 func (f teams) Filter(ctx context.Context, r chain.Request, w chain.Writer, next chain.Handler) (chain.Result, error) {
-	s := f.view.View().Relay.Site
+	s := f.view.View().Routing.Site
 	if s.Open() || r.Route.Anonymous {
 		r.Secret = ""
 		return next.Handle(ctx, r, w)
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -181,7 +181,7 @@
 // room is the tokens that this instance may have at the engines of a service.
 func (g *gate) room(service string) float64 {
 	s := g.view.View()
-	v, ok := s.Relay.Site.Service(service)
+	v, ok := s.Routing.Site.Service(service)
 	if !ok || v.Memory == 0 {
 		return 0
 	}
@@ -192,7 +192,7 @@
 			engines++
 		}
 	}
-	return slowShare * unevenShare * float64(engines*v.Memory) / float64(len(s.Relay.Mates)+1)
+	return slowShare * unevenShare * float64(engines*v.Memory) / float64(len(s.Routing.Mates)+1)
 }
 
 func (g *gate) pool(service string) *pool {
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -32,7 +32,7 @@
 	s := state.Forwarding(state.Self{
 		Name: "n0",
 	}, lease.New("l", "n0@1"))
-	s.Relay.Site = site.New(1, site.WithServices(site.Service{
+	s.Routing.Site = site.New(1, site.WithServices(site.Service{
 		Name:   "llm",
 		Memory: 2198, // 1000 tokens over both shares
 	}))
--- a/internal/relay/patience.go
+++ b/internal/relay/patience.go
@@ -39,7 +39,7 @@
 	timer *time.Timer
 }
 
-func newWatch(d time.Duration, cancel context.CancelCauseFunc) *watchdog {
+func newWatchdog(d time.Duration, cancel context.CancelCauseFunc) *watchdog {
 	return &watchdog{
 		timer: time.AfterFunc(d, func() { cancel(errSilent) }),
 	}
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -84,7 +84,7 @@
 func (x *exchange) choose() (choice, error) {
 	s := x.control.View()
 	now := x.now()
-	service, ok := s.Relay.Site.Service(x.request.Service)
+	service, ok := s.Routing.Site.Service(x.request.Service)
 	if !ok {
 		return choice{}, fault.New(fault.Unavailable, "the configuration does not describe service %q: come back later", x.request.Service).WithRetry(busyRetry)
 	}
@@ -102,7 +102,7 @@
 	x.log.Info().Str("event", "route").Str("request", x.request.ID).Str("team", x.request.Team).
 		Str("route", x.request.Route.Name).Int("order", x.request.Order()).
 		Str("endpoint", c.endpoint.Node.Name).Str("reason", c.reason).Int("missed", c.missed).Bool("kept", c.kept).Str("source", c.source).
-		Int64("weights", c.weights).Int64("site", s.Relay.Site.Version()).Int64("listing", s.Relay.Listing).
+		Int64("weights", c.weights).Int64("site", s.Routing.Site.Version()).Int64("listing", s.Routing.Listing).
 		Stringer("cost", c.cost.Round(time.Millisecond)).Int("attempt", x.attempts+1).Send()
 	return c, nil
 }
@@ -174,7 +174,7 @@
 
 // prompt chooses for a request with a prompt.
 func (p picker) prompt(pool []member.Endpoint) (choice, bool) {
-	book := p.state.Relay.Weights
+	book := p.state.Routing.Weights
 	homes := p.homes(pool)
 	best := choice{
 		cost: math.MaxInt64,
@@ -248,7 +248,7 @@
 	c := choice{
 		endpoint: e,
 		reason:   "load",
-		weights:  p.state.Relay.Weights.Held(e.Node.Name, p.request.Model),
+		weights:  p.state.Routing.Weights.Held(e.Node.Name, p.request.Model),
 	}
 	c.salt = p.salt(c.weights)
 	shared := p.sharedParts()
@@ -258,7 +258,7 @@
 	from, best := p.source(e, held)
 	c.from = from
 	if v, ok := p.store(); ok {
-		kept = p.held(p.state.Relay.Kept, c.salt, shared)[v.Name]
+		kept = p.held(p.state.Routing.Kept, c.salt, shared)[v.Name]
 	}
 	c.kept = kept == all
 	if len(homes) > 0 && homes[0].endpoint.Node.Name == e.Node.Name {
@@ -327,8 +327,8 @@
 	var best site.Service
 	var most uint64
 	key, found := p.key(), false
-	for _, v := range p.state.Relay.Site.Stores() {
-		if p.state.Relay.Away[v.Name] {
+	for _, v := range p.state.Routing.Site.Stores() {
+		if p.state.Routing.Away[v.Name] {
 			continue
 		}
 		if w := xxhash.Sum64String(v.Name) ^ key; !found || w*spread > most {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -179,10 +179,10 @@
 // pauseOf returns the time between two reads of the registry. It is short while
 // endpoints are missing that may return.
 func pauseOf(s *state.State) time.Duration {
-	if len(s.Relay.Going) > 0 {
+	if len(s.Routing.Going) > 0 {
 		return rosterPause
 	}
-	share := (len(s.Relay.Mates) + rosterFleet) / rosterFleet
+	share := (len(s.Routing.Mates) + rosterFleet) / rosterFleet
 	return min(rosterPause*time.Duration(share), rosterLongest)
 }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -54,8 +54,8 @@
 	Leaving bool
 	// Own is what the instance tells its peers.
 	Own Summary
-	// Relay is what an instance that forwards by routes knows besides.
-	Relay Routing
+	// Routing is what an instance that forwards by routes knows besides.
+	Routing Routing
 	// peers is what is known of other instances. Invariant: never written.
 	peers map[string]Peer
 }
@@ -158,13 +158,13 @@
 	s := New(self)
 	s.Lease = l
 	s.Members = member.Unpolled()
-	s.Relay.On = true
+	s.Routing.On = true
 	return s
 }
 
-// WithRelay returns a copy of s with r.
-func (s State) WithRelay(r Routing) State {
-	s.Relay = r
+// WithRouting returns a copy of s with r.
+func (s State) WithRouting(r Routing) State {
+	s.Routing = r
 	return s
 }
 
@@ -271,11 +271,11 @@
 // instance that is stopping still takes what the balancer sends it.
 func (s State) Ready(now time.Time) (bool, string) {
 	switch {
-	case s.Relay.On && s.Relay.Site.Version() == 0:
+	case s.Routing.On && s.Routing.Site.Version() == 0:
 		return false, "no configuration was found in the store or at a peer"
-	case s.Relay.On && s.Relay.Listing == 0:
+	case s.Routing.On && s.Routing.Listing == 0:
 		return false, "the registry of endpoints was not read in the store or at a peer"
-	case s.Relay.On:
+	case s.Routing.On:
 		return true, ""
 	case !s.Config.Loaded():
 		return false, "no configuration was found in the table, the object store or at a peer"
