ctrl, relay, site: alarms and policies on the users' platform

Cause: found by reading. Promises counts outcomes against the policies in force, and an instance that forwards by routes had none, so that no alarm could ever be raised there. Each route now is a policy over the label route, which the ranks filter matches and Promises judges. Outcomes are collected as often as they are told: three quarters of them did not reach the peers.

--- a/internal/ctrl/follow.go
+++ b/internal/ctrl/follow.go
@@ -33,7 +33,7 @@
 func (c Follow) Step(s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
 	switch e := e.(type) {
 	case state.Tick:
-		if s.Own.Beat%followTicks != 0 {
+		if s.Ticks%followTicks != 0 {
 			return s, nil
 		}
 		return s, c.polls(s)
--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -34,11 +34,16 @@
 func (m Mesh) Step(s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
 	switch e := e.(type) {
 	case state.Tick:
+		s.Ticks++
+		if s.Ticks%max(m.Every, 1) != 0 {
+			return s, nil
+		}
 		return s, []state.Action{state.Collect{}}
 	case state.Pulse:
 		return m.pulse(s, e, now), nil
 	case state.Collected:
-		return m.collected(s, e, now)
+		s = s.WithOwn(e.Summary.Most(mostTold).WithBeat(s.Own.Beat + 1))
+		return s, turn(s, now)
 	case state.Stopping:
 		s = s.WithLeaving()
 		return s, pulses(s)
@@ -75,16 +80,6 @@
 	return s.WithFresh()
 }
 
-func (m Mesh) collected(s state.State, e state.Collected, now time.Time) (state.State, []state.Action) {
-	own := e.Summary.Most(mostTold)
-	own.Beat = s.Own.Beat + 1
-	s = s.WithOwn(own)
-	if m.Every > 1 && own.Beat%m.Every != 0 {
-		return s, nil
-	}
-	return s, turn(s, now)
-}
-
 // pulses sends news to all others, or to some of a larger fleet that forwards by
 // routes: all of its instances have the news from the store and pass it on, and
 // it is enough that those which are cut off hear it from one of them.
--- a/internal/ctrl/sites.go
+++ b/internal/ctrl/sites.go
@@ -8,7 +8,8 @@
 	"github.com/baobabtally/baobabtally/pkg/invar"
 )
 
-// Sites keeps the newest forwarding configuration in force.
+// Sites keeps the newest forwarding configuration in force, and the promises
+// that it makes.
 type Sites struct{}
 
 // Step returns the state after e.
@@ -45,7 +46,7 @@
 		},
 	}
 	r.Site = e.Site
-	s = s.WithRouting(r)
+	s = s.WithRouting(r).WithConfig(s.Config.WithDocument(e.Site.Policies()))
 	// Peers are told at once: some of them may not reach the store.
 	return s, append(pulses(s), note)
 }
--- a/internal/relay/filters.go
+++ b/internal/relay/filters.go
@@ -11,7 +11,6 @@
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
 	"github.com/baobabtally/baobabtally/pkg/label"
-	"github.com/baobabtally/baobabtally/pkg/policy"
 )
 
 // viewer gives the control state as of the last step.
@@ -53,29 +52,23 @@
 	return next.Handle(ctx, r.WithTeam(team), w)
 }
 
-// urgentPriority is up to which priority a route is urgent.
-const urgentPriority = 0
-
-// ranks gives each request its labels and the policy by which it is owed
-// service: its route's.
-type ranks struct{}
+// ranks gives each request its labels and the policy that covers it.
+type ranks struct {
+	view viewer
+}
 
-// Filter passes r on with its policy.
-func (ranks) Filter(ctx context.Context, r chain.Request, w chain.Writer, next chain.Handler) (chain.Result, error) {
+// Filter passes r on with its policy. One whose route came or went a moment ago
+// is owed what the route says.
+func (f ranks) Filter(ctx context.Context, r chain.Request, w chain.Writer, next chain.Handler) (chain.Result, error) {
 	r = r.WithLabels(label.Of(
 		"route", r.Route.Name,
 		"service", r.Service,
 		"team", r.Team,
 		"kind", r.Route.Kind.String(),
 		"priority", strconv.Itoa(r.Priority)))
-	p := policy.Policy{
-		Name:       r.Route.Name,
-		Target:     r.Route.Target,
-		Percentile: 95,
-		Weight:     1,
-	}
-	if r.Route.Priority <= urgentPriority {
-		p.Rank = policy.Urgent
+	p, ok := f.view.View().Config.Document().Match(r.Labels)
+	if !ok {
+		p = r.Route.Policy()
 	}
 	return next.Handle(ctx, r.WithPolicy(p), w)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -198,7 +198,9 @@
 		teams{
 			view: d.loop,
 		},
-		ranks{},
+		ranks{
+			view: d.loop,
+		},
 		filter.NewAccount(d.tally, p.Meter),
 		newGate(d.loop, p.Now, p.Log),
 	)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -54,6 +54,8 @@
 	Leaving bool
 	// Own is what the instance tells its peers.
 	Own Summary
+	// Ticks counts the ticks since the start.
+	Ticks uint64
 	// Routing is what an instance that forwards by routes knows besides.
 	Routing Routing
 	// peers is what is known of other instances. Invariant: never written.
@@ -118,6 +120,12 @@
 	Tally map[string]alarm.Tally
 }
 
+// WithBeat returns a copy of s with the given number.
+func (s Summary) WithBeat(beat uint64) Summary {
+	s.Beat = beat
+	return s
+}
+
 // Most returns a copy of s that tells of at most n endpoints and n teams, those
 // with the most work and usage.
 func (s Summary) Most(n int) Summary {
--- a/pkg/label/label_test.go
+++ b/pkg/label/label_test.go
@@ -82,3 +82,14 @@
 		require.Equal(t, sel.Matches(set), again.Matches(set))
 	})
 }
+
+func TestIsMatchesAsItsText(t *testing.T) {
+	sel := label.Is("route", "r-1")
+	parsed, err := label.Parse(sel.String())
+	require.NoError(t, err)
+	for _, set := range []label.Set{label.Of("route", "r-1", "team", "a"), label.Of("route", "r-2"), label.Of()} {
+		require.Equal(t, parsed.Matches(set), sel.Matches(set), set)
+	}
+	require.True(t, sel.Matches(label.Of("route", "r-1")))
+	require.True(t, label.Is("route", "any text, (here)").Matches(label.Of("route", "any text, (here)")))
+}
--- a/pkg/label/select.go
+++ b/pkg/label/select.go
@@ -52,6 +52,20 @@
 	return fmt.Sprintf("selector %q at byte %d: %s", e.Text, e.Offset, e.Remedy)
 }
 
+// Is returns the selector of sets in which key has value.
+func Is(key, value string) Selector {
+	return Selector{
+		terms: []term{
+			{
+				op:     opIn,
+				key:    key,
+				values: []string{value},
+			},
+		},
+		text: key + "=" + value,
+	}
+}
+
 // Parse reads a selector. The empty selector matches every set.
 func Parse(text string) (Selector, error) {
 	if len(text) > maxSelector {
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -67,6 +67,14 @@
 	faults map[string]string
 }
 
+// New returns a version of policies that have no text, in order of precedence.
+func New(version int64, policies ...Policy) Document {
+	return Document{
+		Version:  version,
+		policies: policies,
+	}
+}
+
 // Match returns the first policy that covers labels.
 func (d Document) Match(labels label.Set) (Policy, bool) {
 	for _, p := range d.policies {
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -4,6 +4,9 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/baobabtally/baobabtally/pkg/label"
+	"github.com/baobabtally/baobabtally/pkg/policy"
 )
 
 // Kind says what may be done with a request again.
@@ -59,6 +62,29 @@
 	Targets []Target
 }
 
+// urgentPriority is up to which priority a route is urgent.
+const urgentPriority = 0
+
+// percentile is the share of a route's requests, in percent, that its target is
+// meant for. The platform states none; operators of the own interface mostly
+// write this one.
+const percentile = 95
+
+// Policy returns what the requests of the route are owed.
+func (r Route) Policy() policy.Policy {
+	p := policy.Policy{
+		Name:       r.Name,
+		Cover:      label.Is("route", r.Name),
+		Target:     r.Target,
+		Percentile: percentile,
+		Weight:     1,
+	}
+	if r.Priority <= urgentPriority {
+		p.Rank = policy.Urgent
+	}
+	return p
+}
+
 // Pick returns the service for a request, given a number that is spread evenly
 // over all values.
 func (r Route) Pick(spread uint64) string {
@@ -210,6 +236,18 @@
 	return Route{}, false
 }
 
+// Policies returns what the requests of each route are owed, by the routes' names.
+func (s Site) Policies() policy.Document {
+	var all []policy.Policy
+	for _, rs := range s.routes {
+		for _, r := range rs {
+			all = append(all, r.Policy())
+		}
+	}
+	slices.SortFunc(all, func(a, b policy.Policy) int { return strings.Compare(a.Name, b.Name) })
+	return policy.New(s.version, all...)
+}
+
 // Service returns the service called name.
 func (s Site) Service(name string) (Service, bool) {
 	v, ok := s.services[name]
