--- a/internal/oper/platform.go
+++ b/internal/oper/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -31,13 +30,9 @@
 }
 
 func (c hosted) run(ctx context.Context, _ output) error {
-	text, err := os.ReadFile(*c.settings)
+	s, err := platform.ReadSettings(*c.settings)
 	if err != nil {
-		return fmt.Errorf("the settings can't be read (%w): name a file with --settings", err)
-	}
-	s, err := platform.ParseSettings(string(text))
-	if err != nil {
-		return fmt.Errorf("%s: %w", *c.settings, err)
+		return err
 	}
 	out := logs.Lossy(c.stdout)
 	defer func() { _ = out.Close() }()
@@ -52,18 +47,13 @@
 	return i.Run(ctx)
 }
 
-// reload hands changed settings to i at each signal, until i ends.
+// reload has i read its settings again at each signal, until i ends.
 func (c hosted) reload(i *platform.Instance, hup <-chan os.Signal) {
 	for {
 		select {
 		case <-hup:
-			text, err := os.ReadFile(*c.settings)
-			if err == nil {
-				err = i.Reload(string(text))
-			}
-			if err != nil {
-				i.Warn("reload", fmt.Errorf("%s: %w; the settings before stay in force", *c.settings, err))
-			}
+			// A failure is logged by the instance, which goes on as before.
+			_ = i.Reload(*c.settings)
 		case <-i.Done():
 			return
 		}
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -26,6 +26,8 @@
 
 func (f fixed) View() *state.State { return &f.state }
 
+func (fixed) Post(state.Event) bool { return true }
+
 // oneEngine is the state of an instance before one engine with room for 1,000
 // tokens of slow work.
 func oneEngine() fixed {
