--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -87,7 +87,7 @@
 func serving(t *testing.T, names ...string) *control {
 	t.Helper()
 	c := newControl()
-	c.step(state.Followed{
+	c.step(state.StoreHeard{
 		OK: true,
 	})
 	c.step(roster(10, names...))
@@ -130,9 +130,9 @@
 
 func TestEntriesThatVanishWithTheStoreMayReturn(t *testing.T) {
 	c := serving(t, "e1", "e2")
-	c.step(state.Followed{})
+	c.step(state.StoreHeard{})
 	c.wait(5 * time.Second)
-	c.step(state.Followed{
+	c.step(state.StoreHeard{
 		OK: true,
 	})
 	c.step(roster(20))
@@ -274,7 +274,7 @@
 
 func TestNewsOfOrdersReachPeers(t *testing.T) {
 	c := serving(t, "e1", "e2")
-	c.step(state.Met{
+	c.step(state.MatesFound{
 		Mates: []member.Node{
 			{
 				Name: "n1",
--- a/internal/ctrl/orders.go
+++ b/internal/ctrl/orders.go
@@ -36,7 +36,7 @@
 		return c.named(s, e, now)
 	case state.Pulse:
 		return c.heard(s, e, now)
-	case state.Weighed:
+	case state.WeightsSeen:
 		return c.held(s, e.Engine, e.Model, e.Version, now)
 	case state.Reported:
 		return c.reported(s, e, now)
--- a/internal/ctrl/roster.go
+++ b/internal/ctrl/roster.go
@@ -22,8 +22,8 @@
 	// leftLife is how long peers are told of an entry that was removed: longer
 	// than the longest pause between two reads of the registry.
 	leftLife = 10 * time.Second
-	// loudTime is for how long all others are told news at each tick.
-	loudTime = 500 * time.Millisecond
+	// repeatTime is for how long news are repeated at each tick.
+	repeatTime = 500 * time.Millisecond
 	// mateLife is how long an instance that is not heard is still told news.
 	mateLife = 30 * time.Second
 )
@@ -36,15 +36,15 @@
 	switch e := e.(type) {
 	case state.Tick:
 		s, actions := c.expired(s, now)
-		s, told := c.quiet(s, now)
+		s, told := c.repeat(s, now)
 		return s, append(actions, told...)
 	case state.Roster:
 		return c.read(s, e, now)
-	case state.Met:
+	case state.MatesFound:
 		return c.met(s, e.Mates, now), nil
 	case state.Pulse:
 		return c.heard(s, e, now)
-	case state.Followed:
+	case state.StoreHeard:
 		return c.followed(s, e, now)
 	case state.Called:
 		return called(s, e, now), nil
@@ -98,7 +98,7 @@
 	if len(actions) > 0 {
 		// Other instances of a large fleet read the registry seldom. A pulse that
 		// is under way may not tell them yet.
-		s.Routing.Loud = now.Add(loudTime)
+		s.Routing.RepeatUntil = now.Add(repeatTime)
 		actions = append(actions, pulsesTo(s, s.Others())...)
 	}
 	return s, actions
@@ -127,8 +127,8 @@
 	return s
 }
 
-// quiet forgets what all others have heard, or tells them once more.
-func (Roster) quiet(s state.State, now time.Time) (state.State, []state.Action) {
+// repeat tells all others recent news once more, and forgets what they have heard.
+func (Roster) repeat(s state.State, now time.Time) (state.State, []state.Action) {
 	old := func(_ string, at time.Time) bool { return now.Sub(at) > leftLife }
 	for name, at := range s.Routing.Left {
 		if old(name, at) {
@@ -137,7 +137,7 @@
 			break
 		}
 	}
-	if now.After(s.Routing.Loud) {
+	if now.After(s.Routing.RepeatUntil) {
 		return s, nil
 	}
 	return s, pulsesTo(s, s.Others())
@@ -325,7 +325,7 @@
 }
 
 // followed notes when the store is lost and regained.
-func (Roster) followed(s state.State, e state.Followed, now time.Time) (state.State, []state.Action) {
+func (Roster) followed(s state.State, e state.StoreHeard, now time.Time) (state.State, []state.Action) {
 	if s.Routing.Follows == e.OK && !s.Routing.Since.IsZero() {
 		return s, nil
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -208,7 +208,7 @@
 		Str("cause", f.Cause.String()).Bool("sent", f.Sent).Bool("begun", x.begun).Int("attempt", x.attempts).
 		Str("detail", f.Detail).Send()
 	if f.Weights > 0 {
-		x.control.Post(state.Weighed{
+		x.control.Post(state.WeightsSeen{
 			Engine:  name,
 			Model:   x.request.Model,
 			Version: f.Weights,
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -68,7 +68,7 @@
 
 // Read tells whether the store answers.
 func (s registrySink) Read(ctx context.Context, err error) {
-	e := state.Followed{
+	e := state.StoreHeard{
 		OK: err == nil,
 	}
 	if err != nil {
--- a/internal/relay/join.go
+++ b/internal/relay/join.go
@@ -33,7 +33,7 @@
 
 // join makes the instance known to the others and the others to it.
 func (i *Relay) join(ctx context.Context) error {
-	seeds := state.Met{
+	seeds := state.MatesFound{
 		Mates: i.parts.Seeds,
 	}
 	if err := i.Loop.Tell(ctx, seeds); err != nil {
@@ -63,7 +63,7 @@
 	own := store.Row{
 		Key: instances + "/" + self.Name,
 	}
-	met := state.Met{}
+	met := state.MatesFound{}
 	for _, r := range b.Rows {
 		if r.Key == self.Name {
 			own.Version, own.Value = r.Version, r.Value
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -170,22 +170,22 @@
 	Source string
 }
 
-// Met is other instances that this one learned of.
-type Met struct {
+// MatesFound is other instances that this one learned of.
+type MatesFound struct {
 	// Mates are the instances.
 	Mates []member.Node
 }
 
-// Followed is the outcome of a read of the platform's store.
-type Followed struct {
+// StoreHeard is the outcome of a read of the platform's store.
+type StoreHeard struct {
 	// OK tells that the store answered.
 	OK bool
 	// Reason says why it did not.
 	Reason string
 }
 
-// Weighed is the version of a model that an engine was seen with.
-type Weighed struct {
+// WeightsSeen is the version of a model that an engine was seen with.
+type WeightsSeen struct {
 	// Engine, Model and Version tell what was seen.
 	Engine  string
 	Model   string
@@ -343,13 +343,13 @@
 func (Roster) Event() string { return "roster" }
 
 // Event returns the event's name.
-func (Met) Event() string { return "met" }
+func (MatesFound) Event() string { return "mates" }
 
 // Event returns the event's name.
-func (Followed) Event() string { return "followed" }
+func (StoreHeard) Event() string { return "store" }
 
 // Event returns the event's name.
-func (Weighed) Event() string { return "weighed" }
+func (WeightsSeen) Event() string { return "weights" }
 
 // Event returns the event's name.
 func (Ordered) Event() string { return "ordered" }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -89,8 +89,8 @@
 	// Left are endpoints whose entries were removed lately, and when. Invariant:
 	// never written.
 	Left map[string]time.Time
-	// Loud is until when all others are told at each tick.
-	Loud time.Time
+	// RepeatUntil is until when news are told to all others at each tick.
+	RepeatUntil time.Time
 	// News is what the others have to be told of engines' weights. Invariant:
 	// never written.
 	News []EngineWeights
