--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,6 +15,8 @@
 	// firstPause and lastPause bound the pause after a failed read.
 	firstPause = 150 * time.Millisecond
 	lastPause  = 900 * time.Millisecond
+	// jitter is the part of a pause by which it differs at most.
+	jitter = 4
 	// answerLimit is how long a read may take beyond the time for which it asks
 	// the store to wait.
 	answerLimit = 1500 * time.Millisecond
@@ -95,7 +98,7 @@
 			return nil
 		}
 		t.sink.Read(ctx, err)
-		rest := t.pause() - time.Since(begin)
+		rest := jittered(t.pause()) - time.Since(begin)
 		if err != nil {
 			rest = pause
 			pause = min(2*pause, lastPause)
@@ -109,6 +112,12 @@
 	return nil
 }
 
+// jittered returns a time around d. Instances that start together would read
+// together, and none would see what changes between.
+func jittered(d time.Duration) time.Duration {
+	return d - d/jitter + rand.N(2*d/jitter+1)
+}
+
 // read reads once and hands on what is new.
 func (t *Table) read(ctx context.Context) error {
 	if !t.whole {
