relay: slow work keeps to its share of the slots too

Cause: on the grown deployments engines have 32 or 24 slots for memory of 70 thousand tokens.

Change: a slot counts as its part of the memory.

Test that failed first: TestSlowWorkKeepsToItsShareOfTheSlots.

--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -12,11 +12,12 @@
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/policy"
 	"github.com/baobabtally/baobabtally/pkg/queue"
+	"github.com/baobabtally/baobabtally/pkg/site"
 )
 
 const (
-	// slowShare is the part of the engines' memory that work which is not urgent
-	// may take. The rest is for urgent work and for cached parts, without which
+	// slowShare is the part of the engines' memory and slots that work which is
+	// not urgent may take. The rest is for urgent work and for cached parts, without which
 	// urgent prompts are read whole.
 	slowShare = 0.35
 	// unevenShare is how much more than its equal part an instance may use, since
@@ -34,7 +35,7 @@
 )
 
 // gate holds back work that is not urgent while it fills its share of the
-// engines' memory. It is safe for concurrent use.
+// engines' memory and slots. It is safe for concurrent use.
 type gate struct {
 	view viewer
 	now  func() time.Time
@@ -53,7 +54,7 @@
 	// running is the tokens of the work that has its turn.
 	running float64
 	// speed is the tokens a second that got their turn while others waited.
-	speed rate
+	speed speed
 }
 
 func newGate(v viewer, now func() time.Time, log zerolog.Logger) *gate {
@@ -71,33 +72,40 @@
 	if len(r.Parts) == 0 || r.Policy.Rank == policy.Urgent || r.After != "" {
 		return next.Handle(ctx, r, w)
 	}
-	if err := g.enter(ctx, r); err != nil {
+	service, _ := g.view.View().Routing.Site.Service(r.Service)
+	cost := memory(r, service)
+	if err := g.enter(ctx, r, cost); err != nil {
 		return chain.Result{}, err
 	}
-	defer g.leave(r)
+	defer g.leave(r, cost)
 	return next.Handle(ctx, r, w)
 }
 
-// memory is the tokens that r takes at an engine.
-func memory(r chain.Request) float64 {
-	return float64(r.Tokens) + outputShare*float64(r.Output) + 1
+// memory is the tokens that r takes at an engine of service v. A slot counts as
+// its part of the memory, so that requests which are small don't take all slots.
+func memory(r chain.Request, v site.Service) float64 {
+	tokens := float64(r.Tokens) + outputShare*float64(r.Output) + 1
+	if v.Slots == 0 {
+		return tokens
+	}
+	return max(tokens, float64(v.Memory)/float64(v.Slots))
 }
 
-// enter returns when it is r's turn.
-func (g *gate) enter(ctx context.Context, r chain.Request) error {
+// enter returns when it is r's turn. Work of the given cost is then under way.
+func (g *gate) enter(ctx context.Context, r chain.Request, cost float64) error {
 	room := g.room(r.Service)
 	limit := patienceOf(r)
 	g.mu.Lock()
 	p := g.pool(r.Service)
-	if p.waiting.Len(policy.Normal) == 0 && p.running+memory(r) <= room {
-		p.take(memory(r), g.now())
+	if p.waiting.Len(policy.Normal) == 0 && p.running+cost <= room {
+		p.take(cost, g.now())
 		g.mu.Unlock()
 		return nil
 	}
 	item := queue.Item{
 		ID:     p.next,
 		Team:   r.Team,
-		Cost:   memory(r),
+		Cost:   cost,
 		Weight: 1,
 	}
 	p.next++
@@ -142,12 +150,12 @@
 }
 
 // leave gives r's room to others.
-func (g *gate) leave(r chain.Request) {
+func (g *gate) leave(r chain.Request, cost float64) {
 	room := g.room(r.Service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.pool(r.Service)
-	p.running -= memory(r)
+	p.running -= cost
 	g.grant(p, room)
 }
 
@@ -221,8 +229,8 @@
 	return time.Duration((p.waiting.Ahead(item) + item.Cost) / speed * float64(time.Second))
 }
 
-// rate measures tokens a second over the last few spans.
-type rate struct {
+// speed measures tokens a second over the last few spans.
+type speed struct {
 	began time.Time
 	sum   float64
 	value float64
@@ -236,7 +244,7 @@
 )
 
 // add counts tokens at now.
-func (r *rate) add(tokens float64, now time.Time) {
+func (r *speed) add(tokens float64, now time.Time) {
 	if r.began.IsZero() {
 		r.began = now
 	}
@@ -253,4 +261,4 @@
 	r.began, r.sum = now, 0
 }
 
-func (r *rate) perSecond() float64 { return r.value }
+func (r *speed) perSecond() float64 { return r.value }
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -123,6 +123,26 @@
 	}
 }
 
+func TestSlowWorkKeepsToItsShareOfTheSlots(t *testing.T) {
+	view := oneEngine()
+	service, _ := view.state.Routing.Site.Service("llm")
+	service.Slots = 4
+	service.Memory = 1 << 20
+	view.state.Routing.Site = site.New(2, site.WithServices(service))
+	g := newGate(view, time.Now, zerolog.Nop())
+	h := &held{
+		let: make(chan struct{}),
+	}
+	var all sync.WaitGroup
+	for range 4 {
+		all.Go(func() { _, _ = g.Filter(t.Context(), slowRequest("loom", policy.Normal), nil, h) })
+	}
+	require.Eventually(t, func() bool { return h.now() == 1 }, time.Second, time.Millisecond)
+	require.Never(t, func() bool { return h.now() > 1 }, 50*time.Millisecond, time.Millisecond)
+	close(h.let)
+	all.Wait()
+}
+
 // atOnce serves at once.
 type atOnce struct{}
 
