relay, ctrl: weights named before a start are old; each its part of a store's link

Change: what is found with the first configuration was named nobody knows when. Engines that lack it are left out, unless none has it. Tests that failed first: TestInstanceThatStartsCannotTellWhenWeightsWereNamed, TestWeightsThatWereNamedBeforeTheStartAreTakenForOld.

Links: in a large fleet only followers filled the stores of cached prompts. Change: all fill the stores, and each instance keeps to its part of each link. Test: TestInstanceKeepsToItsPartOfTheStoresLink.

--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -249,6 +249,35 @@
 	require.Empty(t, c.orders(), "the lease is over")
 }
 
+func TestInstanceThatStartsCannotTellWhenWeightsWereNamed(t *testing.T) {
+	c := newControl()
+	c.step(state.SiteFound{
+		Site: site.New(5),
+	})
+	found := state.Named{
+		Model:   "m",
+		Version: 3,
+	}
+	c.step(found)
+	require.True(t, c.state.Routing.Weights.Named("m").Since.IsZero())
+	c.wait(2 * time.Second)
+	c.step(state.Named{
+		Model:   "other",
+		Version: 1,
+	})
+	require.Equal(t, c.now, c.state.Routing.Weights.Named("other").Since, "named while the instance ran")
+	alone := newControl()
+	alone.step(state.Pulse{
+		Name: "n1",
+		Relay: state.Relay{
+			Named: map[string]int64{
+				"m": 3,
+			},
+		},
+	})
+	require.True(t, alone.state.Routing.Weights.Named("m").Since.IsZero(), "a peer told it before there was a configuration")
+}
+
 func TestOrderOfUnknownOutcomeIsGivenAgain(t *testing.T) {
 	c := serving(t, "e1")
 	c.hold(t)
--- a/internal/ctrl/orders.go
+++ b/internal/ctrl/orders.go
@@ -20,6 +20,9 @@
 	// and loadLeast their least number. The others serve meanwhile.
 	loadShare = 0.34
 	loadLeast = 2
+	// foundTime is how soon after its first configuration an instance learns of
+	// the weights that were named before it started: some reads of the store.
+	foundTime = 1 * time.Second
 )
 
 // Orders brings engines to the weights that are wanted.
@@ -50,10 +53,16 @@
 	if e.Version <= s.Routing.Weights.Named(e.Model).Version {
 		return s, nil
 	}
-	s.Routing.Weights = s.Routing.Weights.WithNamed(e.Model, e.Version, now)
+	first := s.Routing.Weights.Named(e.Model).Version == 0
+	found := first && (s.Routing.Began.IsZero() || now.Sub(s.Routing.Began) < foundTime)
+	if found {
+		s.Routing.Weights = s.Routing.Weights.WithFound(e.Model, e.Version)
+	} else {
+		s.Routing.Weights = s.Routing.Weights.WithNamed(e.Model, e.Version, now)
+	}
 	note := state.Note{
 		Event: "named",
-		Pairs: []string{"model", e.Model, "version", strconv.FormatInt(e.Version, 10)},
+		Pairs: []string{"model", e.Model, "version", strconv.FormatInt(e.Version, 10), "found", yes(found)},
 	}
 	s, actions := c.plan(s, now)
 	return s, append(append(actions, pulses(s)...), note)
--- a/internal/ctrl/sites.go
+++ b/internal/ctrl/sites.go
@@ -13,10 +13,10 @@
 type Sites struct{}
 
 // Step returns the state after e.
-func (c Sites) Step(s state.State, e state.Event, _ time.Time) (state.State, []state.Action) {
+func (c Sites) Step(s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
 	switch e := e.(type) {
 	case state.SiteFound:
-		return c.found(s, e)
+		return c.found(s, e, now)
 	case state.Pulse:
 		from, ok := s.Members.Find(e.Name)
 		if !ok || e.Relay.Site <= s.Routing.Site.Version() {
@@ -31,7 +31,7 @@
 	return s, nil
 }
 
-func (Sites) found(s state.State, e state.SiteFound) (state.State, []state.Action) {
+func (Sites) found(s state.State, e state.SiteFound, now time.Time) (state.State, []state.Action) {
 	r := s.Routing
 	if e.Site.Version() <= r.Site.Version() {
 		return s, nil
@@ -45,6 +45,9 @@
 			"source", e.Source,
 		},
 	}
+	if r.Site.Version() == 0 {
+		r.Began = now
+	}
 	r.Site = e.Site
 	s = s.WithRouting(r).WithConfig(s.Config.WithDocument(e.Site.Policies()))
 	// Peers are told at once: some of them may not reach the store.
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -41,6 +41,7 @@
 	log     zerolog.Logger
 	bounds  Bounds
 	budgets *budgets
+	links   *links
 }
 
 func newForward(d *doer, p Parts) forward {
@@ -52,6 +53,7 @@
 		log:     p.Log,
 		bounds:  p.Bounds,
 		budgets: newBudgets(p.Bounds),
+		links:   newLinks(),
 	}
 }
 
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -35,8 +35,11 @@
 	// source and target are where cached parts may come from and go to.
 	source string
 	target string
-	// missed is the tokens that are expected to be read.
+	// missed is the tokens that are expected to be read, unread those of them
+	// that other requests share, and moved the shared ones that a store may send.
 	missed int
+	unread int
+	moved  int
 	limit  int
 	cost   time.Duration
 	reason string
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/baobabtally/baobabtally/internal/ctrl"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/prefix"
 	"github.com/baobabtally/baobabtally/pkg/site"
@@ -94,9 +93,18 @@
 			best, most = v, w
 		}
 	}
+	if best.Name != "" && !p.links.open(best, p.token(), p.instances(), p.now) {
+		return site.Service{}
+	}
 	return best
 }
 
+// token is the bytes of a cached token of the request's service.
+func (p picker) token() int {
+	service, _ := p.state.Routing.Site.Service(p.request.Service)
+	return service.Token
+}
+
 // salt keeps cached parts of models, versions and dedicated teams apart.
 func (p picker) salt(weights int64) string {
 	team := ""
@@ -109,17 +117,43 @@
 // best returns the engine of pool with the least cost. Engines under order, and
 // those whose weights are too old to begin on, are left out.
 func (p prompt) best(pool []member.Endpoint) (choice, bool) {
+	best, ok := p.among(pool, func(age time.Duration) bool { return age <= p.bounds.WeightsIn-staleMargin })
+	if !ok {
+		best, ok = p.among(p.newest(pool), func(time.Duration) bool { return true })
+	}
+	if ok {
+		best.source, best.target = p.copies(best)
+	}
+	return best, ok
+}
+
+// newest returns the engines with the newest weights, if it is not known when
+// the ones that they lack were named: an instance that just started can't tell,
+// and where no engine has them they are likely new.
+func (p prompt) newest(pool []member.Endpoint) []member.Endpoint {
+	book := p.state.Routing.Weights
+	held := func(e member.Endpoint) int64 { return book.Held(e.Node.Name, p.request.Model) }
+	newest := slices.MaxFunc(pool, func(a, b member.Endpoint) int { return cmp.Compare(held(a), held(b)) })
+	return slices.DeleteFunc(slices.Clone(pool), func(e member.Endpoint) bool {
+		since, behind := book.Behind(e.Node.Name, p.request.Model)
+		return held(e) < held(newest) || behind && !since.IsZero()
+	})
+}
+
+// among returns the best of engines. Those that lack weights for a time that
+// young does not grant are left out.
+func (p prompt) among(engines []member.Endpoint, young func(age time.Duration) bool) (choice, bool) {
 	book := p.state.Routing.Weights
 	best := choice{
 		cost: math.MaxInt64,
 	}
-	for _, e := range pool {
+	for _, e := range engines {
 		if _, busy := book.Ordered(e.Node.Name, p.now); busy {
 			continue
 		}
 		since, behind := book.Behind(e.Node.Name, p.request.Model)
 		age := p.now.Sub(since)
-		if behind && age > p.bounds.WeightsIn-staleMargin {
+		if behind && !young(age) {
 			continue
 		}
 		c := p.score(e)
@@ -130,11 +164,7 @@
 			best = c
 		}
 	}
-	if best.cost == math.MaxInt64 {
-		return best, false
-	}
-	best.source, best.target = p.copies(best)
-	return best, true
+	return best, best.cost != math.MaxInt64
 }
 
 // score returns the choice of e with its cost.
@@ -158,6 +188,7 @@
 	case local == p.all && p.all > 0:
 		c.reason = "prefix"
 	}
+	c.moved = p.all - local
 	// An engine's own link is mostly idle; the store's serves all engines.
 	moved, moveCost := max(most-local, 0), 1.0
 	if kept > most {
@@ -165,11 +196,11 @@
 		c.from = ""
 	}
 	reachable := max(kept, local, most)
-	unread := p.all - reachable
+	c.unread = p.all - reachable
 	c.missed = prefix.Total(p.request.Parts) - reachable
 	work := p.state.Loads.Work(e.Node.Name, p.gauge.Work(e.Node.Name), readRate*1000, p.now)
 	c.cost = millis(float64(work.Tokens)/readRate) + time.Duration(work.Calls)*callCost +
-		millis(float64(c.missed)/readRate) + millis(readWeight*float64(unread)/readRate) +
+		millis(float64(c.missed)/readRate) + millis(readWeight*float64(c.unread)/readRate) +
 		millis(moveCost*float64(moved)/moveRate) + p.distance(e)
 	return c
 }
@@ -218,11 +249,27 @@
 	if c.from != "" {
 		source = c.from
 	}
-	if c.kept || !ctrl.FollowsStore(*p.state, p.store) {
-		// An instance that does not follow the store can't tell what it lacks.
+	if c.kept {
 		target = ""
 	}
+	p.links.take(p.store, p.transfer(c, source, target), p.now)
 	return source, target
 }
 
+// transfer is the tokens that are expected to cross the store's link, those to
+// another failure domain counted for the time that they take.
+func (p prompt) transfer(c choice, source, target string) float64 {
+	tokens := 0.0
+	if source == p.store.Store {
+		tokens += float64(c.moved)
+	}
+	if target != "" {
+		tokens += float64(c.unread)
+	}
+	if c.endpoint.Node.Domain != p.store.Domain {
+		tokens *= afarTimes
+	}
+	return tokens
+}
+
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/relay/prompt_test.go
+++ b/internal/relay/prompt_test.go
@@ -84,6 +84,12 @@
 
 // chosen returns the choice for r on s.
 func chosen(t *testing.T, s state.State, r chain.Request, tried ...string) (choice, bool) {
+	t.Helper()
+	return chosenWith(t, s, newLinks(), r, tried...)
+}
+
+// chosenWith is chosen for an instance that used some of the stores' links.
+func chosenWith(t *testing.T, s state.State, l *links, r chain.Request, tried ...string) (choice, bool) {
 	t.Helper()
 	x := &exchange{
 		forward: forward{
@@ -93,6 +99,7 @@
 			gauge: &load.Gauge{},
 			now:   func() time.Time { return begin },
 			log:   zerolog.Nop(),
+			links: l,
 			bounds: Bounds{
 				WeightsIn: 8 * time.Second,
 			},
@@ -170,6 +177,24 @@
 	require.False(t, ok, "rather none than one that is too old")
 }
 
+func TestWeightsThatWereNamedBeforeTheStartAreTakenForOld(t *testing.T) {
+	s := engines()
+	home, _ := chosen(t, s, long())
+	book := s.Routing.Weights.WithFound("m", 3).WithHeld("e0", "m", 2)
+	s.Routing.Weights = book
+	c, ok := chosen(t, s, long())
+	require.True(t, ok, "no engine has them, so that they are likely new")
+	require.Equal(t, "e0", c.endpoint.Node.Name, "the newest that there are")
+	other := "e1"
+	if home.endpoint.Node.Name == other {
+		other = "e2"
+	}
+	s.Routing.Weights = book.WithHeld(other, "m", 3)
+	c, ok = chosen(t, s, long())
+	require.True(t, ok)
+	require.Equal(t, other, c.endpoint.Node.Name)
+}
+
 func TestDedicatedTeamHasASaltOfItsOwn(t *testing.T) {
 	r := long()
 	r.Team = "braid"
@@ -199,3 +224,32 @@
 	require.LessOrEqual(t, float64(taken), bounds.RetryShare*instances*100+bounds.RetryExtra)
 	require.Greater(t, taken, 150)
 }
+
+// withLink is the state of an instance whose store has a link for the given
+// prompts a second.
+func withLink(prompts float64) state.State {
+	s := engines()
+	llm, _ := s.Routing.Site.Service("llm")
+	llm.Token = 1000
+	keep, _ := s.Routing.Site.Service("keep")
+	keep.Link = prompts * 6300 * float64(llm.Token)
+	s.Routing.Site = site.New(2, site.WithServices(llm, keep))
+	return s
+}
+
+func TestInstanceKeepsToItsPartOfTheStoresLink(t *testing.T) {
+	s := withLink(0.1)
+	open := newLinks()
+	used := 0
+	for range 20 {
+		c, ok := chosenWith(t, s, open, long())
+		require.True(t, ok, "the request is served without the store")
+		if c.source != "" {
+			used++
+		}
+	}
+	require.Positive(t, used)
+	require.Less(t, used, 20)
+	c, _ := chosenWith(t, withLink(1000), newLinks(), long())
+	require.NotEmpty(t, c.source)
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -66,8 +66,9 @@
 type Routing struct {
 	// On tells that the instance does.
 	On bool
-	// Site is the configuration in force.
-	Site site.Site
+	// Site is the configuration in force, and Began when the first one came.
+	Site  site.Site
+	Began time.Time
 	// Weights is which weights are wanted and which engines hold.
 	Weights weight.Book
 	// Listing is the version of the registry of endpoints that is known; 0 before
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -123,6 +123,10 @@
 	Domain string
 	// Follows is how many calls for cache events an endpoint takes at once.
 	Follows int
+	// Token is the bytes of one cached prompt token.
+	Token int
+	// Link is the bytes a second that a store's link carries.
+	Link float64
 }
 
 // Team is who callers belong to.
--- a/pkg/weight/book.go
+++ b/pkg/weight/book.go
@@ -19,7 +19,8 @@
 type Named struct {
 	// Version grows with each release of the model. It is 0 before the first.
 	Version int64
-	// Since is when this instance learned of it.
+	// Since is when this instance learned of it; the zero time where it was named
+	// before the instance started, nobody knows when.
 	Since time.Time
 }
 
@@ -73,6 +74,12 @@
 	return b
 }
 
+// WithFound returns a copy of b in which version of model was named before this
+// instance started.
+func (b Book) WithFound(model string, version int64) Book {
+	return b.WithNamed(model, version, time.Time{})
+}
+
 // Behind returns since when engine lacks a version of model that is wanted, and
 // whether it does. Each version is judged from its own naming.
 func (b Book) Behind(engine, model string) (time.Time, bool) {
