relay, platform: a silent attempt goes on where its engine has it under way

Cause: urgent streams were given up after 1.2 s of silence and read once more elsewhere. Change: the engine's report is asked first; a run that it names goes on. Ruled out: an engine that reports at all counts as alive (users name engines that report well and answer nothing).

--- a/internal/relay/patience.go
+++ b/internal/relay/patience.go
@@ -4,6 +4,8 @@
 	"context"
 	"strconv"
 	"time"
+
+	"github.com/baobabtally/baobabtally/internal/state"
 )
 
 const (
@@ -16,6 +18,9 @@
 	// silentShare is the part of that time after which a silent attempt at a
 	// stream is given up, so that another one can still answer.
 	silentShare = 0.6
+	// reportLimit is how long an endpoint may take to report: several ways and
+	// the store's slowest answers.
+	reportLimit = 250 * time.Millisecond
 	// longSilence bounds the silence of all other requests.
 	longSilence = 10 * time.Second
 )
@@ -34,15 +39,53 @@
 	return time.Duration(silentShare * float64(x.waits()))
 }
 
+// underWay tells whether the endpoint of a silent attempt still has it under
+// way. Elsewhere the prompt would be read once more, and busy endpoints would
+// keep all others waiting longer.
+func (x *exchange) underWay(ctx context.Context, c choice) bool {
+	if !x.request.Stream || !x.request.Route.Resumable {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportLimit)
+	defer cancel()
+	held, err := x.ends.Holds(ctx, c.endpoint.Node, x.request.ID)
+	line := x.log.Info().Str("event", "silent").Str("request", x.request.ID).Str("endpoint", c.endpoint.Node.Name).
+		Int("attempt", x.attempts).Bool("held", held)
+	if err != nil {
+		line = line.Str("detail", err.Error())
+	}
+	line.Send()
+	if held {
+		x.control.Post(state.Called{
+			Endpoint: c.endpoint.Node.Name,
+			Failed:   true,
+		})
+	}
+	return held
+}
+
 // watchdog gives an attempt up that stays silent.
 type watchdog struct {
 	timer *time.Timer
 }
 
-func newWatchdog(d time.Duration, cancel context.CancelCauseFunc) *watchdog {
-	return &watchdog{
-		timer: time.AfterFunc(d, func() { cancel(errSilent) }),
-	}
+// newWatchdog returns a watchdog that calls cancel after d without an event. It
+// grants as much once more where underWay says so.
+func newWatchdog(d time.Duration, underWay func() bool, cancel context.CancelCauseFunc) *watchdog {
+	w := &watchdog{}
+	granted := false
+	armed := make(chan struct{})
+	w.timer = time.AfterFunc(d, func() {
+		<-armed
+		if !granted && underWay() {
+			granted = true
+			w.timer.Reset(d)
+			return
+		}
+		cancel(errSilent)
+	})
+	close(armed)
+	return w
 }
 
 // next allows d more for what follows.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -75,6 +75,9 @@
 type ends interface {
 	Open(ctx context.Context, a call.Attempt) (call.Reply, error)
 	Load(ctx context.Context, n member.Node) (member.Report, load.Work, error)
+	// Holds tells whether an engine reports that it has the request id under way,
+	// or others that wait, of which it may be one.
+	Holds(ctx context.Context, n member.Node, id string) (bool, error)
 	// Events returns what an endpoint stored and dropped after event number after.
 	Events(ctx context.Context, n member.Node, after int64) (state.Cached, error)
 	// Order has an engine take new weights if it took expected orders before.
