--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -32,8 +33,26 @@
 	store    metric.Int64Counter
 	// decisions counts what changed the control state or left it.
 	decisions metric.Int64Counter
+	// choices, read and failures are of instances that forward by routes.
+	choices  metric.Int64Counter
+	read     metric.Int64Counter
+	failures metric.Int64Counter
+	wait     metric.Float64Histogram
+	// gauges makes instruments that are read when they are asked for.
+	gauges metric.Meter
 }
 
+// Point is one value of a gauge.
+type Point struct {
+	// Labels are name and value by turns.
+	Labels []string
+	// Value is the value.
+	Value int64
+}
+
+// waitBounds are the bounds, in seconds, of the times that work waits for its turn.
+var waitBounds = []float64{0.001, 0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2}
+
 // firstBounds are the bounds, in seconds, of the times to first token.
 var firstBounds = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 0.96, 1.2, 1.6, 2.4, 5, 10, 30}
 
@@ -69,6 +88,9 @@
 	m.attempts = counter("extra_attempts", "attempts beyond the first of each request")
 	m.store = counter("store_calls", "calls to the platform's store by kind and outcome")
 	m.decisions = counter("decisions", "events of the control thread by kind")
+	m.choices = counter("choices", "attempts by the reason for their endpoint and the source of cached parts")
+	m.read = counter("expected_read_tokens", "tokens of prompts that endpoints were expected to read")
+	m.failures = counter("failed_attempts", "attempts that failed, by cause")
 	m.breaches = counter("invariant_breaches", "promises that did not hold, by rule")
 	first, err := p.Float64Histogram("first_token_seconds",
 		metric.WithDescription("time to first token by rank"),
@@ -77,6 +99,13 @@
 		failed = err
 	}
 	m.first = first
+	m.wait, err = p.Float64Histogram("turn_seconds",
+		metric.WithDescription("time for which work that is not urgent waited for its turn"),
+		metric.WithExplicitBucketBoundaries(waitBounds...))
+	if err != nil {
+		failed = err
+	}
+	m.gauges = p
 	return failed
 }
 
@@ -114,6 +143,39 @@
 	m.decisions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
 }
 
+// Chosen counts an attempt's endpoint.
+func (m *Meter) Chosen(reason, source string, read int) {
+	labels := metric.WithAttributes(attribute.String("reason", reason), attribute.String("source", source))
+	m.choices.Add(context.Background(), 1, labels)
+	m.read.Add(context.Background(), int64(read), labels)
+}
+
+// Failed counts an attempt that failed.
+func (m *Meter) Failed(cause string) {
+	m.failures.Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", cause)))
+}
+
+// Waited counts a turn that was waited for, or waited for in vain.
+func (m *Meter) Waited(wait time.Duration, served bool) {
+	m.wait.Record(context.Background(), wait.Seconds(), metric.WithAttributes(attribute.Bool("served", served)))
+}
+
+// Gauge has read asked for the values of a gauge whenever metrics are.
+func (m *Meter) Gauge(name, about string, read func() []Point) error {
+	_, err := m.gauges.Int64ObservableGauge(name, metric.WithDescription(about),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for _, p := range read() {
+				var labels []attribute.KeyValue
+				for i := 0; i+1 < len(p.Labels); i += 2 {
+					labels = append(labels, attribute.String(p.Labels[i], p.Labels[i+1]))
+				}
+				o.Observe(p.Value, metric.WithAttributes(labels...))
+			}
+			return nil
+		}))
+	return errors.Annotatef(err, "the gauge %s can't be made: report this", name)
+}
+
 // Breach counts a promise that did not hold.
 func (m *Meter) Breach(b invar.Breach) {
 	m.breaches.Add(context.Background(), 1, metric.WithAttributes(attribute.String("rule", b.Rule.String())))
--- a/internal/oper/platform.go
+++ b/internal/oper/platform.go
@@ -17,6 +17,7 @@
 type hosted struct {
 	settings *string
 	level    *string
+	metrics  *int
 	stdout   io.Writer
 }
 
@@ -25,6 +26,7 @@
 	commands["platform"] = hosted{
 		settings: c.Flag("settings", "The file with the platform's settings.").Envar("BAOBABTALLY_CONFIG").Required().String(),
 		level:    c.Flag("level", "The least level that is logged.").Default("info").Enum("debug", "info", "warn", "error"),
+		metrics:  c.Flag("metrics-port", "A port of the machine's address for /metrics, besides the control address; 0 for none.").Default("0").Int(),
 		stdout:   stdout,
 	}
 }
@@ -36,7 +38,7 @@
 	}
 	out := logs.Lossy(c.stdout)
 	defer func() { _ = out.Close() }()
-	i, err := platform.New(s, logs.Bounded(logs.New(out, *c.level)))
+	i, err := platform.New(s, logs.Bounded(logs.New(out, *c.level)), platform.WithMetrics(*c.metrics))
 	if err != nil {
 		return err
 	}
--- a/internal/oper/trace.go
+++ b/internal/oper/trace.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -130,8 +132,17 @@
 	if last["event"] != "end" {
 		return "the request has not ended in these logs; " + strings.Join(attempts, "; ")
 	}
+	if failed(last["status"]) {
+		return strings.TrimSuffix(fmt.Sprintf("%s itself answered with status %s after %s; %s", last["endpoint"], last["status"], last["took"], strings.Join(attempts, "; ")), "; ")
+	}
 	if last["reason"] == "" {
 		return fmt.Sprintf("served by %s after %s, first byte after %s", last["endpoint"], last["took"], last["first"])
 	}
 	return strings.TrimSuffix(fmt.Sprintf("%s, run=%s: %s; %s", last["reason"], last["run"], last["detail"], strings.Join(attempts, "; ")), "; ")
 }
+
+// failed tells whether an endpoint's status is that of its own failure.
+func failed(status string) bool {
+	n, err := strconv.Atoi(status)
+	return err == nil && n >= http.StatusInternalServerError
+}
--- a/internal/oper/trace_test.go
+++ b/internal/oper/trace_test.go
@@ -26,6 +26,12 @@
 				"time=3 level=warn event=end request=r1 endpoint=b1 reason=lost run=unknown detail=\"look it up\"\n",
 			want: `cause: lost, run=unknown: look it up; attempt 1 at b1: broken (read: connection "reset")`,
 		},
+		{
+			name: "failed by its endpoint",
+			log: "time=2 level=warn event=fail request=r1 endpoint=b1 attempt=1 cause=refused detail=\"status 500\"\n" +
+				"time=4 level=info event=end request=r1 endpoint=b2 status=500 first=3ms took=9ms\n",
+			want: "cause: b2 itself answered with status 500 after 9ms; attempt 1 at b1: refused (status 500)",
+		},
 		{
 			name: "served",
 			log:  "time=4 level=info event=end request=r1 endpoint=b1 first=3ms took=9ms\ntime=1 event=route request=r1\n",
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -25,9 +25,10 @@
 	tried    []string
 	// sent tells that the request may have run somewhere.
 	sent bool
-	// begun tells that the answer's head was written.
-	begun bool
-	first time.Time
+	// begun tells that the answer's head was written, and status is the one in it.
+	begun  bool
+	status int
+	first  time.Time
 	// after is the id of the last event that the caller has.
 	after string
 	// refusals counts the attempts that surely did not run.
@@ -136,6 +137,7 @@
 		return nil
 	}
 	x.begun = true
+	x.status = h.Status
 	x.first = x.now()
 	if err := x.writer.Begin(h); err != nil {
 		return gone(err)
@@ -204,6 +206,7 @@
 	}
 	x.sent = x.sent || f.Sent
 	name := c.endpoint.Node.Name
+	x.meter.Failed(f.Cause.String())
 	x.log.Warn().Str("event", "fail").Str("request", x.request.ID).Str("endpoint", name).
 		Str("cause", f.Cause.String()).Bool("sent", f.Sent).Bool("begun", x.begun).Int("attempt", x.attempts).
 		Str("detail", f.Detail).Send()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -42,6 +42,7 @@
 	bounds  Bounds
 	budgets *budgets
 	links   *links
+	meter   meter
 }
 
 func newForward(d *doer, p Parts) forward {
@@ -54,6 +55,7 @@
 		bounds:  p.Bounds,
 		budgets: newBudgets(p.Bounds),
 		links:   newLinks(),
+		meter:   p.Meter,
 	}
 }
 
@@ -81,6 +83,7 @@
 	result := chain.Result{
 		Endpoint: x.endpoint,
 		Attempts: x.attempts,
+		Status:   x.status,
 	}
 	if !x.first.IsZero() {
 		result.First = x.first.Sub(r.Arrived)
@@ -96,7 +99,7 @@
 		line = f.log.Warn().Str("reason", fault.From(err).Kind.String()).Str("run", fault.From(err).Run.String()).Str("detail", fault.From(err).Detail)
 	}
 	line.Str("event", "end").Str("request", r.ID).Str("route", r.Route.Name).Str("team", r.Team).
-		Str("endpoint", result.Endpoint).Int("attempts", result.Attempts).
+		Str("endpoint", result.Endpoint).Int("attempts", result.Attempts).Int("status", result.Status).
 		Stringer("first", result.First.Round(time.Millisecond)).
 		Stringer("took", f.now().Sub(r.Arrived).Round(time.Millisecond)).Send()
 }
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -40,6 +40,8 @@
 	view viewer
 	now  func() time.Time
 	log  zerolog.Logger
+	// meter takes how long turns were waited for.
+	meter meter
 	// mu guards pools, by service.
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -57,11 +59,12 @@
 	speed speed
 }
 
-func newGate(v viewer, now func() time.Time, log zerolog.Logger) *gate {
+func newGate(v viewer, now func() time.Time, log zerolog.Logger, m meter) *gate {
 	return &gate{
 		view:  v,
 		now:   now,
 		log:   log,
+		meter: m,
 		pools: map[string]*pool{},
 	}
 }
@@ -120,10 +123,12 @@
 	p.waiting = waiting
 	g.grant(p, room)
 	g.mu.Unlock()
+	begin := g.now()
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case <-turn:
+		g.meter.Waited(g.now().Sub(begin), true)
 		return nil
 	case <-timer.C:
 	case <-ctx.Done():
@@ -132,6 +137,7 @@
 		// The turn came at the same moment, and is used.
 		return nil
 	}
+	g.meter.Waited(g.now().Sub(begin), false)
 	return g.refuse(r, "waited", limit)
 }
 
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -50,6 +50,15 @@
 	}
 }
 
+// noMeter counts nothing.
+type noMeter struct{}
+
+func (noMeter) Outcome(chain.Request, chain.Result, string) {}
+func (noMeter) Decision(string)                             {}
+func (noMeter) Chosen(string, string, int)                  {}
+func (noMeter) Failed(string)                               {}
+func (noMeter) Waited(time.Duration, bool)                  {}
+
 func slowRequest(team string, rank policy.Rank) chain.Request {
 	return chain.Request{
 		ID:      team,
@@ -98,7 +107,7 @@
 }
 
 func TestSlowWorkKeepsToItsShareOfTheMemory(t *testing.T) {
-	g := newGate(oneEngine(), time.Now, zerolog.Nop())
+	g := newGate(oneEngine(), time.Now, zerolog.Nop(), noMeter{})
 	h := &held{
 		let: make(chan struct{}),
 	}
@@ -129,7 +138,7 @@
 	service.Slots = 4
 	service.Memory = 1 << 20
 	view.state.Routing.Site = site.New(2, site.WithServices(service))
-	g := newGate(view, time.Now, zerolog.Nop())
+	g := newGate(view, time.Now, zerolog.Nop(), noMeter{})
 	h := &held{
 		let: make(chan struct{}),
 	}
@@ -151,7 +160,7 @@
 }
 
 func TestSlowWorkThatWaitsTooLongIsRefusedTruly(t *testing.T) {
-	g := newGate(oneEngine(), time.Now, zerolog.Nop())
+	g := newGate(oneEngine(), time.Now, zerolog.Nop(), noMeter{})
 	h := &held{
 		let: make(chan struct{}),
 	}
--- a/internal/relay/links.go
+++ b/internal/relay/links.go
@@ -49,8 +49,12 @@
 	l.mu.Lock()
 	limit := l.limits[store.Name]
 	l.mu.Unlock()
-	if limit != nil {
-		limit.ReserveN(now, min(int(tokens), limit.Burst()))
+	if limit == nil {
+		return
+	}
+	// A transfer may be more than what can be saved up: the rest is owed.
+	for left := int(tokens); left > 0; left -= limit.Burst() {
+		limit.ReserveN(now, min(left, limit.Burst()))
 	}
 }
 
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -50,6 +50,17 @@
 	kept bool
 }
 
+// origin is what kind of source cached parts may come from.
+func (c choice) origin() string {
+	switch c.source {
+	case "":
+		return "none"
+	case c.from:
+		return "engine"
+	}
+	return "store"
+}
+
 // choose picks an endpoint and logs the decision.
 func (x *exchange) choose() (choice, error) {
 	s := x.control.View()
@@ -67,6 +78,7 @@
 		return c, fault.New(fault.Unavailable, "no endpoint of %q takes work: come back later", x.request.Service).WithRetry(busyRetry)
 	}
 	c.limit = int(connectionShare * float64(service.Connections) / float64(x.instances()))
+	x.meter.Chosen(c.reason, c.origin(), c.missed)
 	x.log.Info().Str("event", "route").Str("request", x.request.ID).Str("team", x.request.Team).
 		Str("route", x.request.Route.Name).Int("order", x.request.Order()).
 		Str("endpoint", c.endpoint.Node.Name).Str("reason", c.reason).Int("missed", c.missed).Bool("kept", c.kept).Str("source", c.source).
--- a/internal/relay/prompt_test.go
+++ b/internal/relay/prompt_test.go
@@ -100,6 +100,7 @@
 			now:   func() time.Time { return begin },
 			log:   zerolog.Nop(),
 			links: l,
+			meter: noMeter{},
 			bounds: Bounds{
 				WeightsIn: 8 * time.Second,
 			},
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -90,6 +90,13 @@
 	Outcome(r chain.Request, result chain.Result, outcome string)
 	// Decision counts what the control thread noted.
 	Decision(kind string)
+	// Chosen counts an attempt's endpoint, and the tokens that it was expected to
+	// read.
+	Chosen(reason, source string, read int)
+	// Failed counts an attempt that failed.
+	Failed(cause string)
+	// Waited counts a turn that was waited for, or waited for in vain.
+	Waited(wait time.Duration, served bool)
 }
 
 // Parts is what an instance is put together from.
@@ -205,7 +212,7 @@
 			view: d.loop,
 		},
 		filter.NewAccount(d.tally, p.Meter),
-		newGate(d.loop, p.Now, p.Log),
+		newGate(d.loop, p.Now, p.Log, p.Meter),
 	)
 }
 
--- a/pkg/chain/request.go
+++ b/pkg/chain/request.go
@@ -236,6 +236,8 @@
 type Result struct {
 	// Endpoint is the endpoint that answered.
 	Endpoint string
+	// Status is the endpoint's status, where the protocol has one; 0 for none.
+	Status int
 	// First is the time from arrival to the first chunk.
 	First time.Duration
 	// Cached is how many tokens of the prompt the endpoint had cached.
