--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -70,7 +70,8 @@
 	defer counted.End()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := newWatchdog(x.patience(), func() bool { return x.underWay(ctx, c) }, cancel)
+	attempt := x.attempts
+	watch := newWatchdog(x.patience(), func() bool { return x.underWay(ctx, c, attempt) }, cancel)
 	defer watch.stop()
 	reply, err := x.ends.Open(ctx, call.Attempt{
 		ID:       x.request.ID,
--- a/internal/relay/patience.go
+++ b/internal/relay/patience.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/baobabtally/baobabtally/internal/state"
@@ -42,20 +44,25 @@
 // underWay tells whether the endpoint of a silent attempt still has it under
 // way. Elsewhere the prompt would be read once more, and busy endpoints would
 // keep all others waiting longer.
-func (x *exchange) underWay(ctx context.Context, c choice) bool {
+func (x *exchange) underWay(ctx context.Context, c choice, attempt int) bool {
 	if !x.request.Stream || !x.request.Route.Resumable {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportLimit)
 	defer cancel()
 	held, err := x.ends.Holds(ctx, c.endpoint.Node, x.request.ID)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		// The attempt ended meanwhile.
+		return false
+	}
 	line := x.log.Info().Str("event", "silent").Str("request", x.request.ID).Str("endpoint", c.endpoint.Node.Name).
-		Int("attempt", x.attempts).Bool("held", held)
+		Int("attempt", attempt).Bool("held", held)
 	if err != nil {
 		line = line.Str("detail", err.Error())
 	}
 	line.Send()
 	if held {
+		// What is still to come goes elsewhere, as after a failure.
 		x.control.Post(state.Called{
 			Endpoint: c.endpoint.Node.Name,
 			Failed:   true,
@@ -73,12 +80,11 @@
 // grants as much once more where underWay says so.
 func newWatchdog(d time.Duration, underWay func() bool, cancel context.CancelCauseFunc) *watchdog {
 	w := &watchdog{}
-	granted := false
+	var granted atomic.Bool
 	armed := make(chan struct{})
 	w.timer = time.AfterFunc(d, func() {
 		<-armed
-		if !granted && underWay() {
-			granted = true
+		if granted.CompareAndSwap(false, true) && underWay() {
 			w.timer.Reset(d)
 			return
 		}
