--- /dev/null
+++ b/internal/ctrl/orders_test.go
@@ -0,0 +1,155 @@
+package ctrl_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabtally/baobabtally/internal/ctrl"
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/site"
+	"github.com/baobabtally/baobabtally/pkg/store"
+	"github.com/baobabtally/baobabtally/pkg/weight"
+)
+
+// hold has c hold the lease for orders.
+func (c *control) hold(t *testing.T) {
+	t.Helper()
+	for range 5 {
+		c.wait(time.Second)
+		for _, a := range c.actions {
+			ask, ok := a.(state.AskLease)
+			switch {
+			case !ok:
+			case ask.Op.Put:
+				c.step(state.Leased{
+					Op:      ask.Op,
+					Version: ask.Op.Row.Version + 1,
+				})
+			default:
+				c.step(state.Leased{
+					Op:  ask.Op,
+					Err: store.ErrMissing,
+				})
+			}
+		}
+		if c.state.Lease.Valid(c.now, c.now.Add(ctrl.OrderLimit)) {
+			return
+		}
+	}
+	t.Fatal("the lease was not taken")
+}
+
+// orders returns the orders among the actions.
+func (c *control) orders() []weight.Order {
+	var out []weight.Order
+	for _, a := range c.actions {
+		if o, ok := a.(state.SendOrder); ok {
+			out = append(out, o.Order)
+		}
+	}
+	return out
+}
+
+func TestOnlyTheHolderGivesOrders(t *testing.T) {
+	c := serving(t, "e1", "e2", "e3", "e4")
+	named := state.Named{
+		Model:   "m",
+		Version: 2,
+	}
+	c.step(named)
+	require.Empty(t, c.orders())
+	c.hold(t)
+	c.wait(100 * time.Millisecond)
+	require.Len(t, c.state.Routing.Weights.Orders(c.now), 2)
+	c.wait(10 * time.Second)
+	require.Empty(t, c.orders(), "the lease is over")
+}
+
+func TestInstanceThatStartsCannotTellWhenWeightsWereNamed(t *testing.T) {
+	c := newControl()
+	c.step(state.SiteFound{
+		Site: site.New(5),
+	})
+	found := state.Named{
+		Model:   "m",
+		Version: 3,
+	}
+	c.step(found)
+	require.True(t, c.state.Routing.Weights.Named("m").Since.IsZero())
+	c.wait(2 * time.Second)
+	c.step(state.Named{
+		Model:   "other",
+		Version: 1,
+	})
+	require.Equal(t, c.now, c.state.Routing.Weights.Named("other").Since, "named while the instance ran")
+	alone := newControl()
+	alone.step(state.Pulse{
+		Name: "n1",
+		Relay: state.Relay{
+			Named: map[string]int64{
+				"m": 3,
+			},
+		},
+	})
+	require.True(t, alone.state.Routing.Weights.Named("m").Since.IsZero(), "a peer told it before there was a configuration")
+}
+
+func TestOrderOfUnknownOutcomeIsGivenAgain(t *testing.T) {
+	c := serving(t, "e1")
+	c.hold(t)
+	c.step(state.Named{
+		Model:   "m",
+		Version: 2,
+	})
+	first := c.orders()
+	require.Len(t, first, 1)
+	c.step(state.Ordered{
+		Order: first[0],
+	})
+	c.hold(t)
+	c.wait(100 * time.Millisecond)
+	_, under := c.state.Routing.Weights.Ordered("e1", c.now)
+	require.True(t, under)
+	c.step(state.Ordered{
+		Order:   first[0],
+		Outcome: state.Holds,
+	})
+	require.True(t, c.state.Routing.Weights.Current("e1", "m"))
+}
+
+func TestNewsOfOrdersReachPeers(t *testing.T) {
+	c := serving(t, "e1", "e2")
+	c.step(state.MatesFound{
+		Mates: []member.Node{
+			{
+				Name: "n1",
+				Addr: "10.0.0.2:1",
+			},
+		},
+	})
+	c.hold(t)
+	c.step(state.Named{
+		Model:   "m",
+		Version: 2,
+	})
+	c.wait(200 * time.Millisecond)
+	var told []state.EngineWeights
+	for _, a := range c.actions {
+		if p, ok := a.(state.SendPulse); ok {
+			told = append(told, p.Pulse.Relay.Weights...)
+		}
+	}
+	require.NotEmpty(t, told)
+	other := serving(t, "e1", "e2")
+	other.step(state.Pulse{
+		Name: "n0",
+		Relay: state.Relay{
+			Weights: told,
+		},
+	})
+	_, busy := other.state.Routing.Weights.Ordered(told[0].Engine, other.now)
+	require.True(t, busy, "peers keep requests away from engines under order")
+}
