link: bound the head of an answer

A status line, header or headers without end were read until the caller's deadline and kept in memory: the test's endpoint could send all of its 32 MB on one connection where an instance has 112 MB for all of them, and a request ended with its deadline instead of at once. Bytes that are no HTTP were besides repeated whole in the error, and so in the log.

Cause: http.ReadResponse bounds the parts of a body but not the head, which it leaves to its caller. The connection now grants a head 32 KB; the next read fails, and the attempt ends as broken and sent. Errors repeat 200 bytes at most.

Chunk sizes, extensions and trailers were bounded already and are held by the same test.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -22,8 +23,16 @@
 	maxSkipped = 2
 	// maxStray bounds the bytes of an answer that is read over.
 	maxStray = 1 << 20
+	// maxHead bounds an answer's head, in bytes, with the interim heads before it:
+	// twice the longest head of a request, which an endpoint may repeat.
+	maxHead = 32 << 10
+	// maxQuoted bounds what an error repeats of a malformed answer, in bytes.
+	maxQuoted = 200
 )
 
+// errLongHead means that an endpoint sent more than a head may have.
+const errLongHead = errors.ConstError("the head of the answer is over 32 KB: check the endpoint")
+
 // Request is what is sent. Its fields go out as they are.
 type Request struct {
 	// Method, Path and Host are those of the request line and its host.
@@ -42,8 +51,10 @@
 type Conn struct {
 	addr string
 	nc   net.Conn
-	r    *bufio.Reader
-	w    *bufio.Writer
+	// in is what r reads from.
+	in *inlet
+	r  *bufio.Reader
+	w  *bufio.Writer
 	// sent tells whether any byte of the present request may have left.
 	sent bool
 	// wrote is closed when the present request is written.
@@ -59,14 +70,37 @@
 }
 
 func newConn(addr string, nc net.Conn) *Conn {
+	in := &inlet{
+		nc:   nc,
+		left: math.MaxInt64,
+	}
 	return &Conn{
 		addr: addr,
 		nc:   nc,
-		r:    bufio.NewReaderSize(nc, bufferSize),
+		in:   in,
+		r:    bufio.NewReaderSize(in, bufferSize),
 		w:    bufio.NewWriterSize(nc, bufferSize),
 	}
 }
 
+// inlet reads from a connection until its allowance is used up. The standard
+// library bounds the parts of a body, and leaves the head to its caller.
+type inlet struct {
+	nc net.Conn
+	// left is how many bytes may still be read.
+	left int64
+}
+
+// Read reads what the allowance grants.
+func (i *inlet) Read(p []byte) (int, error) {
+	if i.left <= 0 {
+		return 0, errLongHead
+	}
+	n, err := i.nc.Read(p[:min(int64(len(p)), i.left)])
+	i.left -= int64(n)
+	return n, err
+}
+
 // Sent tells whether any byte of the present request may have left.
 func (c *Conn) Sent() bool { return c.sent }
 
@@ -118,15 +152,10 @@
 func (c *Conn) read(req Request) (*http.Response, error) {
 	want := req.Header.Get(req.Echo)
 	for range maxSkipped + 1 {
-		resp, err := http.ReadResponse(c.r, &http.Request{
-			Method: req.Method,
-		})
+		resp, err := c.head(req.Method)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode == http.StatusContinue {
-			continue
-		}
 		if req.Echo == "" || resp.Header.Get(req.Echo) == want {
 			return resp, nil
 		}
@@ -140,6 +169,32 @@
 	return nil, errors.New("the answer belongs to another request")
 }
 
+// head returns the next answer whose head is not longer than maxHead.
+func (c *Conn) head(method string) (*http.Response, error) {
+	c.in.left = maxHead
+	defer func() { c.in.left = math.MaxInt64 }()
+	for {
+		resp, err := http.ReadResponse(c.r, &http.Request{
+			Method: method,
+		})
+		if err != nil {
+			return nil, quoted(err)
+		}
+		if resp.StatusCode != http.StatusContinue {
+			return resp, nil
+		}
+	}
+}
+
+// quoted returns err, or its beginning where it repeats much of an answer.
+func quoted(err error) error {
+	text := err.Error()
+	if len(text) <= maxQuoted {
+		return err
+	}
+	return errors.New(text[:maxQuoted] + "...")
+}
+
 // clean tells whether the connection can take a request: all of the last one
 // was written and nothing waits to be read.
 func (c *Conn) clean() bool {
--- /dev/null
+++ b/internal/link/endless_test.go
@@ -0,0 +1,203 @@
+package link_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabtally/baobabtally/internal/link"
+)
+
+const (
+	// memory is that of the smallest instance, in bytes, and conns how many
+	// connections it has to one service. One connection may take its part.
+	memory = 112 << 20
+	conns  = 100
+	part   = memory / conns
+	// plenty is where a stand-in stops that nobody stopped, in bytes.
+	plenty = 32 << 20
+	// deadline is that of a caller.
+	deadline = 3 * time.Second
+	// sockets is the buffer of a stand-in's socket, so that what it sent is near
+	// what was received.
+	sockets = 32 << 10
+	head    = "HTTP/1.1 200 OK\r\nX-Id: a\r\n"
+	chunked = head + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// flood writes start, and then again without end, until the other end closes.
+// It returns how many bytes could be sent.
+func flood(c net.Conn, start, again string) int64 {
+	_ = c.(*net.TCPConn).SetWriteBuffer(sockets)
+	_ = c.SetDeadline(time.Now().Add(2 * deadline))
+	n, err := io.WriteString(c, start)
+	sent := int64(n)
+	block := strings.Repeat(again, 1+4096/len(again))
+	for err == nil && sent < plenty {
+		n, err = io.WriteString(c, block)
+		sent += int64(n)
+	}
+	return sent
+}
+
+// floods serves a flood on each connection and tells how much of it was sent.
+func floods(t *testing.T, start, again string) (string, <-chan int64) {
+	t.Helper()
+	sent := make(chan int64, 16)
+	return serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if accept(r) {
+			sent <- flood(c, start, again)
+		}
+	}), sent
+}
+
+func TestAnswerWithoutEndEndsTheConnection(t *testing.T) {
+	for name, c := range map[string]struct{ start, again, want string }{
+		"status line": {
+			start: "HTTP/1.1 200 ",
+			again: "x",
+			want:  "head",
+		},
+		"header line": {
+			start: head + "X-Long: ",
+			again: "x",
+			want:  "head",
+		},
+		"headers": {
+			start: head,
+			again: "X-More: x\r\n",
+			want:  "head",
+		},
+		"continued header": {
+			start: head + "X-Long: x\r\n",
+			again: " x\r\n",
+			want:  "head",
+		},
+		"empty lines": {
+			again: "\r\n",
+			want:  "malformed",
+		},
+		"text that is no answer": {
+			again: "no answer at all\n",
+			want:  "malformed",
+		},
+		"bytes that are no answer": {
+			again: "\x00\xff",
+			want:  "head",
+		},
+		"answers to other requests": {
+			again: answer("old", "bad"),
+			want:  "another request",
+		},
+		"chunk size": {
+			start: chunked,
+			again: "0",
+			want:  "line too long",
+		},
+		"chunk extension": {
+			start: chunked + "1;",
+			again: "x",
+			want:  "line too long",
+		},
+		"chunk extensions": {
+			start: chunked,
+			again: "1;" + strings.Repeat("x", 200) + "\r\nx\r\n",
+			want:  "too much non-data",
+		},
+		"trailer": {
+			start: chunked + "0\r\nX-Long: ",
+			again: "x",
+			want:  "trailer",
+		},
+		"trailers": {
+			start: chunked + "0\r\n",
+			again: "X-More: x\r\n",
+			want:  "trailer",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := link.New()
+			defer p.Close()
+			addr, sent := floods(t, c.start, c.again)
+			ctx, cancel := context.WithTimeout(t.Context(), deadline)
+			defer cancel()
+			begin := time.Now()
+			_, err := ask(ctx, p, addr)
+			require.ErrorContains(t, err, c.want)
+			require.Less(t, time.Since(begin), deadline/2, "the caller waits for nothing")
+			require.Less(t, <-sent, int64(part))
+		})
+	}
+}
+
+func TestHeadWithoutEndThatTricklesEndsWithTheContext(t *testing.T) {
+	p := link.New()
+	defer p.Close()
+	closed := make(chan struct{})
+	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		defer close(closed)
+		if !accept(r) {
+			return
+		}
+		_, err := io.WriteString(c, head)
+		for err == nil {
+			time.Sleep(10 * time.Millisecond)
+			_, err = io.WriteString(c, "X-More: x\r\n")
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := ask(ctx, p, addr)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	select {
+	case <-closed:
+	case <-time.After(deadline):
+		require.Fail(t, "the connection stayed open")
+	}
+}
+
+func TestBytesAfterTheAnswerEndTheConnection(t *testing.T) {
+	p := link.New()
+	defer p.Close()
+	addr, sent := floods(t, answer("a", "one"), "x")
+	for range 2 {
+		got, err := ask(t.Context(), p, addr)
+		require.NoError(t, err)
+		require.Equal(t, "one", got)
+	}
+	require.EqualValues(t, 2, p.Dialed(), "the connection must not carry another request")
+	p.Close()
+	for range 2 {
+		require.Less(t, <-sent, int64(part))
+	}
+}
+
+func TestBytesWithoutEndFromAnEndpointThatReadsNothing(t *testing.T) {
+	p := link.New()
+	defer p.Close()
+	sent := make(chan int64, 1)
+	addr := serve(t, func(_ int, c net.Conn, _ *bufio.Reader) {
+		sent <- flood(c, "HTTP/1.1 200 ", "x")
+	})
+	c, err := p.Get(t.Context(), addr, 1, true)
+	require.NoError(t, err)
+	begin := time.Now()
+	_, err = c.Do(t.Context(), link.Request{
+		Method: http.MethodPost,
+		Path:   "/",
+		Host:   "h",
+		Header: http.Header{},
+		Body:   []byte(strings.Repeat("x", 8<<20)),
+	})
+	require.ErrorContains(t, err, "head")
+	p.Drop(c)
+	require.Less(t, time.Since(begin), deadline/2)
+	require.Less(t, <-sent, int64(part))
+}
