link: read over all interim answers

An endpoint's 102 or 103 that named the request was taken for its answer: the caller got an empty success with the endpoint's headers, and the true answer stayed on the connection. 103 without the name ended the request as crossed after three of them.

Cause: only status 100 was read over.

TestInterimAnswerIsNotTheAnswer failed before ("" in place of "one"), as did TestChangeOfProtocolThatNobodyAskedForIsAnError and the two interim cases of TestAnswerWithoutEndEndsTheConnection (no error; another request's answer).

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -169,7 +169,7 @@
 	return nil, errors.New("the answer belongs to another request")
 }
 
-// head returns the next answer whose head is not longer than maxHead.
+// head returns the next answer that is not an interim one.
 func (c *Conn) head(method string) (*http.Response, error) {
 	c.in.left = maxHead
 	defer func() { c.in.left = math.MaxInt64 }()
@@ -177,11 +177,18 @@
 		resp, err := http.ReadResponse(c.r, &http.Request{
 			Method: method,
 		})
-		if err != nil {
+		switch {
+		case err != nil && c.in.left <= 0:
+			// The reader takes a line that was cut for a whole one.
+			return nil, errLongHead
+		case err != nil:
 			return nil, quoted(err)
 		}
-		if resp.StatusCode != http.StatusContinue {
+		switch {
+		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
+		case resp.StatusCode < http.StatusContinue, resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.Errorf("status %d answers no request of ours: check the endpoint", resp.StatusCode)
 		}
 	}
 }
--- a/internal/link/endless_test.go
+++ b/internal/link/endless_test.go
@@ -84,6 +84,14 @@
 			again: "\r\n",
 			want:  "malformed",
 		},
+		"interim answers": {
+			again: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n",
+			want:  "head",
+		},
+		"interim answers that name the request": {
+			again: "HTTP/1.1 102 Processing\r\nX-Id: a\r\n\r\n",
+			want:  "head",
+		},
 		"text that is no answer": {
 			again: "no answer at all\n",
 			want:  "malformed",
@@ -201,3 +209,35 @@
 	require.Less(t, time.Since(begin), deadline/2)
 	require.Less(t, <-sent, int64(part))
 }
+
+func TestInterimAnswerIsNotTheAnswer(t *testing.T) {
+	for _, interim := range []string{
+		"HTTP/1.1 100 Continue\r\n\r\n",
+		"HTTP/1.1 102 Processing\r\nX-Id: a\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n",
+	} {
+		p := link.New()
+		addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			for accept(r) {
+				_, _ = io.WriteString(c, interim+answer("a", "one"))
+			}
+		})
+		for range 2 {
+			got, err := ask(t.Context(), p, addr)
+			require.NoError(t, err)
+			require.Equal(t, "one", got, interim)
+		}
+		require.EqualValues(t, 1, p.Dialed())
+		p.Close()
+	}
+}
+
+func TestChangeOfProtocolThatNobodyAskedForIsAnError(t *testing.T) {
+	p := link.New()
+	defer p.Close()
+	for _, status := range []string{"101 Switching Protocols", "042 None"} {
+		addr, _ := floods(t, "HTTP/1.1 "+status+"\r\nX-Id: a\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", "x")
+		_, err := ask(t.Context(), p, addr)
+		require.ErrorContains(t, err, "answers no request")
+	}
+}
