link: an answer that is too long to be read over ends its connection

An answer to another request is read over for at most 1 MB. After that the next head was looked for in the middle of its body, and what stood there was passed on as the answer of the present request: the test got the text "bad" out of a stray body as its success.

Cause: the limited copy ends without an error at its limit. The connection now counts as broken there, as it does at once for a stray answer whose stated length is over the bound.

TestRestOfALongStrayAnswerIsNoAnswer failed before (no error, body "bad"), and the case of a stray answer without end in TestAnswerWithoutEndEndsTheConnection (its chunks were parsed as status lines).

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -159,12 +159,17 @@
 		if req.Echo == "" || resp.Header.Get(req.Echo) == want {
 			return resp, nil
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || resp.ContentLength > maxStray {
 			break
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStray)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStray+1))
+		if err != nil {
 			return nil, err
 		}
+		if n > maxStray {
+			// What follows on the connection is no head.
+			break
+		}
 	}
 	return nil, errors.New("the answer belongs to another request")
 }
--- a/internal/link/endless_test.go
+++ b/internal/link/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -59,7 +60,13 @@
 }
 
 func TestAnswerWithoutEndEndsTheConnection(t *testing.T) {
-	for name, c := range map[string]struct{ start, again, want string }{
+	chunk := "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n"
+	for name, c := range map[string]struct {
+		start, again, want string
+		// most bounds what could be sent where that is not kept; 0 for a
+		// connection's part.
+		most int64
+	}{
 		"status line": {
 			start: "HTTP/1.1 200 ",
 			again: "x",
@@ -104,6 +111,12 @@
 			again: answer("old", "bad"),
 			want:  "another request",
 		},
+		"an answer to another request": {
+			start: strings.Replace(chunked, "X-Id: a", "X-Id: old", 1),
+			again: chunk,
+			want:  "another request",
+			most:  plenty,
+		},
 		"chunk size": {
 			start: chunked,
 			again: "0",
@@ -140,7 +153,7 @@
 			_, err := ask(ctx, p, addr)
 			require.ErrorContains(t, err, c.want)
 			require.Less(t, time.Since(begin), deadline/2, "the caller waits for nothing")
-			require.Less(t, <-sent, int64(part))
+			require.Less(t, <-sent, max(c.most, part))
 		})
 	}
 }
@@ -241,3 +254,19 @@
 		require.ErrorContains(t, err, "answers no request")
 	}
 }
+
+func TestRestOfALongStrayAnswerIsNoAnswer(t *testing.T) {
+	p := link.New()
+	defer p.Close()
+	bad := answer("a", "bad")
+	// The answers in the body begin anew where a bound of a power of two cuts it.
+	body := strings.Repeat("x", 1<<20%len(bad)) + strings.Repeat(bad, 1<<17)
+	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if accept(r) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+		accept(r)
+	})
+	got, err := ask(t.Context(), p, addr)
+	require.ErrorContains(t, err, "another request", got)
+}
