stream: bound what comes without a new event

An event without end was kept whole and searched anew with each 4 KB until the caller's deadline (2.5 s of a full core in the test). Comments, events without an id and events that came again were passed on without end: the test's engine could send all of its 64 MB, each block counted as a sign of life, so that a silent engine was not given up, and a stream that may go on could have ended whole elsewhere after the spoiled part.

Ids increase, so an event is now a block with a new id. Others are held back until such a one or the end of the stream follows, and pass as they came; more than 64 KB of them end the attempt as broken. Nothing of them has reached the caller then, so that the stream can go on elsewhere after its last event.

--- a/pkg/stream/event_test.go
+++ b/pkg/stream/event_test.go
@@ -16,7 +16,8 @@
 		var got, last string
 		for rest := text; rest != ""; {
 			n := rapid.IntRange(1, len(rest)).Draw(t, "n")
-			whole, id := e.Push([]byte(rest[:n]))
+			whole, id, err := e.Push([]byte(rest[:n]))
+			require.NoError(t, err)
 			got += string(whole)
 			if id != "" {
 				last = id
@@ -28,3 +29,44 @@
 		require.Equal(t, "3", last)
 	})
 }
+
+func TestWhatHasNoNewIDIsHeldBack(t *testing.T) {
+	var e stream.Events
+	for _, c := range []struct{ data, want, id string }{
+		{
+			data: ": comment\n\n",
+		},
+		{
+			data: "id: 1\ndata: a\n\n",
+			want: ": comment\n\nid: 1\ndata: a\n\n",
+			id:   "1",
+		},
+		{
+			data: "id: 1\ndata: a\n\ndata: none\n\n",
+		},
+		{
+			data: "id: 10\ndata: b\n\nid: 9\ndata: old\n\n",
+			want: "id: 1\ndata: a\n\ndata: none\n\nid: 10\ndata: b\n\n",
+			id:   "10",
+		},
+	} {
+		got, id, err := e.Push([]byte(c.data))
+		require.NoError(t, err)
+		require.Equal(t, c.want, string(got))
+		require.Equal(t, c.id, id)
+	}
+	require.Equal(t, "id: 9\ndata: old\n\n", string(e.Rest()))
+}
+
+func TestStreamThatDoesNotGoOnIsBounded(t *testing.T) {
+	for _, again := range []string{"x", "data: x\n", ": x\n\n", "data: x\n\n", "id: 7\n\n"} {
+		var e stream.Events
+		_, _, err := e.Push([]byte("id: 7\ndata: a\n\n"))
+		sent := 0
+		for ; err == nil; sent += len(again) {
+			require.LessOrEqual(t, sent, stream.MaxEvent, again)
+			_, _, err = e.Push([]byte(again))
+		}
+		require.ErrorIs(t, err, stream.ErrNoEvent)
+	}
+}
