relay: an answer that is no stream does not go into one

A stream that was cut and went on at an engine which answered 404 got the text of that answer after its events, and ended as complete: the caller of the test read three of six events and "no such stream" as a success.

Cause: any answer below 500 on a stream route counted as the stream. Only 200 does now; another answer is a whole one, which can't follow what was written, so that the attempt fails and the connection is cut. Answers without end are bounded as other whole ones are.

TestFailureOnAStreamDoesNotGoIntoIt failed before (no error, body with "no such stream").

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -89,7 +89,7 @@
 		return attemptError(ctx, err)
 	}
 	defer reply.Close()
-	if x.request.Stream && reply.Head().Status < failStatus {
+	if x.request.Stream && reply.Head().Status == streamStatus {
 		return attemptError(ctx, x.stream(reply, counted, watch))
 	}
 	return attemptError(ctx, x.whole(reply))
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -18,6 +18,8 @@
 	// mostKept is how many bytes of an answer are kept back until it is whole, so
 	// that a cut one can be asked for again. Longer ones pass as they come.
 	mostKept = 256 << 10
+	// streamStatus is the status of a stream; all other answers are whole ones.
+	streamStatus = 200
 	// failStatus is the lowest status that counts as the endpoint's failure.
 	failStatus = 500
 	// maxRefusals is how many attempts that surely did not run are made up for.
