relay: bound a whole answer

A body without end, in chunks, until the connection closes or of a huge stated length, was passed on until the caller's deadline, with a write and a flush each 4 KB: the test's endpoint could send all of its 64 MB, after which the one that ends by closing looked whole to the caller.

Cause: nothing bounds an answer but time. One that is no stream may now have 8 MB, as the own front end's services may. A longer stated length ends the attempt before anything is passed on, so that a request which may be repeated is served elsewhere; otherwise the caller's connection is aborted.

Streams of events with new ids are still bounded by time alone.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -149,20 +149,8 @@
 // whole passes an answer on once all of it is there.
 func (x *exchange) whole(reply call.Reply) error {
 	head := reply.Head()
-	if head.Status >= failStatus && !x.begun && x.repeatable() && x.more() {
-		return call.Failure{
-			Cause:  call.Refused,
-			Sent:   true,
-			Detail: "the endpoint failed with status " + statusText(head.Status),
-		}
-	}
-	if x.begun {
-		// A stream can't turn into another answer.
-		return call.Failure{
-			Cause:  call.Refused,
-			Sent:   true,
-			Detail: "the endpoint did not go on with the stream: status " + statusText(head.Status),
-		}
+	if err := x.unfit(head); err != nil {
+		return err
 	}
 	var kept []chain.Chunk
 	size := 0
@@ -173,6 +161,9 @@
 		}
 		kept = append(kept, c)
 		size += len(c.Data)
+		if size > mostWhole {
+			return errLong
+		}
 		if !c.End && size <= mostKept {
 			continue
 		}
@@ -191,6 +182,28 @@
 	}
 }
 
+// unfit returns why a whole answer with the given head is not passed on.
+func (x *exchange) unfit(head chain.Head) error {
+	switch {
+	case x.begun:
+		// A stream can't turn into another answer.
+		return call.Failure{
+			Cause:  call.Refused,
+			Sent:   true,
+			Detail: "the endpoint did not go on with the stream: status " + statusText(head.Status),
+		}
+	case head.Status >= failStatus && x.repeatable() && x.more():
+		return call.Failure{
+			Cause:  call.Refused,
+			Sent:   true,
+			Detail: "the endpoint failed with status " + statusText(head.Status),
+		}
+	case head.Length > mostWhole && x.request.Method != methodHead:
+		return errLong
+	}
+	return nil
+}
+
 // failed decides what follows a failed attempt; nil means another one.
 func (x *exchange) failed(ctx context.Context, c choice, err error) error {
 	var f call.Failure
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -18,8 +18,13 @@
 	// mostKept is how many bytes of an answer are kept back until it is whole, so
 	// that a cut one can be asked for again. Longer ones pass as they come.
 	mostKept = 256 << 10
+	// mostWhole bounds an answer that is no stream, in bytes: the longest one of a
+	// plain service that the own front end takes.
+	mostWhole = 8 << 20
 	// streamStatus is the status of a stream; all other answers are whole ones.
 	streamStatus = 200
+	// methodHead is the method whose answers state a length and have no body.
+	methodHead = "HEAD"
 	// failStatus is the lowest status that counts as the endpoint's failure.
 	failStatus = 500
 	// maxRefusals is how many attempts that surely did not run are made up for.
@@ -109,6 +114,12 @@
 var (
 	// errLate is the cause of a context that ended with its request's deadline.
 	errLate = fault.New(fault.Late, "the deadline passed: send the request with more time")
+	// errLong is why an attempt was given up whose answer may have no end.
+	errLong = call.Failure{
+		Cause:  call.Broken,
+		Sent:   true,
+		Detail: "the answer is over 8 MB: check the endpoint, or have it answer in parts",
+	}
 	// errSilent is the cause of an attempt that was given up.
 	errSilent = call.Failure{
 		Cause:  call.Silent,
