peer: bound the answers of other instances

What answered at a peer's address was read whole, however long: 112 MB in the test, all that the smallest instance has, after which bytes that are no pulse were taken for one.

Cause: the generated client reads a body to its end, and the transport grants a head 10 MB. A body over 8 MB and a head over 32 KB are errors now.

TestPeerThatAnswersWithoutEndIsAnError failed before for the body (no error) and for the body of a failure (112 MB read, another reason).

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"encoding/hex"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -18,8 +19,18 @@
 	"github.com/baobabtally/baobabtally/pkg/site"
 )
 
-// dialLimit is how long a connection to a peer may take.
-const dialLimit = 500 * time.Millisecond
+const (
+	// dialLimit is how long a connection to a peer may take.
+	dialLimit = 500 * time.Millisecond
+	// mostHead bounds the head of an answer, in bytes; peers send a few fields.
+	mostHead = 32 << 10
+	// mostAnswer bounds an answer, in bytes: the endpoints of a fleet of 2,000 are
+	// about one MB.
+	mostAnswer = 8 << 20
+)
+
+// errLong means that an answer may have no end.
+const errLong = errors.ConstError("the answer is over 8 MB: check who answers at this address")
 
 // Client calls other instances. It is safe for concurrent use.
 type Client struct {
@@ -105,6 +116,8 @@
 				DialContext:         dialer.DialContext,
 				MaxIdleConnsPerHost: 2,
 				IdleConnTimeout:     10 * time.Second,
+				// The bound holds for interim heads too.
+				MaxResponseHeaderBytes: mostHead,
 			},
 		},
 	}
@@ -132,7 +145,30 @@
 func (b bearer) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+b.token)
-	return b.next.RoundTrip(r)
+	resp, err := b.next.RoundTrip(r)
+	if err == nil {
+		resp.Body = &bounded{
+			ReadCloser: resp.Body,
+			left:       mostAnswer,
+		}
+	}
+	return resp, err
+}
+
+// bounded is a body that fails once more than left bytes were read.
+type bounded struct {
+	io.ReadCloser
+	left int64
+}
+
+// Read reads on.
+func (b *bounded) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.left -= int64(n)
+	if b.left < 0 {
+		return n, errLong
+	}
+	return n, err
 }
 
 // CloseIdleConnections drops the connections that are not in use.
