ctrl, relay: logs tell the lease's holder, suspects and how old weights are

Old weights can come from an instance that dates a naming wrongly, from a fleet in which nobody gives orders, from an engine that is left out of them, or from a request that waits at an engine. The lines could not tell these apart: none named the lease's holder, the loss of trust in an engine, or the age at which a request was sent to replaced weights. No decision changes; the row that a peer shows is taken by the controller of leases, in the same step as before.

--- a/internal/ctrl/leases.go
+++ b/internal/ctrl/leases.go
@@ -1,25 +1,32 @@
 package ctrl
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/lease"
 )
 
 // Leases takes and renews the leases of this instance.
 type Leases struct{}
 
 // Step returns the state after e.
-func (Leases) Step(s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
+func (c Leases) Step(s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
 	l := s.Lease
 	switch e := e.(type) {
 	case state.Leased:
 		if e.Op.Put {
-			return s.WithLease(l.WithPut(e.Op, e.Version, e.Err)), nil
+			l = l.WithPut(e.Op, e.Version, e.Err)
+		} else {
+			l = l.WithRow(e.Op, e.Row, e.Err)
 		}
-		return s.WithLease(l.WithRow(e.Op, e.Row, e.Err)), nil
+		return s.WithLease(l), c.changed(s.Lease, l, now)
+	case state.Pulse:
+		l = l.WithTold(e.Relay.Lease, now)
+		return s.WithLease(l), c.changed(s.Lease, l, now)
 	case state.Stopping:
 		l = l.WithYield()
 	case state.Tick:
@@ -41,6 +48,32 @@
 	}
 }
 
+// changed notes a holder that is new, or a lease that was given back.
+func (Leases) changed(before, after lease.Lease, now time.Time) []state.Action {
+	if holderOf(before, now) == holderOf(after, now) && before.Valid(now, now) == after.Valid(now, now) {
+		return nil
+	}
+	return []state.Action{
+		state.Note{
+			Event: "lease",
+			Pairs: []string{
+				"holder", holderOf(after, now),
+				"before", holderOf(before, now),
+				"own", yes(after.Valid(now, now)),
+				"row", strconv.FormatInt(after.Row().Version, 10),
+			},
+		},
+	}
+}
+
+// holderOf returns who is known to hold l at now, or "none".
+func holderOf(l lease.Lease, now time.Time) string {
+	if !l.Held(now) {
+		return "none"
+	}
+	return l.Holder()
+}
+
 // placeOf returns how many other instances are to take the lease before this one.
 func placeOf(s state.State) int {
 	own, before := xxhash.Sum64String(s.Self.Name), 0
--- a/internal/ctrl/members.go
+++ b/internal/ctrl/members.go
@@ -20,7 +20,7 @@
 	case state.Reported:
 		return m.reported(s, e, now)
 	case state.Called:
-		return called(s, e, now), nil
+		return called(s, e, now)
 	case state.Abandoned:
 		return s, cancel(s, e)
 	}
@@ -86,11 +86,26 @@
 }
 
 // called counts the outcome of a call for or against its endpoint.
-func called(s state.State, e state.Called, now time.Time) state.State {
-	if e.Failed {
-		return s.WithMembers(s.Members.WithFailure(e.Endpoint, now))
+func called(s state.State, e state.Called, now time.Time) (state.State, []state.Action) {
+	if !e.Failed {
+		return s.WithMembers(s.Members.WithSuccess(e.Endpoint, now)), nil
+	}
+	before, _ := s.Members.Find(e.Endpoint)
+	s = s.WithMembers(s.Members.WithFailure(e.Endpoint, now))
+	after, ok := s.Members.Find(e.Endpoint)
+	if !ok || before.Suspect.After(now) || !after.Suspect.After(now) {
+		return s, nil
+	}
+	return s, []state.Action{
+		state.Note{
+			Event: "endpoint",
+			Pairs: []string{
+				"endpoint", e.Endpoint,
+				"state", "suspect",
+				"for", after.Suspect.Sub(now).String(),
+			},
+		},
 	}
-	return s.WithMembers(s.Members.WithSuccess(e.Endpoint, now))
 }
 
 func yes(b bool) string {
--- a/internal/ctrl/orders.go
+++ b/internal/ctrl/orders.go
@@ -85,7 +85,6 @@
 // heard takes what a peer told of weights.
 func (c Orders) heard(s state.State, e state.Pulse, now time.Time) (state.State, []state.Action) {
 	var actions []state.Action
-	s.Lease = s.Lease.WithTold(e.Relay.Lease, now)
 	for model, version := range e.Relay.Named {
 		next, more := c.named(s, state.Named{
 			Model:   model,
--- a/internal/ctrl/roster.go
+++ b/internal/ctrl/roster.go
@@ -47,7 +47,7 @@
 	case state.StoreHeard:
 		return c.followed(s, e, now)
 	case state.Called:
-		return called(s, e, now), nil
+		return called(s, e, now)
 	}
 	return s, nil
 }
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -45,6 +45,10 @@
 	reason string
 	// from is the address of an engine that holds more of the prompt.
 	from string
+	// behind tells that the endpoint lacks weights that were named, and since when
+	// it does; the zero time where that is not known.
+	behind bool
+	since  time.Time
 	// kept tells that the store of cached prompts is believed to hold the shared
 	// parts.
 	kept bool
@@ -61,6 +65,17 @@
 	return "store"
 }
 
+// lag is for how long the endpoint has lacked weights at now, as it stands in logs.
+func (c choice) lag(now time.Time) string {
+	switch {
+	case !c.behind:
+		return "0s"
+	case c.since.IsZero():
+		return "unknown"
+	}
+	return now.Sub(c.since).Round(time.Millisecond).String()
+}
+
 // choose picks an endpoint and logs the decision.
 func (x *exchange) choose() (choice, error) {
 	s := x.control.View()
@@ -82,7 +97,7 @@
 	x.log.Info().Str("event", "route").Str("request", x.request.ID).Str("team", x.request.Team).
 		Str("route", x.request.Route.Name).Int("order", x.request.Order()).
 		Str("endpoint", c.endpoint.Node.Name).Str("reason", c.reason).Int("missed", c.missed).Bool("kept", c.kept).Str("source", c.source).
-		Int64("weights", c.weights).Int64("site", s.Routing.Site.Version()).Int64("listing", s.Routing.Listing).
+		Int64("weights", c.weights).Str("behind", c.lag(p.now)).Int64("site", s.Routing.Site.Version()).Int64("listing", s.Routing.Listing).
 		Stringer("cost", c.cost.Round(time.Millisecond)).Int("attempt", x.attempts+1).Send()
 	return c, nil
 }
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -157,6 +157,7 @@
 			continue
 		}
 		c := p.score(e)
+		c.behind, c.since = behind, since
 		if behind && age > staleGrace {
 			c.cost += staleCost
 		}
