--- a/internal/ctrl/orders_test.go
+++ b/internal/ctrl/orders_test.go
@@ -153,3 +153,32 @@
 	_, busy := other.state.Routing.Weights.Ordered(told[0].Engine, other.now)
 	require.True(t, busy, "peers keep requests away from engines under order")
 }
+
+func TestSuspectEngineGetsNewWeights(t *testing.T) {
+	c := serving(t, "e1", "e2", "e3")
+	c.hold(t)
+	for range 3 {
+		c.step(state.Called{
+			Endpoint: "e2",
+			Failed:   true,
+		})
+	}
+	e, _ := c.state.Members.Find("e2")
+	require.True(t, e.Suspect.After(c.now))
+	c.step(state.Named{
+		Model:   "m",
+		Version: 2,
+	})
+	var ordered []string
+	for range 5 {
+		for _, o := range c.orders() {
+			ordered = append(ordered, o.Engine)
+			c.step(state.Ordered{
+				Order:   o,
+				Outcome: state.Holds,
+			})
+		}
+		c.wait(10 * time.Millisecond)
+	}
+	require.Equal(t, []string{"e1", "e3", "e2"}, ordered, "engines that are trusted go first")
+}
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -200,3 +201,57 @@
 	}
 	require.False(t, held.IsZero())
 }
+
+// TestReleasedLeaseIsTakenWhenTheQuietTimeEnds has the first rivals in line be
+// gone, as in a rolling stop. Weights have to be in place 8 s after they were
+// named; three rounds of loads and the wait at an engine leave 0.8 s for the
+// others to take the lease once they may.
+func TestReleasedLeaseIsTakenWhenTheQuietTimeEnds(t *testing.T) {
+	const (
+		quiet = 3 * time.Second
+		slack = 800 * time.Millisecond
+	)
+	opts := []lease.Option{lease.WithLength(1800*time.Millisecond, 700*time.Millisecond), lease.WithQuiet(quiet)}
+	for gone := range 5 {
+		var tab table
+		now := start
+		step := func(l lease.Lease) lease.Lease {
+			op, next, ok := l.Plan(now)
+			if !ok {
+				return next
+			}
+			return tab.do(next, op)
+		}
+		holder := lease.New("lease/orders", "holder@1", opts...)
+		var rivals []lease.Lease
+		for i := range 3 {
+			rivals = append(rivals, lease.New("lease/orders", fmt.Sprint("rival", i, "@1"), opts...).WithPlace(gone+i))
+		}
+		tick := func() {
+			now = now.Add(200 * time.Millisecond)
+			before := holder.Row()
+			holder = step(holder)
+			for i := range rivals {
+				if holder.Row().Version != before.Version {
+					rivals[i] = rivals[i].WithTold(holder.Row(), now)
+				}
+				rivals[i] = step(rivals[i])
+			}
+		}
+		for !holder.Valid(now, now) {
+			tick()
+		}
+		for range 17 {
+			tick()
+		}
+		holder = holder.WithYield()
+		released := now
+		taken := func() bool {
+			return slices.ContainsFunc(rivals, func(l lease.Lease) bool { return l.Valid(now, now) })
+		}
+		for !taken() && now.Sub(released) < time.Minute {
+			tick()
+		}
+		require.LessOrEqual(t, now.Sub(released), quiet+slack, "%d rivals that come first are gone", gone)
+	}
+}
