lease, ctrl: a lease that was given back is taken in turn, and its release is told at once

Cause: a rival plans its next look at the row by its place in line, times the time between renewals. The row was told by the next pulse whose turn it was. Where those that come first are stopped themselves, looks are seconds apart. Change: who sees that the lease was given back looks again when it may take it, 0.1 s later for each rival before it, and the holder tells it when the row is written.

--- a/internal/ctrl/leases.go
+++ b/internal/ctrl/leases.go
@@ -23,7 +23,13 @@
 		} else {
 			l = l.WithRow(e.Op, e.Row, e.Err)
 		}
-		return s.WithLease(l), c.changed(s.Lease, l, now)
+		actions := c.changed(s.Lease, l, now)
+		s = s.WithLease(l)
+		if s.Routing.On && len(actions) > 0 && e.Op.Put {
+			// Who is told need not read the row, and can take its turn.
+			actions = append(actions, pulses(s)...)
+		}
+		return s, actions
 	case state.Pulse:
 		l = l.WithTold(e.Relay.Lease, now)
 		return s.WithLease(l), c.changed(s.Lease, l, now)
--- a/internal/ctrl/orders_test.go
+++ b/internal/ctrl/orders_test.go
@@ -182,3 +182,35 @@
 	}
 	require.Equal(t, []string{"e1", "e3", "e2"}, ordered, "engines that are trusted go first")
 }
+
+func TestPeersHearAtOnceThatTheLeaseWasGivenBack(t *testing.T) {
+	c := serving(t, "e1")
+	c.step(state.MatesFound{
+		Mates: []member.Node{
+			{
+				Name: "n1",
+				Addr: "10.0.0.2:1",
+			},
+		},
+	})
+	c.hold(t)
+	c.step(state.Stopping{})
+	var back state.AskLease
+	for _, a := range c.actions {
+		if ask, ok := a.(state.AskLease); ok {
+			back = ask
+		}
+	}
+	require.True(t, back.Op.Put)
+	c.step(state.Leased{
+		Op:      back.Op,
+		Version: back.Op.Row.Version + 1,
+	})
+	var told []int64
+	for _, a := range c.actions {
+		if p, ok := a.(state.SendPulse); ok {
+			told = append(told, p.Pulse.Relay.Lease.Version)
+		}
+	}
+	require.Equal(t, []int64{back.Op.Row.Version + 1}, told)
+}
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -83,7 +82,7 @@
 	}
 	err := x.run(ctx)
 	require.Error(t, err)
-	require.False(t, errors.Is(err, context.Canceled))
+	require.NotErrorIs(t, err, context.Canceled)
 	require.Equal(t, []string{home.endpoint.Node.Name, current}, e.asked)
 	require.Less(t, e.left[0].Sub(named), bound, "the request could begin on version 1 until it was withdrawn")
 }
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -19,6 +19,9 @@
 	lastPlace = 20
 	// Margin is how much longer a rival waits.
 	Margin = 1 * time.Second
+	// turnStep is by how much one rival lets another go first, where a lease was
+	// given back: some answers of the table.
+	turnStep = 100 * time.Millisecond
 )
 
 // Op is a call to the table.
@@ -104,6 +107,9 @@
 	if holder != l.self {
 		l.next = now.Add(l.renew * time.Duration(1+l.place))
 	}
+	if turn, ok := l.turn(); ok && now.Before(turn) {
+		l.next = turn
+	}
 	op := Op{
 		Sent: now,
 		Row: store.Row{
@@ -141,11 +147,31 @@
 	case l.self:
 		return l.quiet > 0 || now.Sub(l.seen) >= l.length+Margin
 	case "":
-		return fence == 0 || now.Sub(l.seen) >= l.quiet
+		turn, ok := l.turn()
+		return fence == 0 || ok && !now.Before(turn)
 	}
 	return now.Sub(l.seen) >= l.length+l.quiet+Margin
 }
 
+// turn returns when this instance may take a lease that was given back. Those
+// that are to take it before this one go first, if they are there.
+func (l Lease) turn() (time.Time, bool) {
+	holder, fence := decode(l.row.Value)
+	if holder != "" || fence == 0 || l.seen.IsZero() || l.yield {
+		return time.Time{}, false
+	}
+	return l.seen.Add(l.quiet + turnStep*time.Duration(l.place)), true
+}
+
+// inTurn returns the lease after a row was seen: where it was given back, the
+// table is asked again when this instance may take it.
+func (l Lease) inTurn() Lease {
+	if turn, ok := l.turn(); ok {
+		l.next = turn
+	}
+	return l
+}
+
 // WithTold returns the lease after a peer showed a newer row.
 func (l Lease) WithTold(row store.Row, now time.Time) Lease {
 	if row.Version <= l.row.Version {
@@ -157,7 +183,7 @@
 	if holder, _ := decode(row.Value); holder != l.self {
 		l.until = time.Time{}
 	}
-	return l
+	return l.inTurn()
 }
 
 // Row returns the last row that was seen.
@@ -181,7 +207,7 @@
 	if holder, _ := decode(row.Value); holder != l.self {
 		l.until = time.Time{}
 	}
-	return l
+	return l.inTurn()
 }
 
 // WithPut returns the lease after a write that was planned as op.
