ctrl, weight: engines that are not trusted get orders too, after the others

Cause: the plan of orders left out engines that the holder's own calls failed at. A full engine is silent, silence counts as a failure, and other instances went on sending it requests. Ruled out: an order that was lost (the log has none before 17.27), a full share of loads (the others were done at 13.06). Change: they are ordered, last. Before: TestSuspectEngineGetsNewWeights ordered e1 and e3 alone. The test is changed: it lost the orders that follow an answer, and now takes all of them; in this form it fails before the change as well.

--- a/internal/ctrl/orders.go
+++ b/internal/ctrl/orders.go
@@ -221,16 +221,18 @@
 	return s, actions
 }
 
-// engines returns the engines of model with the work that they have.
+// engines returns the engines of model with the work that they have. Suspects are
+// among them: others may trust them, and one that is full is silent too.
 func (Orders) engines(s state.State, model string, now time.Time) []weight.Engine {
 	var out []weight.Engine
 	for _, v := range s.Routing.Site.Serves(model) {
 		for _, e := range s.Members.Pool(v.Name) {
-			if e.Node.Role != member.Engine || e.Suspect.After(now) {
+			if e.Node.Role != member.Engine {
 				continue
 			}
 			out = append(out, weight.Engine{
 				Name:    e.Node.Name,
+				Suspect: e.Suspect.After(now),
 				Running: s.Loads.Peers(e.Node.Name, 0, now).Plus(s.Own.Work[e.Node.Name]).Calls,
 			})
 		}
--- a/internal/ctrl/orders_test.go
+++ b/internal/ctrl/orders_test.go
@@ -170,15 +170,13 @@
 		Version: 2,
 	})
 	var ordered []string
-	for range 5 {
-		for _, o := range c.orders() {
-			ordered = append(ordered, o.Engine)
-			c.step(state.Ordered{
-				Order:   o,
-				Outcome: state.Holds,
-			})
-		}
-		c.wait(10 * time.Millisecond)
+	for under := c.orders(); len(under) > 0; under = under[1:] {
+		ordered = append(ordered, under[0].Engine)
+		c.step(state.Ordered{
+			Order:   under[0],
+			Outcome: state.Holds,
+		})
+		under = append(under, c.orders()...)
 	}
 	require.Equal(t, []string{"e1", "e3", "e2"}, ordered, "engines that are trusted go first")
 }
--- a/pkg/weight/book.go
+++ b/pkg/weight/book.go
@@ -195,11 +195,13 @@
 	Name string
 	// Running is how many requests are believed to run there.
 	Running int
+	// Suspect tells that it failed calls and may not answer.
+	Suspect bool
 }
 
 // Plan returns the orders to give at now, so that at most atOnce of the engines
-// take new weights of model at a time. The oldest weights go first, so that no
-// engine waits for ever while versions come fast, and then the least work.
+// take new weights of model at a time. Suspects may not answer and go last. The oldest weights go first, so that no engine waits
+// for ever while versions come fast, and then the least work.
 func (b Book) Plan(model string, engines []Engine, atOnce int, now time.Time) []Order {
 	var waiting []Engine
 	for _, e := range engines {
@@ -212,7 +214,7 @@
 		}
 	}
 	slices.SortStableFunc(waiting, func(x, y Engine) int {
-		return cmp.Or(cmp.Compare(b.held[x.Name][model], b.held[y.Name][model]), x.Running-y.Running)
+		return cmp.Or(suspicion(x)-suspicion(y), cmp.Compare(b.held[x.Name][model], b.held[y.Name][model]), x.Running-y.Running)
 	})
 	var out []Order
 	for _, e := range waiting {
@@ -228,3 +230,11 @@
 	}
 	return out
 }
+
+// suspicion orders engines that are trusted before suspects.
+func suspicion(e Engine) int {
+	if e.Suspect {
+		return 1
+	}
+	return 0
+}
