relay, call: a request that waits at an engine is withdrawn before its weights are too old

Cause: the age of weights is judged when a request is sent, with a margin of 1.8 s for the wait. A longer wait, or a version named meanwhile, is not looked at again. Ruled out: an instance that did not know the naming (its log has it at 6.42). Change: an attempt that has not begun 0.4 s before the end of the bound is withdrawn and goes elsewhere where it may be repeated. The engine is not blamed. A longer margin would keep engines idle in each load of weights. Before: TestRequestThatWaitsAtAnEngineDoesNotBeginOnReplacedWeights waited for ever. After: it passes, with TestWeightsThatAreNamedWhileARequestWaitsCount.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -80,11 +80,14 @@
 	// Moved is an address at which another endpoint, or one with other weights,
 	// answers.
 	Moved
+	// Stale is an attempt that had not begun when its endpoint's weights became
+	// too old to begin on.
+	Stale
 )
 
 // String returns the cause as it stands in logs.
 func (c Cause) String() string {
-	return [...]string{"broken", "silent", "crossed", "refused", "rejected", "gone", "full", "moved"}[c%8]
+	return [...]string{"broken", "silent", "crossed", "refused", "rejected", "gone", "full", "moved", "stale"}[c%9]
 }
 
 // Failure is the error of an attempt.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -73,6 +73,8 @@
 	attempt := x.attempts
 	watch := newWatchdog(x.patience(), func() bool { return x.underWay(ctx, c, attempt) }, cancel)
 	defer watch.stop()
+	dated := x.newExpiry(c, cancel)
+	defer dated.stop()
 	reply, err := x.ends.Open(ctx, call.Attempt{
 		ID:       x.request.ID,
 		Endpoint: c.endpoint,
@@ -90,8 +92,9 @@
 	}
 	defer reply.Close()
 	if x.request.Stream && reply.Head().Status < failStatus {
-		return attemptError(ctx, x.stream(reply, counted, watch))
+		return attemptError(ctx, x.stream(reply, counted, watch, dated))
 	}
+	dated.stop()
 	return attemptError(ctx, x.whole(reply))
 }
 
@@ -108,12 +111,13 @@
 }
 
 // stream passes the events of one attempt on.
-func (x *exchange) stream(reply call.Reply, counted load.Call, watch *watchdog) error {
+func (x *exchange) stream(reply call.Reply, counted load.Call, watch *watchdog, dated *expiry) error {
 	for {
 		c, _, err := reply.Next()
 		if err != nil {
 			return err
 		}
+		dated.stop()
 		counted.First()
 		watch.next(x.patience())
 		if err := x.begin(reply.Head()); err != nil {
@@ -248,7 +252,7 @@
 
 // blame counts a failure against its endpoint.
 func (x *exchange) blame(name string, f call.Failure) {
-	if f.Cause == call.Full || f.Cause == call.Moved {
+	if f.Cause == call.Full || f.Cause == call.Moved || f.Cause == call.Stale {
 		return
 	}
 	x.control.Post(state.Called{
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -113,4 +113,10 @@
 		Sent:   true,
 		Detail: "nothing came for too long",
 	}
+	// errStale is the cause of an attempt that was withdrawn.
+	errStale = call.Failure{
+		Cause:  call.Stale,
+		Sent:   true,
+		Detail: "it waited until the engine's weights were too old to begin on",
+	}
 )
--- a/internal/relay/patience.go
+++ b/internal/relay/patience.go
@@ -23,6 +23,10 @@
 	// reportLimit is how long an endpoint may take to report: several ways and
 	// the store's slowest answers.
 	reportLimit = 250 * time.Millisecond
+	// withdrawTime is how long before the end of the platform's bound an attempt
+	// that waits at an engine with replaced weights is withdrawn: a lost packet is
+	// sent again, and a busy instance stands still for a tenth of a second.
+	withdrawTime = 400 * time.Millisecond
 	// longSilence bounds the silence of all other requests.
 	longSilence = 10 * time.Second
 )
@@ -100,3 +104,44 @@
 func (w *watchdog) stop() { w.timer.Stop() }
 
 func statusText(status int) string { return strconv.Itoa(status) }
+
+// expiry withdraws an attempt that has not begun when its engine's weights are
+// too old to begin on.
+type expiry struct {
+	timer *time.Timer
+}
+
+// newExpiry returns the expiry of an attempt at c. Versions that are named while
+// the attempt waits count as well.
+func (x *exchange) newExpiry(c choice, cancel context.CancelCauseFunc) *expiry {
+	if c.weights == 0 {
+		return &expiry{}
+	}
+	e := &expiry{}
+	armed := make(chan struct{})
+	e.timer = time.AfterFunc(x.mayBegin(c), func() {
+		<-armed
+		if left := x.mayBegin(c); left > 0 {
+			e.timer.Reset(left)
+			return
+		}
+		cancel(errStale)
+	})
+	close(armed)
+	return e
+}
+
+// mayBegin returns for how long a request may still begin on the weights of c.
+func (x *exchange) mayBegin(c choice) time.Duration {
+	since, behind := x.control.View().Routing.Weights.Behind(c.endpoint.Node.Name, x.request.Model)
+	if !behind || since.IsZero() {
+		return x.bounds.WeightsIn - withdrawTime
+	}
+	return since.Add(x.bounds.WeightsIn - withdrawTime).Sub(x.now())
+}
+
+func (e *expiry) stop() {
+	if e.timer != nil {
+		e.timer.Stop()
+	}
+}
