ctrl, lease: a holder that stops gives the orders that are due, and then its lease

Cause: a stopping holder gives its lease back at once, in the middle of a round of loads, and the next holder waits for the whole quiet time, also where the last order is long ago. Change: the orders that are due are given first, for 2 s at most, which a stopping instance lingers anyway; the row then tells for how long no order was on its way. A stopped instance no longer reads the row.

--- a/internal/ctrl/leases.go
+++ b/internal/ctrl/leases.go
@@ -10,6 +10,11 @@
 	"github.com/baobabtally/baobabtally/pkg/lease"
 )
 
+// handOver is how long an instance that stops goes on with the orders that are
+// due, before it gives the lease back: three rounds of loads. It is less than the
+// time for which a stopping instance lingers.
+const handOver = 2 * time.Second
+
 // Leases takes and renews the leases of this instance.
 type Leases struct{}
 
@@ -34,11 +39,16 @@
 		l = l.WithTold(e.Relay.Lease, now)
 		return s.WithLease(l), c.changed(s.Lease, l, now)
 	case state.Stopping:
-		l = l.WithYield()
+		s.Routing.HandOver = now.Add(handOver)
 	case state.Tick:
 	default:
 		return s, nil
 	}
+	if s.Leaving && (!due(s, now) || !now.Before(s.Routing.HandOver)) {
+		// The next holder waits for the quiet time after the last order. It loses
+		// the least where the orders that are due were given.
+		l = l.WithYield()
+	}
 	if s.Routing.On {
 		l = l.WithPlace(placeOf(s))
 	}
--- a/internal/ctrl/orders.go
+++ b/internal/ctrl/orders.go
@@ -192,7 +192,7 @@
 // plan gives the orders that are due, while this instance holds the lease, and
 // asks engines under order how far they are.
 func (c Orders) plan(s state.State, now time.Time) (state.State, []state.Action) {
-	if s.Leaving || !s.Lease.Valid(now, now.Add(OrderLimit)) {
+	if !s.Lease.Valid(now, now.Add(OrderLimit)) {
 		return s, nil
 	}
 	invar.That(now.Before(s.Lease.Until()), invar.Fence, "orders are planned after the lease ended")
@@ -210,6 +210,7 @@
 		for _, o := range s.Routing.Weights.Plan(model, engines, atOnce, now) {
 			e, _ := s.Members.Find(o.Engine)
 			s.Routing.Weights = s.Routing.Weights.WithOrder(o)
+			s.Lease = s.Lease.WithUsed(now.Add(OrderLimit))
 			s = c.news(s, o.Engine, o.Model)
 			actions = append(actions, state.SendOrder{
 				Endpoint: e,
@@ -221,6 +222,21 @@
 	return s, actions
 }
 
+// due tells whether this instance holds the lease and engines lack weights.
+func due(s state.State, now time.Time) bool {
+	if !s.Lease.Valid(now, now.Add(OrderLimit)) {
+		return false
+	}
+	for model := range s.Routing.Weights.AllNamed() {
+		for _, e := range (Orders{}).engines(s, model, now) {
+			if !e.Suspect && !s.Routing.Weights.Current(e.Name, model) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // engines returns the engines of model with the work that they have. Suspects are
 // among them: others may trust them, and one that is full is silent too.
 func (Orders) engines(s state.State, model string, now time.Time) []weight.Engine {
--- a/internal/ctrl/orders_test.go
+++ b/internal/ctrl/orders_test.go
@@ -1,6 +1,8 @@
 package ctrl_test
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -181,6 +183,54 @@
 	require.Equal(t, []string{"e1", "e3", "e2"}, ordered, "engines that are trusted go first")
 }
 
+// givesBack tells whether c asks for its lease to be given back.
+func (c *control) givesBack() bool {
+	return slices.ContainsFunc(c.actions, func(a state.Action) bool {
+		ask, ok := a.(state.AskLease)
+		return ok && ask.Op.Put && !strings.Contains(string(ask.Op.Row.Value), "n0")
+	})
+}
+
+func TestHolderThatStopsGivesTheOrdersThatAreDue(t *testing.T) {
+	c := serving(t, "e1", "e2", "e3", "e4", "e5", "e6")
+	c.hold(t)
+	c.step(state.Named{
+		Model:   "m",
+		Version: 2,
+	})
+	under := c.orders()
+	c.step(state.Stopping{})
+	require.False(t, c.givesBack(), "engines lack weights")
+	ordered := 0
+	for ; len(under) > 0; under = under[1:] {
+		ordered++
+		c.step(state.Ordered{
+			Order:   under[0],
+			Outcome: state.Holds,
+		})
+		under = append(under, c.orders()...)
+	}
+	require.Equal(t, 6, ordered)
+	c.wait(10 * time.Millisecond)
+	require.True(t, c.givesBack())
+}
+
+func TestHolderThatStopsGivesTheLeaseBackInTime(t *testing.T) {
+	c := serving(t, "e1")
+	c.hold(t)
+	c.step(state.Named{
+		Model:   "m",
+		Version: 2,
+	})
+	c.step(state.Stopping{})
+	require.False(t, c.givesBack())
+	c.wait(2 * time.Second)
+	require.True(t, c.givesBack(), "the engine does not take its order, and the process ends soon")
+	c.wait(200 * time.Millisecond)
+	require.False(t, c.state.Lease.Valid(c.now, c.now))
+	require.Empty(t, c.orders())
+}
+
 func TestPeersHearAtOnceThatTheLeaseWasGivenBack(t *testing.T) {
 	c := serving(t, "e1")
 	c.step(state.MatesFound{
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -97,6 +97,9 @@
 	// News is what the others have to be told of engines' weights. Invariant:
 	// never written.
 	News []EngineWeights
+	// HandOver is when this instance, which is stopping, gives the lease for orders
+	// back at the latest.
+	HandOver time.Time
 	// Mates are the other instances. Invariant: never written.
 	Mates []member.Node
 }
--- a/pkg/lease/doc.go
+++ b/pkg/lease/doc.go
@@ -6,6 +6,9 @@
 // only after it saw the row unchanged for the lease's length and a margin, on
 // its own clock. Each new holder gets a higher fencing number.
 //
+// A holder that stops writes for how long none of its orders was on its way, and
+// the next one waits only for what is left of the quiet time.
+//
 // A Lease is a pure state: Plan says what to ask of the table, and the answer
 // comes back through WithRow and WithPut.
 //
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -22,6 +22,9 @@
 	// turnStep is by how much one rival lets another go first, where a lease was
 	// given back: some answers of the table.
 	turnStep = 100 * time.Millisecond
+	// freeWords is the number of words of a row that was given back, of which the
+	// second one, the holder, is empty.
+	freeWords = 3
 )
 
 // Op is a call to the table.
@@ -51,6 +54,9 @@
 	next time.Time
 	// fence is the number of this instance's hold.
 	fence int64
+	// used is until when orders of this instance may be on their way; the zero time
+	// where it gave none.
+	used time.Time
 	// yield tells that the lease is not to be taken or renewed.
 	yield bool
 	// length, renew and quiet are the times of this lease.
@@ -100,7 +106,7 @@
 		return Op{}, l, false
 	}
 	holder, fence := decode(l.row.Value)
-	if l.follows(holder, now) {
+	if l.follows(holder, now) || l.yield && !l.seen.IsZero() && holder != l.self {
 		return Op{}, l, false
 	}
 	l.next = now.Add(l.renew)
@@ -119,10 +125,9 @@
 	}
 	switch {
 	case l.seen.IsZero():
-	case l.yield && holder != l.self:
 	case l.yield:
 		op.Put = true
-		op.Row.Value = encode("", fence)
+		op.Row.Value = encodeFree(fence, l.idle(now))
 	case holder == l.self && now.Before(l.until):
 		op.Put = true
 		op.Row.Value = encode(l.self, fence)
@@ -160,7 +165,8 @@
 	if holder != "" || fence == 0 || l.seen.IsZero() || l.yield {
 		return time.Time{}, false
 	}
-	return l.seen.Add(l.quiet + turnStep*time.Duration(l.place)), true
+	rest := max(l.quiet-idleOf(l.row.Value), 0)
+	return l.seen.Add(rest + turnStep*time.Duration(l.place)), true
 }
 
 // inTurn returns the lease after a row was seen: where it was given back, the
@@ -233,6 +239,24 @@
 	return l
 }
 
+// WithUsed returns the lease after an order that may be on its way until the
+// given time.
+func (l Lease) WithUsed(until time.Time) Lease {
+	if until.After(l.used) {
+		l.used = until
+	}
+	return l
+}
+
+// idle returns for how long no order was on its way. A hold under which none was
+// given began when the quiet time of the one before was over.
+func (l Lease) idle(now time.Time) time.Duration {
+	if l.used.IsZero() {
+		return l.quiet
+	}
+	return min(max(now.Sub(l.used), 0), l.quiet)
+}
+
 // WithPlace returns the lease of an instance before which others are to take it.
 // It reads the row less often, so that a large fleet asks little of the table.
 func (l Lease) WithPlace(others int) Lease {
@@ -242,6 +266,9 @@
 
 // WithYield returns a lease that is given back and not taken again.
 func (l Lease) WithYield() Lease {
+	if l.yield {
+		return l
+	}
 	l.yield = true
 	l.next = time.Time{}
 	return l
@@ -273,15 +300,32 @@
 // Until returns when the hold ends.
 func (l Lease) Until() time.Time { return l.until }
 
+// A row holds the fencing number and the holder; one that was given back, the
+// fencing number and for how many milliseconds no order was on its way then.
 func encode(holder string, fence int64) []byte {
 	return []byte(strconv.FormatInt(fence, 10) + " " + holder)
 }
 
+func encodeFree(fence int64, idle time.Duration) []byte {
+	return []byte(strconv.FormatInt(fence, 10) + "  " + strconv.FormatInt(idle.Milliseconds(), 10))
+}
+
 func decode(value []byte) (string, int64) {
-	number, holder, _ := strings.Cut(string(value), " ")
+	number, rest, _ := strings.Cut(string(value), " ")
 	fence, err := strconv.ParseInt(number, 10, 64)
 	if err != nil {
 		return "", 0
 	}
+	holder, _, _ := strings.Cut(rest, " ")
 	return holder, fence
 }
+
+// idleOf returns for how long no order was on its way when the row was written.
+func idleOf(value []byte) time.Duration {
+	words := strings.Split(string(value), " ")
+	ms, err := strconv.ParseInt(words[len(words)-1], 10, 64)
+	if err != nil || len(words) != freeWords {
+		return 0
+	}
+	return time.Duration(max(ms, 0)) * time.Millisecond
+}
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -255,3 +255,77 @@
 		require.LessOrEqual(t, now.Sub(released), quiet+slack, "%d rivals that come first are gone", gone)
 	}
 }
+
+func TestIdleHolderHandsOverAtOnce(t *testing.T) {
+	opts := []lease.Option{lease.WithLength(2*time.Second, 500*time.Millisecond), lease.WithQuiet(3 * time.Second)}
+	for _, used := range []time.Duration{0, time.Second, 5 * time.Second} {
+		var tab table
+		now := start
+		a, b := lease.New("k", "a", opts...), lease.New("k", "b", opts...)
+		step := func(l lease.Lease) lease.Lease {
+			op, next, ok := l.Plan(now)
+			if !ok {
+				return next
+			}
+			return tab.do(next, op)
+		}
+		for !a.Valid(now, now) {
+			now = now.Add(500 * time.Millisecond)
+			a = step(a)
+		}
+		a = step(a.WithUsed(now.Add(-used)).WithYield())
+		released := now
+		b = b.WithTold(a.Row(), now)
+		for !b.Valid(now, now) {
+			b = step(b)
+			now = now.Add(100 * time.Millisecond)
+		}
+		require.LessOrEqual(t, now.Sub(released), max(3*time.Second-used, 0)+200*time.Millisecond, "idle for %s", used)
+	}
+}
+
+// TestOrdersOfTwoHoldersAreTheQuietTimeApart has holders give orders at any time
+// and give their lease back, also where the answer to that is lost.
+func TestOrdersOfTwoHoldersAreTheQuietTimeApart(t *testing.T) {
+	const quiet = 3 * time.Second
+	opts := []lease.Option{lease.WithLength(2*time.Second, 500*time.Millisecond), lease.WithQuiet(quiet)}
+	rapid.Check(t, func(t *rapid.T) {
+		var tab table
+		made := 0
+		join := func(place int) lease.Lease {
+			made++
+			return lease.New("k", fmt.Sprint("i", made), opts...).WithPlace(place)
+		}
+		holders := []lease.Lease{join(0), join(1), join(2)}
+		stopping := make([]int, len(holders))
+		last, lastAt := "", time.Time{}
+		now := start
+		for range rapid.IntRange(50, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(10, 300).Draw(t, "ms")) * time.Millisecond)
+			tab.down = rapid.IntRange(0, 15).Draw(t, "down") == 0
+			tab.lost = rapid.IntRange(0, 15).Draw(t, "lost") == 0
+			for i := range holders {
+				told := rapid.IntRange(0, 2).Draw(t, "told")
+				holders[i] = holders[i].WithTold(holders[told].Row(), now)
+				if op, next, ok := holders[i].Plan(now); ok {
+					holders[i] = tab.do(next, op)
+				}
+				name := fmt.Sprint(i, stopping[i])
+				if holders[i].Valid(now, now) && rapid.Bool().Draw(t, "order") {
+					if last != name && now.Sub(lastAt) < quiet {
+						t.Fatalf("%s gives an order %s after %s", name, now.Sub(lastAt), last)
+					}
+					last, lastAt = name, now
+					holders[i] = holders[i].WithUsed(now)
+				}
+				switch rapid.IntRange(0, 30).Draw(t, "stop") {
+				case 0:
+					holders[i] = holders[i].WithYield()
+				case 1:
+					stopping[i]++
+					holders[i] = join(i)
+				}
+			}
+		}
+	})
+}
