weight, ctrl, peer: instances tell each other for how long weights have been named

Since then weights that are found at a start count as old, which sends all requests of such an instance to the few engines that have the newest ones; and an instance that missed a version, since it was frozen or its read of the store was late, still dates it from the next one. Cause: the age of a naming is counted from when an instance learned of it. Ruled out: a date in the row (operators write none), the version of the row (the store tells no time for it). Change: pulses carry the last names with their ages, by the sender's own clock; of two dates the earlier holds, since news come late and never early. Old weights are judged by the earliest name that they lack. Before: TestInstanceThatMissedAVersionLearnsFromPeersWhenItWasNamed 5 s too young, TestInstanceThatStartsLearnsFromPeersWhenWeightsWereNamed no date. A test's pulse is written in the new form, with the same version.

--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,9 @@
 	// tableSilence is how long the table may be unheard before pulses go to all
 	// others again, by which a majority is known.
 	tableSilence = 1 * time.Second
+	// nameLife is for how long peers are told of a version of weights that is not
+	// wanted any more: longer than the platform grants to begin on older ones.
+	nameLife = 15 * time.Second
 	// mostTold is how many endpoints and teams a pulse tells of at most.
 	mostTold = 32
 )
@@ -153,15 +157,34 @@
 		Listing: s.Routing.Listing,
 		Follows: s.Routing.Follows,
 		Lease:   s.Lease.Row(),
-		Named:   map[string]int64{},
 	}
 	if len(s.Routing.Mates) <= fullMesh {
 		r.Mates = s.Routing.Mates
 	}
-	book := s.Routing.Weights
-	for model, n := range book.AllNamed() {
-		r.Named[model] = n.Version
-	}
+	r.Names = namesOf(s)
 	r.Weights = s.Routing.News
 	return r
 }
+
+// namesOf returns the versions of weights that matter to others: those that are
+// wanted, and those before them by which old weights are judged.
+func namesOf(s state.State) []state.Named {
+	var out []state.Named
+	book := s.Routing.Weights
+	for _, model := range slices.Sorted(maps.Keys(book.AllNamed())) {
+		for _, n := range book.Past(model) {
+			told := state.Named{
+				Model:   model,
+				Version: n.Version,
+				Dated:   !n.Since.IsZero(),
+			}
+			if told.Dated {
+				told.Age = s.At.Sub(n.Since)
+			}
+			if n.Version == book.Named(model).Version || told.Age <= nameLife {
+				out = append(out, told)
+			}
+		}
+	}
+	return out
+}
--- a/internal/ctrl/orders.go
+++ b/internal/ctrl/orders.go
@@ -50,19 +50,27 @@
 }
 
 func (c Orders) named(s state.State, e state.Named, now time.Time) (state.State, []state.Action) {
-	if e.Version <= s.Routing.Weights.Named(e.Model).Version {
+	before := s.Routing.Weights.Named(e.Model)
+	if !e.Dated && e.Version <= before.Version {
 		return s, nil
 	}
-	first := s.Routing.Weights.Named(e.Model).Version == 0
-	found := first && (s.Routing.Began.IsZero() || now.Sub(s.Routing.Began) < foundTime)
+	found := !e.Dated && before.Version == 0 && (s.Routing.Began.IsZero() || now.Sub(s.Routing.Began) < foundTime)
 	if found {
 		s.Routing.Weights = s.Routing.Weights.WithFound(e.Model, e.Version)
 	} else {
-		s.Routing.Weights = s.Routing.Weights.WithNamed(e.Model, e.Version, now)
+		s.Routing.Weights = s.Routing.Weights.WithNamed(e.Model, e.Version, now.Add(-e.Age))
+	}
+	if e.Version < before.Version || e.Version == before.Version && !before.Since.IsZero() {
+		return s, nil
 	}
 	note := state.Note{
 		Event: "named",
-		Pairs: []string{"model", e.Model, "version", strconv.FormatInt(e.Version, 10), "found", yes(found)},
+		Pairs: []string{
+			"model", e.Model,
+			"version", strconv.FormatInt(e.Version, 10),
+			"found", yes(found),
+			"age", e.Age.String(),
+		},
 	}
 	s, actions := c.plan(s, now)
 	return s, append(append(actions, pulses(s)...), note)
@@ -85,11 +93,8 @@
 // heard takes what a peer told of weights.
 func (c Orders) heard(s state.State, e state.Pulse, now time.Time) (state.State, []state.Action) {
 	var actions []state.Action
-	for model, version := range e.Relay.Named {
-		next, more := c.named(s, state.Named{
-			Model:   model,
-			Version: version,
-		}, now)
+	for _, n := range e.Relay.Names {
+		next, more := c.named(s, n, now)
 		s = next
 		actions = append(actions, more...)
 	}
--- a/internal/ctrl/orders_test.go
+++ b/internal/ctrl/orders_test.go
@@ -91,8 +91,11 @@
 	alone.step(state.Pulse{
 		Name: "n1",
 		Relay: state.Relay{
-			Named: map[string]int64{
-				"m": 3,
+			Names: []state.Named{
+				{
+					Model:   "m",
+					Version: 3,
+				},
 			},
 		},
 	})
@@ -262,3 +265,41 @@
 	}
 	require.Equal(t, []int64{back.Op.Row.Version + 1}, told)
 }
+
+// named has c learn that version of m is wanted.
+func (c *control) named(version int64) {
+	c.step(state.Named{
+		Model:   "m",
+		Version: version,
+	})
+}
+
+func TestInstanceThatMissedAVersionLearnsFromPeersWhenItWasNamed(t *testing.T) {
+	peer, c := serving(t, "e1"), serving(t, "e1")
+	first := peer.now
+	peer.named(2)
+	peer.wait(5 * time.Second)
+	peer.named(3)
+	c.now = peer.now
+	c.named(3)
+	c.wait(100 * time.Millisecond)
+	c.step(ctrl.PulseOf(peer.state))
+	since, behind := c.state.Routing.Weights.Behind("e1", "m")
+	require.True(t, behind)
+	require.WithinDuration(t, first, since, 200*time.Millisecond, "version 2 was wanted from the first")
+}
+
+func TestInstanceThatStartsLearnsFromPeersWhenWeightsWereNamed(t *testing.T) {
+	peer, c := serving(t, "e1"), newControl()
+	peer.named(2)
+	since := peer.now
+	peer.wait(time.Second)
+	c.now = peer.now
+	c.step(state.SiteFound{
+		Site: site.New(5),
+	})
+	c.named(2)
+	require.True(t, c.state.Routing.Weights.Named("m").Since.IsZero())
+	c.step(ctrl.PulseOf(peer.state))
+	require.WithinDuration(t, since, c.state.Routing.Weights.Named("m").Since, 200*time.Millisecond)
+}
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -18,7 +19,6 @@
 		Site:    r.Site,
 		Listing: r.Listing,
 		Follows: r.Follows,
-		Named:   r.Named,
 		Lease: &rpcapi.Lease{
 			Version: r.Lease.Version,
 			Value:   r.Lease.Value,
@@ -32,6 +32,14 @@
 			Ordered: w.Ordered,
 		})
 	}
+	for _, n := range r.Names {
+		m.Names = append(m.Names, &rpcapi.Name{
+			Model:   n.Model,
+			Version: n.Version,
+			Age:     n.Age.Milliseconds(),
+			Dated:   n.Dated,
+		})
+	}
 	for _, n := range r.Mates {
 		m.Mates = append(m.Mates, &rpcapi.Mate{
 			Name:   n.Name,
@@ -49,7 +57,6 @@
 		Site:    m.GetSite(),
 		Listing: m.GetListing(),
 		Follows: m.GetFollows(),
-		Named:   m.GetNamed(),
 		Lease: store.Row{
 			Version: m.GetLease().GetVersion(),
 			Value:   m.GetLease().GetValue(),
@@ -63,6 +70,14 @@
 			Ordered: w.GetOrdered(),
 		})
 	}
+	for _, n := range m.GetNames() {
+		r.Names = append(r.Names, state.Named{
+			Model:   n.GetModel(),
+			Version: n.GetVersion(),
+			Age:     time.Duration(n.GetAge()) * time.Millisecond,
+			Dated:   n.GetDated(),
+		})
+	}
 	for _, n := range m.GetMates() {
 		r.Mates = append(r.Mates, member.Node{
 			Name:   n.GetName(),
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -121,8 +121,8 @@
 	Follows bool
 	// Lease is the row of the lease for orders.
 	Lease store.Row
-	// Named is the wanted version of each model's weights.
-	Named map[string]int64
+	// Names is the last versions of weights that were named.
+	Names []Named
 	// Weights is told by the instance that gives orders.
 	Weights []EngineWeights
 	// Mates are the other instances that the sender knows.
@@ -154,6 +154,9 @@
 	Model string
 	// Version is the version.
 	Version int64
+	// Age is for how long it has been named, where Dated tells that a peer knows.
+	Age   time.Duration
+	Dated bool
 }
 
 // Roster is what was read of the registry of endpoints.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -50,6 +50,8 @@
 	Lease lease.Lease
 	// Fresh is up to when new work may be taken without hearing more.
 	Fresh time.Time
+	// At is when the last step was made.
+	At time.Time
 	// Leaving tells that the instance takes no new work.
 	Leaving bool
 	// Own is what the instance tells its peers.
--- a/pkg/weight/book.go
+++ b/pkg/weight/book.go
@@ -15,12 +15,16 @@
 // the time in which engines have to take them.
 const keptNames = 16
 
+// dateSlack is by how much a date has to be earlier to replace another.
+const dateSlack = 50 * time.Millisecond
+
 // Named is the version of a model that is wanted.
 type Named struct {
 	// Version grows with each release of the model. It is 0 before the first.
 	Version int64
-	// Since is when this instance learned of it; the zero time where it was named
-	// before the instance started, nobody knows when.
+	// Since is when it was named, as far as this instance or a peer learned of it;
+	// the zero time where it was named before this instance started and no peer
+	// told when.
 	Since time.Time
 }
 
@@ -40,8 +44,8 @@
 type Book struct {
 	// named is by model. Invariant: never written once published.
 	named map[string]Named
-	// past is the last names of each model, the oldest first. Invariant: never
-	// written once published.
+	// past is the last names of each model by version, the oldest first.
+	// Invariant: never written once published.
 	past map[string][]Named
 	// held is the version of each model by engine. Invariant: never written.
 	held map[string]map[string]int64
@@ -49,31 +53,47 @@
 	orders map[string]Order
 }
 
-// WithNamed returns a copy of b in which version of model is wanted, unless a
-// newer one is.
-func (b Book) WithNamed(model string, version int64, now time.Time) Book {
-	if version <= b.named[model].Version {
+// WithNamed returns a copy of b in which version of model is wanted since the
+// given time, unless a newer one is. Of two times for one version the earlier
+// holds, since news of a naming come late and never early.
+func (b Book) WithNamed(model string, version int64, since time.Time) Book {
+	names := b.past[model]
+	i, known := slices.BinarySearchFunc(names, version, func(n Named, v int64) int { return cmp.Compare(n.Version, v) })
+	if known && !names[i].later(since) {
 		return b
 	}
-	next := maps.Clone(b.named)
-	if next == nil {
-		next = map[string]Named{}
+	names = slices.Clone(names)
+	if !known {
+		names = slices.Insert(names, i, Named{})
 	}
-	next[model] = Named{
+	names[i] = Named{
 		Version: version,
-		Since:   now,
+		Since:   since,
 	}
-	b.named = next
 	past := maps.Clone(b.past)
 	if past == nil {
 		past = map[string][]Named{}
 	}
-	names := append(slices.Clone(past[model]), next[model])
 	past[model] = names[max(len(names)-keptNames, 0):]
 	b.past = past
+	next := maps.Clone(b.named)
+	if next == nil {
+		next = map[string]Named{}
+	}
+	next[model] = names[len(names)-1]
+	b.named = next
 	return b
 }
 
+// later tells whether n is dated later than since, by more than messages take.
+// A date that is not known is later than any.
+func (n Named) later(since time.Time) bool {
+	if n.Since.IsZero() || since.IsZero() {
+		return n.Since.IsZero() && !since.IsZero()
+	}
+	return n.Since.Sub(since) > dateSlack
+}
+
 // WithFound returns a copy of b in which version of model was named before this
 // instance started.
 func (b Book) WithFound(model string, version int64) Book {
@@ -84,12 +104,21 @@
 // whether it does. Each version is judged from its own naming.
 func (b Book) Behind(engine, model string) (time.Time, bool) {
 	held := b.held[engine][model]
+	var since time.Time
+	behind := false
 	for _, n := range b.past[model] {
-		if n.Version > held {
-			return n.Since, true
+		if n.Version <= held {
+			continue
+		}
+		if n.Since.IsZero() {
+			return time.Time{}, true
 		}
+		if !behind || n.Since.Before(since) {
+			since = n.Since
+		}
+		behind = true
 	}
-	return time.Time{}, false
+	return since, behind
 }
 
 // WithHeld returns a copy of b in which engine was seen with version of model.
@@ -152,6 +181,9 @@
 // Named returns the version of model that is wanted.
 func (b Book) Named(model string) Named { return b.named[model] }
 
+// Past returns the last names of model, the oldest first. It must not be written.
+func (b Book) Past(model string) []Named { return b.past[model] }
+
 // AllNamed returns the wanted versions by model. It must not be written.
 func (b Book) AllNamed() map[string]Named { return b.named }
 
