--- a/internal/ctrl/nothing_test.go
+++ b/internal/ctrl/nothing_test.go
@@ -16,8 +16,11 @@
 	c.step(state.Pulse{
 		Name: "n1",
 		Relay: state.Relay{
-			Named: map[string]int64{
-				"m": 2,
+			Names: []state.Named{
+				{
+					Model:   "m",
+					Version: 2,
+				},
 			},
 			Weights: []state.EngineWeights{
 				{
