ctrl, peer: a peer's word that an endpoint leaves counts by the registry's version behind it

Cause: their entries vanished, and instances told each other so for 10 s. One that had read the return heard it from one that had not, marked the engine as leaving and told that on; nothing clears such a mark until the row changes. Ruled out: the order of orders and trust (the engines are not among those that the plan looks at). Change: each word that an endpoint is leaving or gone goes with the registry's version that says so, and is not taken where the registry was since read to say that it is ready. Marks by a peer's word are logged. TestPeerTellsOfLeavingEndpoint now names the version behind the word, as every instance does; it checks the same.

--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -151,6 +151,11 @@
 	c.step(state.Pulse{
 		Name:    "n1",
 		Drained: []string{"e1"},
+		Relay: state.Relay{
+			Leavers: map[string]int64{
+				"e1": 11,
+			},
+		},
 	})
 	require.Equal(t, []string{"e2"}, c.names())
 }
--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -72,7 +72,9 @@
 		Leaving: e.Leaving,
 	}, now))
 	for _, name := range e.Drained {
-		s = s.WithMembers(s.Members.WithAccused(name, now))
+		if !outdated(s, e, name) {
+			s = s.WithMembers(s.Members.WithAccused(name, now))
+		}
 	}
 	if fresh {
 		s = s.WithLoads(s.Loads.WithDigest(e.Name, load.Digest{
@@ -141,12 +143,12 @@
 		Leaving: s.Leaving,
 		Summary: s.Own,
 		Drained: drained,
-		Relay:   relayOf(s),
+		Relay:   relayOf(s, drained),
 	}
 }
 
 // relayOf returns what an instance that forwards by routes tells besides.
-func relayOf(s state.State) state.Relay {
+func relayOf(s state.State, drained []string) state.Relay {
 	if !s.Routing.On {
 		return state.Relay{}
 	}
@@ -163,9 +165,30 @@
 	}
 	r.Names = namesOf(s)
 	r.Weights = s.Routing.News
+	r.Leavers = make(map[string]int64, len(drained))
+	for _, name := range drained {
+		if v, ok := s.Routing.Leavers[name]; ok {
+			r.Leavers[name] = v
+		}
+	}
 	return r
 }
 
+// outdated tells whether a peer's word that name is leaving is older than the
+// registry's word to this instance that it is ready.
+func outdated(s state.State, e state.Pulse, name string) bool {
+	entered, ok := s.Routing.Entered[name]
+	return ok && wordOf(e, name) <= entered
+}
+
+// wordOf returns the registry's version behind a peer's word that name is leaving.
+func wordOf(e state.Pulse, name string) int64 {
+	if v, ok := e.Relay.Leavers[name]; ok {
+		return v
+	}
+	return e.Relay.Listing
+}
+
 // namesOf returns the versions of weights that matter to others: those that are
 // wanted, and those before them by which old weights are judged.
 func namesOf(s state.State) []state.Named {
--- a/internal/ctrl/roster.go
+++ b/internal/ctrl/roster.go
@@ -84,6 +84,7 @@
 	}
 	s = c.stays(s, e.Put)
 	s = c.listed(s, nodes)
+	s = c.noted(s, e, gone)
 	before := s.Members
 	for _, l := range e.Put {
 		s = s.WithMembers(s.Members.WithListing(l))
@@ -116,6 +117,39 @@
 	}
 }
 
+// noted keeps which version of the registry says that endpoints are ready, leaving
+// or gone.
+func (Roster) noted(s state.State, e state.Roster, gone []string) state.State {
+	if len(e.Put)+len(gone) == 0 {
+		return s
+	}
+	entered, leavers := maps.Clone(s.Routing.Entered), maps.Clone(s.Routing.Leavers)
+	if entered == nil {
+		entered = map[string]int64{}
+	}
+	if leavers == nil {
+		leavers = map[string]int64{}
+	}
+	for _, name := range gone {
+		leavers[name] = e.Version
+		delete(entered, name)
+	}
+	for _, l := range e.Put {
+		if l.Report.Leaving {
+			leavers[l.Node.Name] = e.Version
+			continue
+		}
+		entered[l.Node.Name] = e.Version
+		delete(leavers, l.Node.Name)
+	}
+	maps.DeleteFunc(leavers, func(name string, _ int64) bool {
+		_, known := s.Members.Find(name)
+		return !known && s.Routing.Left[name].IsZero()
+	})
+	s.Routing.Entered, s.Routing.Leavers = entered, leavers
+	return s
+}
+
 // left notes that the entry of name was removed at now.
 func (Roster) left(s state.State, name string, now time.Time) state.State {
 	next := maps.Clone(s.Routing.Left)
@@ -300,9 +334,10 @@
 		})
 	}
 	s = c.met(s, mates, now)
+	var actions []state.Action
 	for _, name := range e.Drained {
 		n, ok := s.Members.Find(name)
-		if !ok || n.Report.Leaving {
+		if !ok || n.Report.Leaving || outdated(s, e, name) {
 			continue
 		}
 		n.Report.Leaving = true
@@ -310,18 +345,25 @@
 			Node:   n.Node,
 			Report: n.Report,
 		}))
+		s.Routing.Leavers = maps.Clone(s.Routing.Leavers)
+		if s.Routing.Leavers == nil {
+			s.Routing.Leavers = map[string]int64{}
+		}
+		s.Routing.Leavers[name] = wordOf(e, name)
+		actions = append(actions, endpointNote(name, "leaving", state.Roster{
+			Version: wordOf(e, name),
+			Source:  e.Name,
+		}))
 	}
 	if s.Routing.Follows || !e.Relay.Follows || e.Relay.Listing <= s.Routing.Listing {
-		return s, nil
+		return s, actions
 	}
-	return s, []state.Action{
-		state.FetchRoster{
-			From: member.Node{
-				Name: e.Name,
-				Addr: e.Relay.Addr,
-			},
+	return s, append(actions, state.FetchRoster{
+		From: member.Node{
+			Name: e.Name,
+			Addr: e.Relay.Addr,
 		},
-	}
+	})
 }
 
 // followed notes when the store is lost and regained.
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -32,6 +34,12 @@
 			Ordered: w.Ordered,
 		})
 	}
+	for _, name := range slices.Sorted(maps.Keys(r.Leavers)) {
+		m.Leavers = append(m.Leavers, &rpcapi.Leaver{
+			Name:    name,
+			Listing: r.Leavers[name],
+		})
+	}
 	for _, n := range r.Names {
 		m.Names = append(m.Names, &rpcapi.Name{
 			Model:   n.Model,
@@ -70,6 +78,12 @@
 			Ordered: w.GetOrdered(),
 		})
 	}
+	for _, l := range m.GetLeavers() {
+		if r.Leavers == nil {
+			r.Leavers = map[string]int64{}
+		}
+		r.Leavers[l.GetName()] = l.GetListing()
+	}
 	for _, n := range m.GetNames() {
 		r.Names = append(r.Names, state.Named{
 			Model:   n.GetModel(),
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -123,6 +123,9 @@
 	Lease store.Row
 	// Names is the last versions of weights that were named.
 	Names []Named
+	// Leavers is the registry's version that says of each drained endpoint that it
+	// is leaving or gone.
+	Leavers map[string]int64
 	// Weights is told by the instance that gives orders.
 	Weights []EngineWeights
 	// Mates are the other instances that the sender knows.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -94,6 +94,11 @@
 	// Left are endpoints whose entries were removed lately, and when. Invariant:
 	// never written.
 	Left map[string]time.Time
+	// Leavers are the endpoints that are leaving or gone, and Entered all that were
+	// read as ready, each with the version of the registry that says so. Invariant:
+	// never written.
+	Leavers map[string]int64
+	Entered map[string]int64
 	// RepeatUntil is until when news are told to all others at each tick.
 	RepeatUntil time.Time
 	// News is what the others have to be told of engines' weights. Invariant:
