ctrl: an order that came to nothing does not keep its engine from all others

Cause: a peer's word that an engine has no order did not end one, and a report that the engine is not busy and has the weights of before was not looked at. Change: both end it; the report where the order is older than one takes to leave and to show. The order that follows expects the count of orders before it, so that only one of the two is carried out. Before: TestOrderThatCameToNothingIsGivenByTheNextHolder and TestEngineThatReportsNoOrderIsOrderedAgain fail. After: both pass.

--- a/internal/ctrl/orders.go
+++ b/internal/ctrl/orders.go
@@ -20,6 +20,9 @@
 	// and loadLeast their least number. The others serve meanwhile.
 	loadShare = 0.34
 	loadLeast = 2
+	// orderStart is after what time an engine that reports no order has none: a
+	// report is some hundred milliseconds old, and an order takes as long to leave.
+	orderStart = OrderLimit + 500*time.Millisecond
 	// foundTime is how soon after its first configuration an instance learns of
 	// the weights that were named before it started: some reads of the store.
 	foundTime = 1 * time.Second
@@ -103,7 +106,11 @@
 			continue
 		}
 		book := s.Routing.Weights.WithHeld(w.Engine, w.Model, w.Version)
-		if w.Ordered > book.Held(w.Engine, w.Model) && !s.Lease.Valid(now, now) {
+		switch {
+		case s.Lease.Valid(now, now):
+		case w.Ordered == 0:
+			book = book.WithoutOrder(w.Engine)
+		case w.Ordered > book.Held(w.Engine, w.Model):
 			book = book.WithOrder(weight.Order{
 				Engine:  w.Engine,
 				Model:   w.Model,
@@ -131,8 +138,11 @@
 			},
 		}
 	}
-	next, actions := c.held(s, e.Endpoint, o.Model, version, now)
-	return next, actions
+	if !e.Report.Busy && version < o.Version && now.Sub(o.Sent) > orderStart {
+		s.Routing.Weights = s.Routing.Weights.WithoutOrder(e.Endpoint)
+		s = c.news(s, e.Endpoint, o.Model)
+	}
+	return c.held(s, e.Endpoint, o.Model, version, now)
 }
 
 func (c Orders) ordered(s state.State, e state.Ordered, now time.Time) (state.State, []state.Action) {
