lease: a release follows a renewal that is under way at once

A holder that stops while its renewal is not answered gave its lease back 0.7 s late, past the end of a process that has no requests; the next holder then waits 5.8 s (found by review). Cause: one call to the row is under way at a time, and the answer to the renewal planned the next one. Change: an answer to an own write of a lease that is to be given back plans the release. Before: TestReleaseFollowsARenewalUnderWay fails. After: it passes.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -236,6 +236,10 @@
 	if holder == l.self {
 		l.until = op.Sent.Add(l.length)
 		l.fence = fence
+		if l.yield {
+			// The lease was to be given back while its renewal was under way.
+			l.next = time.Time{}
+		}
 	}
 	return l
 }
