relay: an attempt that begins while it expires goes on

A stream whose first event came while its expiry looked at the weights could be cut, and resumed elsewhere or lost (found by review). Cause: stopping a timer does not stop a callback that is running. Change: begin and withdrawal are decided by one atomic step. Before: TestAttemptThatBeginsWhileItExpiresGoesOn fails. After: it passes.

--- a/internal/relay/patience.go
+++ b/internal/relay/patience.go
@@ -109,6 +109,9 @@
 // too old to begin on.
 type expiry struct {
 	timer *time.Timer
+	// over tells that the attempt has begun, ended or was withdrawn: whichever
+	// comes first decides.
+	over atomic.Bool
 }
 
 // newExpiry returns the expiry of an attempt at c. Versions that are named while
@@ -121,11 +124,14 @@
 	armed := make(chan struct{})
 	e.timer = time.AfterFunc(x.mayBegin(c), func() {
 		<-armed
-		if left := x.mayBegin(c); left > 0 {
+		left := x.mayBegin(c)
+		switch {
+		case e.over.Load():
+		case left > 0:
 			e.timer.Reset(left)
-			return
+		case e.over.CompareAndSwap(false, true):
+			cancel(errStale)
 		}
-		cancel(errStale)
 	})
 	close(armed)
 	return e
@@ -141,6 +147,7 @@
 }
 
 func (e *expiry) stop() {
+	e.over.Store(true)
 	if e.timer != nil {
 		e.timer.Stop()
 	}
