state, ctrl: what an instance learns as it wakes may have happened while it stood still

Peers' dates correct it, but only with their next pulse, and not where all stood still. Change: news in the first second after a standstill date from before it. Before: TestWeightsNamedWhileTheInstanceStoodStillAreOld and TestVersionSkippedInAStandstillIsOlderThanTheNext fail. After: both pass. The tests' instances now tick through the time that passes, where they are not to stand still.

--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -96,9 +96,17 @@
 	ok, why := c.state.Ready(c.now)
 	require.True(t, ok, why)
 	c.now = c.now.Add(time.Minute)
+	c.run(2 * time.Second)
 	return c
 }
 
+// run lets time pass with all its ticks.
+func (c *control) run(d time.Duration) {
+	for ; d > 0; d -= ctrl.ForwardInterval {
+		c.wait(ctrl.ForwardInterval)
+	}
+}
+
 func TestEntryThatVanishesIsGone(t *testing.T) {
 	c := serving(t, "e1", "e2")
 	c.step(state.Roster{
--- a/internal/ctrl/orders.go
+++ b/internal/ctrl/orders.go
@@ -58,10 +58,13 @@
 		return s, nil
 	}
 	found := !e.Dated && before.Version == 0 && (s.Routing.Began.IsZero() || now.Sub(s.Routing.Began) < foundTime)
-	if found {
+	switch {
+	case found:
 		s.Routing.Weights = s.Routing.Weights.WithFound(e.Model, e.Version)
-	} else {
+	case e.Dated:
 		s.Routing.Weights = s.Routing.Weights.WithNamed(e.Model, e.Version, now.Add(-e.Age))
+	default:
+		s.Routing.Weights = s.Routing.Weights.WithNamed(e.Model, e.Version, s.Happened())
 	}
 	if e.Version < before.Version || e.Version == before.Version && !before.Since.IsZero() {
 		return s, nil
--- a/internal/ctrl/orders_test.go
+++ b/internal/ctrl/orders_test.go
@@ -79,7 +79,7 @@
 	}
 	c.step(found)
 	require.True(t, c.state.Routing.Weights.Named("m").Since.IsZero())
-	c.wait(2 * time.Second)
+	c.run(2 * time.Second)
 	c.step(state.Named{
 		Model:   "other",
 		Version: 1,
@@ -196,9 +196,9 @@
 	peer, c := serving(t, "e1"), serving(t, "e1")
 	first := peer.now
 	peer.named(2)
-	peer.wait(5 * time.Second)
+	peer.run(5 * time.Second)
 	peer.named(3)
-	c.now = peer.now
+	c.run(peer.now.Sub(c.now))
 	c.named(3)
 	c.wait(100 * time.Millisecond)
 	c.step(ctrl.PulseOf(peer.state))
@@ -211,7 +211,7 @@
 	peer, c := serving(t, "e1"), newControl()
 	peer.named(2)
 	since := peer.now
-	peer.wait(time.Second)
+	peer.run(time.Second)
 	c.now = peer.now
 	c.step(state.SiteFound{
 		Site: site.New(5),
@@ -300,9 +300,9 @@
 	require.Less(t, c.now.Sub(o.Sent), time.Second, "the engine reports the weights of before and no order, 4 s after the order")
 }
 
-// TestSkippedVersionIsOlderThanTheOneThatIsLearned has an instance learn of
-// version 4 alone; version 3 was named before it.
-func TestSkippedVersionIsOlderThanTheOneThatIsLearned(t *testing.T) {
+// TestVersionSkippedInAStandstillIsOlderThanTheNext has an instance that stood
+// still learn of version 4 alone; version 3 was named before it.
+func TestVersionSkippedInAStandstillIsOlderThanTheNext(t *testing.T) {
 	c := serving(t, "e1")
 	c.step(state.Named{
 		Model:   "m",
--- a/internal/ctrl/step.go
+++ b/internal/ctrl/step.go
@@ -50,7 +50,7 @@
 
 // Step has each controller step in turn.
 func Step(cs []Controller, s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
-	s.At = now
+	s = s.WithStep(now)
 	var actions []state.Action
 	for _, c := range cs {
 		next, more := c.Step(s, e, now)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -17,6 +17,15 @@
 	"github.com/baobabtally/baobabtally/pkg/weight"
 )
 
+const (
+	// standstill is the time between two steps from which on the instance counts as
+	// having stood still: several ticks.
+	standstill = 1 * time.Second
+	// wakeTime is how long after a standstill news may still come that were missed:
+	// some reads of the store.
+	wakeTime = 1 * time.Second
+)
+
 // Self is what an instance knows of itself from its settings.
 type Self struct {
 	// Name is the instance's name in the platform's list.
@@ -52,6 +61,10 @@
 	Fresh time.Time
 	// At is when the last step was made.
 	At time.Time
+	// Stood is when the last step before the last standstill was made, and Woke
+	// the first one after it.
+	Stood time.Time
+	Woke  time.Time
 	// Leaving tells that the instance takes no new work.
 	Leaving bool
 	// Own is what the instance tells its peers.
@@ -194,6 +207,24 @@
 	return s
 }
 
+// WithStep returns a copy of s in which a step is made at now.
+func (s State) WithStep(now time.Time) State {
+	if !s.At.IsZero() && now.Sub(s.At) > standstill {
+		s.Stood, s.Woke = s.At, now
+	}
+	s.At = now
+	return s
+}
+
+// Happened returns since when what the instance learns now may be so. It may have
+// missed it while it stood still.
+func (s State) Happened() time.Time {
+	if !s.Woke.IsZero() && s.At.Sub(s.Woke) < wakeTime {
+		return s.Stood
+	}
+	return s.At
+}
+
 // WithRouting returns a copy of s with r.
 func (s State) WithRouting(r Routing) State {
 	s.Routing = r
