--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -96,9 +96,17 @@
 	ok, why := c.state.Ready(c.now)
 	require.True(t, ok, why)
 	c.now = c.now.Add(time.Minute)
+	c.run(2 * time.Second)
 	return c
 }
 
+// run lets time pass with all its ticks.
+func (c *control) run(d time.Duration) {
+	for ; d > 0; d -= ctrl.ForwardInterval {
+		c.wait(ctrl.ForwardInterval)
+	}
+}
+
 func TestEntryThatVanishesIsGone(t *testing.T) {
 	c := serving(t, "e1", "e2")
 	c.step(state.Roster{
@@ -151,6 +159,11 @@
 	c.step(state.Pulse{
 		Name:    "n1",
 		Drained: []string{"e1"},
+		Relay: state.Relay{
+			Leavers: map[string]int64{
+				"e1": 11,
+			},
+		},
 	})
 	require.Equal(t, []string{"e2"}, c.names())
 }
@@ -224,3 +237,42 @@
 	require.Empty(t, ctrl.PulseOf(c.state).Drained)
 	require.Equal(t, []string{"e1", "e2"}, c.names())
 }
+
+// TestEngineThatReturnsIsNotLeavingByAnOldWord has a peer tell of the removal of
+// an entry that was entered again since.
+func TestEngineThatReturnsIsNotLeavingByAnOldWord(t *testing.T) {
+	c := serving(t, "e1", "e2", "e3")
+	c.step(state.MatesFound{
+		Mates: []member.Node{
+			{
+				Name: "n1",
+				Addr: "10.0.0.2:1",
+			},
+		},
+	})
+	c.step(state.Roster{
+		Gone:    []string{"e1"},
+		Version: 11,
+	})
+	require.Equal(t, []string{"e2", "e3"}, c.names())
+	c.wait(time.Second)
+	again := listing("e1")
+	again.Node.Start = "2"
+	c.step(state.Roster{
+		Put:     []member.Listing{again},
+		Version: 12,
+	})
+	require.Equal(t, []string{"e1", "e2", "e3"}, c.names())
+	c.wait(300 * time.Millisecond)
+	c.step(state.Pulse{
+		Name:    "n1",
+		Drained: []string{"e1"},
+		Relay: state.Relay{
+			Addr:    "10.0.0.2:1",
+			Listing: 11,
+			Follows: true,
+		},
+	})
+	require.Equal(t, []string{"e1", "e2", "e3"}, c.names(), "the peer has read the registry up to 11 alone")
+	require.NotContains(t, ctrl.PulseOf(c.state).Drained, "e1", "others would hear it from here")
+}
--- a/internal/ctrl/orders.go
+++ b/internal/ctrl/orders.go
@@ -20,6 +20,9 @@
 	// and loadLeast their least number. The others serve meanwhile.
 	loadShare = 0.34
 	loadLeast = 2
+	// orderStart is after what time an engine that reports no order has none: a
+	// report is some hundred milliseconds old, and an order takes as long to leave.
+	orderStart = OrderLimit + 500*time.Millisecond
 	// foundTime is how soon after its first configuration an instance learns of
 	// the weights that were named before it started: some reads of the store.
 	foundTime = 1 * time.Second
@@ -50,19 +53,30 @@
 }
 
 func (c Orders) named(s state.State, e state.Named, now time.Time) (state.State, []state.Action) {
-	if e.Version <= s.Routing.Weights.Named(e.Model).Version {
+	before := s.Routing.Weights.Named(e.Model)
+	if !e.Dated && e.Version <= before.Version {
 		return s, nil
 	}
-	first := s.Routing.Weights.Named(e.Model).Version == 0
-	found := first && (s.Routing.Began.IsZero() || now.Sub(s.Routing.Began) < foundTime)
-	if found {
+	found := !e.Dated && before.Version == 0 && (s.Routing.Began.IsZero() || now.Sub(s.Routing.Began) < foundTime)
+	switch {
+	case found:
 		s.Routing.Weights = s.Routing.Weights.WithFound(e.Model, e.Version)
-	} else {
-		s.Routing.Weights = s.Routing.Weights.WithNamed(e.Model, e.Version, now)
+	case e.Dated:
+		s.Routing.Weights = s.Routing.Weights.WithNamed(e.Model, e.Version, now.Add(-e.Age))
+	default:
+		s.Routing.Weights = s.Routing.Weights.WithNamed(e.Model, e.Version, s.Happened())
+	}
+	if e.Version < before.Version || e.Version == before.Version && !before.Since.IsZero() {
+		return s, nil
 	}
 	note := state.Note{
 		Event: "named",
-		Pairs: []string{"model", e.Model, "version", strconv.FormatInt(e.Version, 10), "found", yes(found)},
+		Pairs: []string{
+			"model", e.Model,
+			"version", strconv.FormatInt(e.Version, 10),
+			"found", yes(found),
+			"age", e.Age.String(),
+		},
 	}
 	s, actions := c.plan(s, now)
 	return s, append(append(actions, pulses(s)...), note)
@@ -85,12 +99,8 @@
 // heard takes what a peer told of weights.
 func (c Orders) heard(s state.State, e state.Pulse, now time.Time) (state.State, []state.Action) {
 	var actions []state.Action
-	s.Lease = s.Lease.WithTold(e.Relay.Lease, now)
-	for model, version := range e.Relay.Named {
-		next, more := c.named(s, state.Named{
-			Model:   model,
-			Version: version,
-		}, now)
+	for _, n := range e.Relay.Names {
+		next, more := c.named(s, n, now)
 		s = next
 		actions = append(actions, more...)
 	}
@@ -99,7 +109,11 @@
 			continue
 		}
 		book := s.Routing.Weights.WithHeld(w.Engine, w.Model, w.Version)
-		if w.Ordered > book.Held(w.Engine, w.Model) && !s.Lease.Valid(now, now) {
+		switch {
+		case s.Lease.Valid(now, now):
+		case w.Ordered == 0:
+			book = book.WithoutOrder(w.Engine)
+		case w.Ordered > book.Held(w.Engine, w.Model):
 			book = book.WithOrder(weight.Order{
 				Engine:  w.Engine,
 				Model:   w.Model,
@@ -127,8 +141,11 @@
 			},
 		}
 	}
-	next, actions := c.held(s, e.Endpoint, o.Model, version, now)
-	return next, actions
+	if !e.Report.Busy && version < o.Version && now.Sub(o.Sent) > orderStart {
+		s.Routing.Weights = s.Routing.Weights.WithoutOrder(e.Endpoint)
+		s = c.news(s, e.Endpoint, o.Model)
+	}
+	return c.held(s, e.Endpoint, o.Model, version, now)
 }
 
 func (c Orders) ordered(s state.State, e state.Ordered, now time.Time) (state.State, []state.Action) {
@@ -193,7 +210,7 @@
 // plan gives the orders that are due, while this instance holds the lease, and
 // asks engines under order how far they are.
 func (c Orders) plan(s state.State, now time.Time) (state.State, []state.Action) {
-	if s.Leaving || !s.Lease.Valid(now, now.Add(OrderLimit)) {
+	if !s.Lease.Valid(now, now.Add(OrderLimit)) {
 		return s, nil
 	}
 	invar.That(now.Before(s.Lease.Until()), invar.Fence, "orders are planned after the lease ended")
@@ -211,6 +228,7 @@
 		for _, o := range s.Routing.Weights.Plan(model, engines, atOnce, now) {
 			e, _ := s.Members.Find(o.Engine)
 			s.Routing.Weights = s.Routing.Weights.WithOrder(o)
+			s.Lease = s.Lease.WithUsed(now.Add(OrderLimit))
 			s = c.news(s, o.Engine, o.Model)
 			actions = append(actions, state.SendOrder{
 				Endpoint: e,
@@ -222,16 +240,33 @@
 	return s, actions
 }
 
-// engines returns the engines of model with the work that they have.
+// due tells whether this instance holds the lease and engines lack weights.
+func due(s state.State, now time.Time) bool {
+	if !s.Lease.Valid(now, now.Add(OrderLimit)) {
+		return false
+	}
+	for model := range s.Routing.Weights.AllNamed() {
+		for _, e := range (Orders{}).engines(s, model, now) {
+			if !e.Suspect && !s.Routing.Weights.Current(e.Name, model) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// engines returns the engines of model with the work that they have. Suspects are
+// among them: others may trust them, and one that is full is silent too.
 func (Orders) engines(s state.State, model string, now time.Time) []weight.Engine {
 	var out []weight.Engine
 	for _, v := range s.Routing.Site.Serves(model) {
 		for _, e := range s.Members.Pool(v.Name) {
-			if e.Node.Role != member.Engine || e.Suspect.After(now) {
+			if e.Node.Role != member.Engine {
 				continue
 			}
 			out = append(out, weight.Engine{
 				Name:    e.Node.Name,
+				Suspect: e.Suspect.After(now),
 				Running: s.Loads.Peers(e.Node.Name, 0, now).Plus(s.Own.Work[e.Node.Name]).Calls,
 			})
 		}
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -2,6 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -18,7 +21,6 @@
 		Site:    r.Site,
 		Listing: r.Listing,
 		Follows: r.Follows,
-		Named:   r.Named,
 		Lease: &rpcapi.Lease{
 			Version: r.Lease.Version,
 			Value:   r.Lease.Value,
@@ -32,6 +34,20 @@
 			Ordered: w.Ordered,
 		})
 	}
+	for _, name := range slices.Sorted(maps.Keys(r.Leavers)) {
+		m.Leavers = append(m.Leavers, &rpcapi.Leaver{
+			Name:    name,
+			Listing: r.Leavers[name],
+		})
+	}
+	for _, n := range r.Names {
+		m.Names = append(m.Names, &rpcapi.Name{
+			Model:   n.Model,
+			Version: n.Version,
+			Age:     n.Age.Milliseconds(),
+			Dated:   n.Dated,
+		})
+	}
 	for _, n := range r.Mates {
 		m.Mates = append(m.Mates, &rpcapi.Mate{
 			Name:   n.Name,
@@ -49,7 +65,6 @@
 		Site:    m.GetSite(),
 		Listing: m.GetListing(),
 		Follows: m.GetFollows(),
-		Named:   m.GetNamed(),
 		Lease: store.Row{
 			Version: m.GetLease().GetVersion(),
 			Value:   m.GetLease().GetValue(),
@@ -63,6 +78,20 @@
 			Ordered: w.GetOrdered(),
 		})
 	}
+	for _, l := range m.GetLeavers() {
+		if r.Leavers == nil {
+			r.Leavers = map[string]int64{}
+		}
+		r.Leavers[l.GetName()] = l.GetListing()
+	}
+	for _, n := range m.GetNames() {
+		r.Names = append(r.Names, state.Named{
+			Model:   n.GetModel(),
+			Version: n.GetVersion(),
+			Age:     time.Duration(n.GetAge()) * time.Millisecond,
+			Dated:   n.GetDated(),
+		})
+	}
 	for _, n := range m.GetMates() {
 		r.Mates = append(r.Mates, member.Node{
 			Name:   n.GetName(),
