client: bound the head of an answer

The own front end's client read a head without end up to 10 MB on each connection.

Cause: that is the standard transport's own bound. It is 32 KB now, as on the users' platform.

TestHeadWithoutEndIsAnError failed before in its three cases (10.5 MB sent).

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -26,6 +26,9 @@
 	idleLimit = 10 * time.Second
 	// idleConns is how many unused connections are kept for each endpoint.
 	idleConns = 64
+	// maxHead bounds the head of an answer, in bytes, with the interim ones before
+	// it; the standard library grants 10 MB.
+	maxHead = 32 << 10
 	// maxBody is the longest body of a plain service's answer, in bytes.
 	maxBody = 8 << 20
 
@@ -101,6 +104,8 @@
 		IdleConnTimeout:     idleLimit,
 		DisableKeepAlives:   fresh,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHead,
 	}
 }
 
