relay: the log's bound spares work that the gate refuses

Cause: the line of such a refusal had the level of ordinary decisions, of which at most 1,000 a second are written, so that a flood could hide why its own work was refused.

TestBoundOfTheLogSparesRefusals failed before.

--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/baobabtally/baobabtally/internal/logs"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
@@ -180,3 +182,17 @@
 	close(h.let)
 	all.Wait()
 }
+
+func TestBoundOfTheLogSparesRefusals(t *testing.T) {
+	view := oneEngine()
+	view.state.Members = view.state.Members.WithList(nil)
+	var out bytes.Buffer
+	log := logs.Bounded(logs.New(&out, "info"))
+	for range 2000 {
+		log.Info().Str("event", "route").Send()
+	}
+	g := newGate(view, time.Now, log, noMeter{})
+	_, err := g.Filter(t.Context(), slowRequest("loom", policy.Normal), nil, nil)
+	require.Equal(t, fault.Overload, fault.From(err).Kind)
+	require.Contains(t, out.String(), "event=refuse request=loom")
+}
