relay, platform, meter: refusals before an endpoint is chosen have a line

Cause: requests that the front end could not read, and those without a route, a known key or an instance that is ready, were refused without a line, and were not counted. A filter around ready, routes and teams now logs and counts what they refuse, with the configuration and the listing that decided it; the query of a path and the key stay out of the log. The metric is refusals, by reason, and counts the gate's too. Ruled out: one line at the end of each request from the first filter. It does not know the route and the team that later filters find.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -37,6 +37,7 @@
 	choices  metric.Int64Counter
 	read     metric.Int64Counter
 	failures metric.Int64Counter
+	refusals metric.Int64Counter
 	wait     metric.Float64Histogram
 	// gauges makes instruments that are read when they are asked for.
 	gauges metric.Meter
@@ -91,6 +92,7 @@
 	m.choices = counter("choices", "attempts by the reason for their endpoint and the source of cached parts")
 	m.read = counter("expected_read_tokens", "tokens of prompts that endpoints were expected to read")
 	m.failures = counter("failed_attempts", "attempts that failed, by cause")
+	m.refusals = counter("refusals", "requests that were refused before an endpoint was asked, by reason")
 	m.breaches = counter("invariant_breaches", "promises that did not hold, by rule")
 	first, err := p.Float64Histogram("first_token_seconds",
 		metric.WithDescription("time to first token by rank"),
@@ -155,6 +157,11 @@
 	m.failures.Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", cause)))
 }
 
+// Refused counts a request that was refused before an endpoint was asked.
+func (m *Meter) Refused(reason string) {
+	m.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
 // Waited counts a turn that was waited for, or waited for in vain.
 func (m *Meter) Waited(wait time.Duration, served bool) {
 	m.wait.Record(context.Background(), wait.Seconds(), metric.WithAttributes(attribute.Bool("served", served)))
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -150,6 +150,7 @@
 }
 
 func (g *gate) refuse(r chain.Request, how string, wait time.Duration) error {
+	g.meter.Refused(how)
 	g.log.Warn().Str("event", "refuse").Str("request", r.ID).Str("team", r.Team).Str("route", r.Route.Name).
 		Str("reason", how).Stringer("wait", wait.Round(time.Millisecond)).Send()
 	return fault.New(fault.Overload, "the wait (%s %s) is beyond the target: come back later or send less", how, wait.Round(time.Millisecond)).WithRetry(max(wait, retryLeast))
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -59,6 +59,7 @@
 func (noMeter) Decision(string)                             {}
 func (noMeter) Chosen(string, string, int)                  {}
 func (noMeter) Failed(string)                               {}
+func (noMeter) Refused(string)                              {}
 func (noMeter) Waited(time.Duration, bool)                  {}
 
 func slowRequest(team string, rank policy.Rank) chain.Request {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -95,6 +95,8 @@
 	Chosen(reason, source string, read int)
 	// Failed counts an attempt that failed.
 	Failed(cause string)
+	// Refused counts a request that no endpoint was asked for.
+	Refused(reason string)
 	// Waited counts a turn that was waited for, or waited for in vain.
 	Waited(wait time.Duration, served bool)
 }
@@ -201,13 +203,13 @@
 	p := d.parts
 	return chain.Build(
 		newForward(d, p),
-		filter.NewReady(d.loop, p.Now),
-		routes{
+		d.told(filter.NewReady(d.loop, p.Now)),
+		d.told(routes{
 			view: d.loop,
-		},
-		teams{
+		}),
+		d.told(teams{
 			view: d.loop,
-		},
+		}),
 		ranks{
 			view: d.loop,
 		},
@@ -216,6 +218,16 @@
 	)
 }
 
+// told returns f with its refusals logged and counted.
+func (d *doer) told(f chain.Filter) chain.Filter {
+	return told{
+		inner: f,
+		view:  d.loop,
+		log:   d.parts.Log,
+		meter: d.parts.Meter,
+	}
+}
+
 // Done is closed when the instance has stopped.
 func (i *Relay) Done() <-chan struct{} { return i.done }
 
