oper: trace names a refusal's reason and a process that ended

Cause: trace knew refusals of the gate alone, and called a request that was under way when its instance was killed "not ended in these logs". The instance's next start in the same file now ends the request's life.

Three cases of TestTraceFindsTheCause failed before; a request that ended before a restart is told as before.

--- a/internal/oper/trace.go
+++ b/internal/oper/trace.go
@@ -66,9 +66,20 @@
 	var out []entry
 	s := bufio.NewScanner(f)
 	s.Buffer(nil, mostLine)
+	// open tells that the request is under way in this file, whose instance ended
+	// without a word if it starts anew.
+	open := false
 	for s.Scan() {
 		fields := parseLine(s.Text())
-		if fields["request"] == *c.id {
+		mine := fields["request"] == *c.id
+		restart := open && fields["event"] == "start"
+		if mine {
+			open = fields["event"] != "end" && fields["event"] != "refuse"
+		}
+		if restart {
+			open = false
+		}
+		if mine || restart {
 			out = append(out, entry{
 				time:   fields["time"],
 				text:   strings.TrimSpace(s.Text()),
@@ -123,12 +134,16 @@
 		f := e.fields
 		switch f["event"] {
 		case "refuse":
-			return fmt.Sprintf("refused before it was sent (%s wait %s of team %s): not run", f["reason"], f["wait"], f["team"])
+			return refusalOf(f)
 		case "fail":
 			attempts = append(attempts, fmt.Sprintf("attempt %s at %s: %s (%s)", f["attempt"], f["endpoint"], f["cause"], f["detail"]))
 		}
 	}
 	last := entries[len(entries)-1].fields
+	if last["event"] == "start" {
+		return strings.TrimSuffix(fmt.Sprintf("the process of %s was killed, or its machine lost power, before the request ended (it started anew at %s); %s",
+			last["name"], last["time"], strings.Join(attempts, "; ")), "; ")
+	}
 	if last["event"] != "end" {
 		return "the request has not ended in these logs; " + strings.Join(attempts, "; ")
 	}
@@ -141,6 +156,18 @@
 	return strings.TrimSuffix(fmt.Sprintf("%s, run=%s: %s; %s", last["reason"], last["run"], last["detail"], strings.Join(attempts, "; ")), "; ")
 }
 
+// refusalOf returns why a request was refused before an endpoint was asked.
+func refusalOf(f map[string]string) string {
+	if f["wait"] != "" {
+		return fmt.Sprintf("refused before it was sent (%s wait %s of team %s): not run", f["reason"], f["wait"], f["team"])
+	}
+	under := ""
+	if f["site"] != "" {
+		under = " under configuration " + f["site"]
+	}
+	return fmt.Sprintf("refused before it was sent (%s%s): %s: not run", f["reason"], under, f["detail"])
+}
+
 // failed tells whether an endpoint's status is that of its own failure.
 func failed(status string) bool {
 	n, err := strconv.Atoi(status)
--- a/internal/oper/trace_test.go
+++ b/internal/oper/trace_test.go
@@ -32,6 +32,28 @@
 				"time=4 level=info event=end request=r1 endpoint=b2 status=500 first=3ms took=9ms\n",
 			want: "cause: b2 itself answered with status 500 after 9ms; attempt 1 at b1: refused (status 500)",
 		},
+		{
+			name: "refused by its key",
+			log:  "time=1 level=warn event=refuse request=r1 reason=denied detail=\"the API key is not known\" site=13\n",
+			want: "cause: refused before it was sent (denied under configuration 13): the API key is not known: not run",
+		},
+		{
+			name: "not understood",
+			log:  "time=1 level=warn event=refuse request=r1 reason=large detail=\"the body is over 9 bytes\"\n",
+			want: "cause: refused before it was sent (large): the body is over 9 bytes: not run",
+		},
+		{
+			name: "under way at a loss of power",
+			log: "time=0 event=start name=n1\ntime=1 event=route request=r1 endpoint=b1\n" +
+				"time=2 level=warn event=fail request=r1 endpoint=b1 attempt=1 cause=full detail=\"status 503\"\ntime=3 event=route request=r1 endpoint=b2\n" +
+				"time=4 event=start name=n1\ntime=5 event=start name=n1\n",
+			want: "cause: the process of n1 was killed, or its machine lost power, before the request ended (it started anew at 4); attempt 1 at b1: full (status 503)",
+		},
+		{
+			name: "served before a restart",
+			log:  "time=1 event=route request=r1\ntime=2 level=info event=end request=r1 endpoint=b1 first=3ms took=9ms\ntime=4 event=start name=n1\n",
+			want: "cause: served by b1 after 9ms, first byte after 3ms",
+		},
 		{
 			name: "served",
 			log:  "time=4 level=info event=end request=r1 endpoint=b1 first=3ms took=9ms\ntime=1 event=route request=r1\n",
