--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -224,3 +224,49 @@
 	require.Empty(t, ctrl.PulseOf(c.state).Drained)
 	require.Equal(t, []string{"e1", "e2"}, c.names())
 }
+
+func TestAgeOfTheListingRestartsWithEachConfirmation(t *testing.T) {
+	c := serving(t, "e1")
+	age := func() time.Duration { return c.now.Sub(c.state.Routing.ListingHeard) }
+	c.step(roster(11, "e1"))
+	require.Zero(t, age(), "it was just read")
+	c.wait(3 * time.Second)
+	c.step(state.StoreHeard{})
+	require.Equal(t, 3*time.Second, age(), "the store did not answer")
+	c.step(state.StoreHeard{
+		OK: true,
+	})
+	require.Zero(t, age())
+	c.wait(time.Second)
+	peer := state.Pulse{
+		Name: "n1",
+		Relay: state.Relay{
+			Listing: 9,
+		},
+	}
+	c.step(peer)
+	require.Equal(t, time.Second, age(), "the peer does not hear the store")
+	peer.Relay.Follows = true
+	peer.Relay.Listing = 12
+	c.step(peer)
+	require.Equal(t, time.Second, age(), "the peer knows of a change")
+	peer.Relay.Listing = 9
+	c.step(peer)
+	require.Zero(t, age())
+}
+
+func TestNothingHasAnAgeBeforeItWasRead(t *testing.T) {
+	c := newControl()
+	c.step(state.StoreHeard{
+		OK: true,
+	})
+	c.step(state.SiteHeard{})
+	c.step(state.Pulse{
+		Name: "n1",
+		Relay: state.Relay{
+			Follows: true,
+		},
+	})
+	require.True(t, c.state.Routing.SiteHeard.IsZero())
+	require.True(t, c.state.Routing.ListingHeard.IsZero())
+}
--- a/internal/ctrl/roster.go
+++ b/internal/ctrl/roster.go
@@ -59,6 +59,7 @@
 	}
 	r := s.Routing
 	r.Listing = e.Version
+	r.ListingHeard = now
 	s = s.WithRouting(r)
 	gone := e.Gone
 	if e.Whole {
@@ -311,6 +312,10 @@
 			Report: n.Report,
 		}))
 	}
+	if e.Relay.Follows && e.Relay.Listing > 0 && e.Relay.Listing <= s.Routing.Listing {
+		// The peer would know of a later change.
+		s.Routing.ListingHeard = now
+	}
 	if s.Routing.Follows || !e.Relay.Follows || e.Relay.Listing <= s.Routing.Listing {
 		return s, nil
 	}
@@ -326,6 +331,9 @@
 
 // followed notes when the store is lost and regained.
 func (Roster) followed(s state.State, e state.StoreHeard, now time.Time) (state.State, []state.Action) {
+	if e.OK && s.Routing.Listing > 0 {
+		s.Routing.ListingHeard = now
+	}
 	if s.Routing.Follows == e.OK && !s.Routing.Since.IsZero() {
 		return s, nil
 	}
--- a/internal/ctrl/sites.go
+++ b/internal/ctrl/sites.go
@@ -22,7 +22,12 @@
 	switch e := e.(type) {
 	case state.SiteFound:
 		return c.found(s, e, now)
+	case state.SiteHeard:
+		return c.confirmed(s, now), nil
 	case state.Pulse:
+		if e.Relay.Follows && e.Relay.Site == s.Routing.Site.Version() {
+			s = c.confirmed(s, now)
+		}
 		return c.told(s, e, now)
 	case state.Tick:
 		return c.ask(s, now)
@@ -30,6 +35,14 @@
 	return s, nil
 }
 
+// confirmed notes that the configuration in force is the newest one at now.
+func (Sites) confirmed(s state.State, now time.Time) state.State {
+	if s.Routing.Site.Version() > 0 {
+		s.Routing.SiteHeard = now
+	}
+	return s
+}
+
 // told notes that a peer has a newer configuration.
 func (c Sites) told(s state.State, e state.Pulse, now time.Time) (state.State, []state.Action) {
 	from, ok := s.Members.Find(e.Name)
@@ -89,6 +102,7 @@
 		r.Began = now
 	}
 	r.Site = e.Site
+	r.SiteHeard = now
 	s = s.WithRouting(r).WithConfig(s.Config.WithDocument(e.Site.Policies()))
 	// Peers are told at once: some of them may not reach the store.
 	return s, append(pulses(s), note)
--- a/internal/ctrl/sites_test.go
+++ b/internal/ctrl/sites_test.go
@@ -66,3 +66,32 @@
 	c.step(newer)
 	require.Equal(t, 1, c.fetches(), "an instance without the store asks at once")
 }
+
+func TestAgeOfTheConfigurationRestartsWithEachConfirmation(t *testing.T) {
+	c := serving(t, "e1")
+	age := func() time.Duration { return c.now.Sub(c.state.Routing.SiteHeard) }
+	c.step(state.SiteFound{
+		Site: site.New(6),
+	})
+	require.Zero(t, age(), "it was just read")
+	c.wait(3 * time.Second)
+	require.Equal(t, 3*time.Second, age())
+	c.step(state.SiteHeard{})
+	require.Zero(t, age())
+	c.wait(time.Second)
+	peer := state.Pulse{
+		Name: "n1",
+		Relay: state.Relay{
+			Site: 6,
+		},
+	}
+	c.step(peer)
+	require.Equal(t, time.Second, age(), "the peer does not hear the store")
+	peer.Relay.Follows = true
+	peer.Relay.Site = 5
+	c.step(peer)
+	require.Equal(t, time.Second, age(), "the peer holds an older one")
+	peer.Relay.Site = 6
+	c.step(peer)
+	require.Zero(t, age())
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -48,7 +48,7 @@
 	// Labels are name and value by turns.
 	Labels []string
 	// Value is the value.
-	Value int64
+	Value float64
 }
 
 // waitBounds are the bounds, in seconds, of the times that work waits for its turn.
@@ -169,8 +169,8 @@
 
 // Gauge has read asked for the values of a gauge whenever metrics are.
 func (m *Meter) Gauge(name, about string, read func() []Point) error {
-	_, err := m.gauges.Int64ObservableGauge(name, metric.WithDescription(about),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+	_, err := m.gauges.Float64ObservableGauge(name, metric.WithDescription(about),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
 			for _, p := range read() {
 				var labels []attribute.KeyValue
 				for i := 0; i+1 < len(p.Labels); i += 2 {
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -47,10 +47,12 @@
 
 // Read logs a failed read. Whether the store is lost is told by the registry,
 // which is read more often.
-func (s operatorSink) Read(_ context.Context, err error) {
+func (s operatorSink) Read(ctx context.Context, err error) {
 	if err != nil {
 		s.log.Debug().Str("event", "store").Str("table", "operators").Err(err).Send()
+		return
 	}
+	s.tell(ctx, state.SiteHeard{})
 }
 
 // registrySink takes the entries of endpoints.
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -184,6 +184,10 @@
 	Reason string
 }
 
+// SiteHeard is an answer of the store to a read of what operators write. The
+// changes in it came before.
+type SiteHeard struct{}
+
 // WeightsSeen is the version of a model that an engine was seen with.
 type WeightsSeen struct {
 	// Engine, Model and Version tell what was seen.
@@ -348,6 +352,9 @@
 // Event returns the event's name.
 func (StoreHeard) Event() string { return "store" }
 
+// Event returns the event's name.
+func (SiteHeard) Event() string { return "heard" }
+
 // Event returns the event's name.
 func (WeightsSeen) Event() string { return "weights" }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -69,6 +69,10 @@
 	// Site is the configuration in force, and Began when the first one came.
 	Site  site.Site
 	Began time.Time
+	// SiteHeard and ListingHeard are when the store, or a peer that hears it, last
+	// confirmed the configuration and the listing; zero before the first time.
+	SiteHeard    time.Time
+	ListingHeard time.Time
 	// Ahead is the newest configuration that a peer is known to have.
 	Ahead Ahead
 	// Weights is which weights are wanted and which engines hold.
