relay, oper: a failed attempt tells how long its endpoint was silent

Cause: where a caller left or its time ran out, the lines did not tell a slow endpoint from one that had stopped. The line of the attempt has the time since its last bytes, and trace names it from half a second on. Ruled out: the endpoint's state in the registry, which may lag by seconds.

--- a/internal/oper/trace.go
+++ b/internal/oper/trace.go
@@ -9,12 +9,18 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 )
 
-// mostLine is the longest line of a log that is read, in bytes.
-const mostLine = 1 << 20
+const (
+	// mostLine is the longest line of a log that is read, in bytes.
+	mostLine = 1 << 20
+	// longQuiet is how long an endpoint is silent where that is part of the cause:
+	// twice the pause between events that routes allow.
+	longQuiet = 500 * time.Millisecond
+)
 
 // trace prints the life of a request from the logs of several instances.
 type trace struct {
@@ -136,7 +142,7 @@
 		case "refuse":
 			return refusalOf(f)
 		case "fail":
-			attempts = append(attempts, fmt.Sprintf("attempt %s at %s: %s (%s)", f["attempt"], f["endpoint"], f["cause"], f["detail"]))
+			attempts = append(attempts, attemptOf(f))
 		}
 	}
 	last := entries[len(entries)-1].fields
@@ -156,6 +162,15 @@
 	return strings.TrimSuffix(fmt.Sprintf("%s, run=%s: %s; %s", last["reason"], last["run"], last["detail"], strings.Join(attempts, "; ")), "; ")
 }
 
+// attemptOf returns how an attempt failed.
+func attemptOf(f map[string]string) string {
+	text := fmt.Sprintf("attempt %s at %s: %s (%s)", f["attempt"], f["endpoint"], f["cause"], f["detail"])
+	if quiet, err := time.ParseDuration(f["quiet"]); err == nil && quiet >= longQuiet {
+		text += ", silent for " + f["quiet"]
+	}
+	return text
+}
+
 // refusalOf returns why a request was refused before an endpoint was asked.
 func refusalOf(f map[string]string) string {
 	if f["wait"] != "" {
--- a/internal/oper/trace_test.go
+++ b/internal/oper/trace_test.go
@@ -54,6 +54,14 @@
 			log:  "time=1 event=route request=r1\ntime=2 level=info event=end request=r1 endpoint=b1 first=3ms took=9ms\ntime=4 event=start name=n1\n",
 			want: "cause: served by b1 after 9ms, first byte after 3ms",
 		},
+		{
+			name: "silent endpoint",
+			log: "time=2 level=warn event=fail request=r1 endpoint=b1 attempt=1 begun=false cause=silent detail=none quiet=1.2s\n" +
+				"time=3 level=warn event=fail request=r1 endpoint=b2 attempt=2 begun=true cause=broken detail=\"context canceled\" quiet=4.7s\n" +
+				"time=4 level=warn event=end request=r1 reason=lost run=unknown detail=\"the caller left\"\n",
+			want: "cause: lost, run=unknown: the caller left; attempt 1 at b1: silent (none), silent for 1.2s; " +
+				"attempt 2 at b2: broken (context canceled), silent for 4.7s",
+		},
 		{
 			name: "served",
 			log:  "time=4 level=info event=end request=r1 endpoint=b1 first=3ms took=9ms\ntime=1 event=route request=r1\n",
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -29,6 +29,8 @@
 	begun  bool
 	status int
 	first  time.Time
+	// heard is when the present attempt began or its last bytes came.
+	heard time.Time
 	// after is the id of the last event that the caller has.
 	after string
 	// refusals counts the attempts that surely did not run.
@@ -73,6 +75,7 @@
 	attempt := x.attempts
 	watch := newWatchdog(x.patience(), func() bool { return x.underWay(ctx, c, attempt) }, cancel)
 	defer watch.stop()
+	x.heard = x.now()
 	reply, err := x.ends.Open(ctx, call.Attempt{
 		ID:       x.request.ID,
 		Endpoint: c.endpoint,
@@ -115,6 +118,7 @@
 			return err
 		}
 		counted.First()
+		x.heard = x.now()
 		watch.next(x.patience())
 		if err := x.begin(reply.Head()); err != nil {
 			return err
@@ -171,6 +175,7 @@
 		if err != nil {
 			return err
 		}
+		x.heard = x.now()
 		kept = append(kept, c)
 		size += len(c.Data)
 		if !c.End && size <= mostKept {
@@ -210,7 +215,7 @@
 	x.meter.Failed(f.Cause.String())
 	x.log.Warn().Str("event", "fail").Str("request", x.request.ID).Str("endpoint", name).
 		Str("cause", f.Cause.String()).Bool("sent", f.Sent).Bool("begun", x.begun).Int("attempt", x.attempts).
-		Str("detail", f.Detail).Send()
+		Stringer("quiet", x.now().Sub(x.heard).Round(time.Millisecond)).Str("detail", f.Detail).Send()
 	if f.Weights > 0 {
 		x.control.Post(state.WeightsSeen{
 			Engine:  name,
