--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,9 @@
 	// tableSilence is how long the table may be unheard before pulses go to all
 	// others again, by which a majority is known.
 	tableSilence = 1 * time.Second
+	// nameLife is for how long peers are told of a version of weights that is not
+	// wanted any more: longer than the platform grants to begin on older ones.
+	nameLife = 15 * time.Second
 	// mostTold is how many endpoints and teams a pulse tells of at most.
 	mostTold = 32
 )
@@ -68,7 +72,9 @@
 		Leaving: e.Leaving,
 	}, now))
 	for _, name := range e.Drained {
-		s = s.WithMembers(s.Members.WithAccused(name, now))
+		if !outdated(s, e, name) {
+			s = s.WithMembers(s.Members.WithAccused(name, now))
+		}
 	}
 	if fresh {
 		s = s.WithLoads(s.Loads.WithDigest(e.Name, load.Digest{
@@ -137,12 +143,12 @@
 		Leaving: s.Leaving,
 		Summary: s.Own,
 		Drained: drained,
-		Relay:   relayOf(s),
+		Relay:   relayOf(s, drained),
 	}
 }
 
 // relayOf returns what an instance that forwards by routes tells besides.
-func relayOf(s state.State) state.Relay {
+func relayOf(s state.State, drained []string) state.Relay {
 	if !s.Routing.On {
 		return state.Relay{}
 	}
@@ -153,15 +159,55 @@
 		Listing: s.Routing.Listing,
 		Follows: s.Routing.Follows,
 		Lease:   s.Lease.Row(),
-		Named:   map[string]int64{},
 	}
 	if len(s.Routing.Mates) <= fullMesh {
 		r.Mates = s.Routing.Mates
 	}
-	book := s.Routing.Weights
-	for model, n := range book.AllNamed() {
-		r.Named[model] = n.Version
-	}
+	r.Names = namesOf(s)
 	r.Weights = s.Routing.News
+	r.Leavers = make(map[string]int64, len(drained))
+	for _, name := range drained {
+		if v, ok := s.Routing.Leavers[name]; ok {
+			r.Leavers[name] = v
+		}
+	}
 	return r
 }
+
+// outdated tells whether a peer's word that name is leaving is older than the
+// registry's word to this instance that it is ready.
+func outdated(s state.State, e state.Pulse, name string) bool {
+	entered, ok := s.Routing.Entered[name]
+	return ok && wordOf(e, name) <= entered
+}
+
+// wordOf returns the registry's version behind a peer's word that name is leaving.
+func wordOf(e state.Pulse, name string) int64 {
+	if v, ok := e.Relay.Leavers[name]; ok {
+		return v
+	}
+	return e.Relay.Listing
+}
+
+// namesOf returns the versions of weights that matter to others: those that are
+// wanted, and those before them by which old weights are judged.
+func namesOf(s state.State) []state.Named {
+	var out []state.Named
+	book := s.Routing.Weights
+	for _, model := range slices.Sorted(maps.Keys(book.AllNamed())) {
+		for _, n := range book.Past(model) {
+			told := state.Named{
+				Model:   model,
+				Version: n.Version,
+				Dated:   !n.Since.IsZero(),
+			}
+			if told.Dated {
+				told.Age = s.At.Sub(n.Since)
+			}
+			if n.Version == book.Named(model).Version || told.Age <= nameLife {
+				out = append(out, told)
+			}
+		}
+	}
+	return out
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -76,6 +76,8 @@
 	watch := newWatchdog(x.patience(), func() bool { return x.underWay(ctx, c, attempt) }, cancel)
 	defer watch.stop()
 	x.heard = x.now()
+	dated := x.newExpiry(c, cancel)
+	defer dated.stop()
 	reply, err := x.ends.Open(ctx, call.Attempt{
 		ID:       x.request.ID,
 		Endpoint: c.endpoint,
@@ -93,8 +95,9 @@
 	}
 	defer reply.Close()
 	if x.request.Stream && reply.Head().Status < failStatus {
-		return attemptError(ctx, x.stream(reply, counted, watch))
+		return attemptError(ctx, x.stream(reply, counted, watch, dated))
 	}
+	dated.stop()
 	return attemptError(ctx, x.whole(reply))
 }
 
@@ -111,12 +114,13 @@
 }
 
 // stream passes the events of one attempt on.
-func (x *exchange) stream(reply call.Reply, counted load.Call, watch *watchdog) error {
+func (x *exchange) stream(reply call.Reply, counted load.Call, watch *watchdog, dated *expiry) error {
 	for {
 		c, _, err := reply.Next()
 		if err != nil {
 			return err
 		}
+		dated.stop()
 		counted.First()
 		x.heard = x.now()
 		watch.next(x.patience())
@@ -253,7 +257,7 @@
 
 // blame counts a failure against its endpoint.
 func (x *exchange) blame(name string, f call.Failure) {
-	if f.Cause == call.Full || f.Cause == call.Moved {
+	if f.Cause == call.Full || f.Cause == call.Moved || f.Cause == call.Stale {
 		return
 	}
 	x.control.Post(state.Called{
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -17,6 +17,15 @@
 	"github.com/baobabtally/baobabtally/pkg/weight"
 )
 
+const (
+	// standstill is the time between two steps from which on the instance counts as
+	// having stood still: several ticks.
+	standstill = 1 * time.Second
+	// wakeTime is how long after a standstill news may still come that were missed:
+	// some reads of the store.
+	wakeTime = 1 * time.Second
+)
+
 // Self is what an instance knows of itself from its settings.
 type Self struct {
 	// Name is the instance's name in the platform's list.
@@ -50,6 +59,12 @@
 	Lease lease.Lease
 	// Fresh is up to when new work may be taken without hearing more.
 	Fresh time.Time
+	// At is when the last step was made.
+	At time.Time
+	// Stood is when the last step before the last standstill was made, and Woke
+	// the first one after it.
+	Stood time.Time
+	Woke  time.Time
 	// Leaving tells that the instance takes no new work.
 	Leaving bool
 	// Own is what the instance tells its peers.
@@ -96,11 +111,19 @@
 	// Left are endpoints whose entries were removed lately, and when. Invariant:
 	// never written.
 	Left map[string]time.Time
+	// Leavers are the endpoints that are leaving or gone, and Entered all that were
+	// read as ready, each with the version of the registry that says so. Invariant:
+	// never written.
+	Leavers map[string]int64
+	Entered map[string]int64
 	// RepeatUntil is until when news are told to all others at each tick.
 	RepeatUntil time.Time
 	// News is what the others have to be told of engines' weights. Invariant:
 	// never written.
 	News []EngineWeights
+	// HandOver is when this instance, which is stopping, gives the lease for orders
+	// back at the latest.
+	HandOver time.Time
 	// Mates are the other instances. Invariant: never written.
 	Mates []member.Node
 }
@@ -188,6 +211,24 @@
 	return s
 }
 
+// WithStep returns a copy of s in which a step is made at now.
+func (s State) WithStep(now time.Time) State {
+	if !s.At.IsZero() && now.Sub(s.At) > standstill {
+		s.Stood, s.Woke = s.At, now
+	}
+	s.At = now
+	return s
+}
+
+// Happened returns since when what the instance learns now may be so. It may have
+// missed it while it stood still.
+func (s State) Happened() time.Time {
+	if !s.Woke.IsZero() && s.At.Sub(s.Woke) < wakeTime {
+		return s.Stood
+	}
+	return s.At
+}
+
 // WithRouting returns a copy of s with r.
 func (s State) WithRouting(r Routing) State {
 	s.Routing = r
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -19,6 +19,12 @@
 	lastPlace = 20
 	// Margin is how much longer a rival waits.
 	Margin = 1 * time.Second
+	// turnStep is by how much one rival lets another go first, where a lease was
+	// given back: some answers of the table.
+	turnStep = 100 * time.Millisecond
+	// freeWords is the number of words of a row that was given back, of which the
+	// second one, the holder, is empty.
+	freeWords = 3
 )
 
 // Op is a call to the table.
@@ -48,6 +54,9 @@
 	next time.Time
 	// fence is the number of this instance's hold.
 	fence int64
+	// used is until when orders of this instance may be on their way; the zero time
+	// where it gave none.
+	used time.Time
 	// yield tells that the lease is not to be taken or renewed.
 	yield bool
 	// length, renew and quiet are the times of this lease.
@@ -97,13 +106,16 @@
 		return Op{}, l, false
 	}
 	holder, fence := decode(l.row.Value)
-	if l.follows(holder, now) {
+	if l.follows(holder, now) || l.yield && !l.seen.IsZero() && holder != l.self {
 		return Op{}, l, false
 	}
 	l.next = now.Add(l.renew)
 	if holder != l.self {
 		l.next = now.Add(l.renew * time.Duration(1+l.place))
 	}
+	if turn, ok := l.turn(); ok && now.Before(turn) {
+		l.next = turn
+	}
 	op := Op{
 		Sent: now,
 		Row: store.Row{
@@ -113,10 +125,9 @@
 	}
 	switch {
 	case l.seen.IsZero():
-	case l.yield && holder != l.self:
 	case l.yield:
 		op.Put = true
-		op.Row.Value = encode("", fence)
+		op.Row.Value = encodeFree(fence, l.idle(now))
 	case holder == l.self && now.Before(l.until):
 		op.Put = true
 		op.Row.Value = encode(l.self, fence)
@@ -141,11 +152,32 @@
 	case l.self:
 		return l.quiet > 0 || now.Sub(l.seen) >= l.length+Margin
 	case "":
-		return fence == 0 || now.Sub(l.seen) >= l.quiet
+		turn, ok := l.turn()
+		return fence == 0 || ok && !now.Before(turn)
 	}
 	return now.Sub(l.seen) >= l.length+l.quiet+Margin
 }
 
+// turn returns when this instance may take a lease that was given back. Those
+// that are to take it before this one go first, if they are there.
+func (l Lease) turn() (time.Time, bool) {
+	holder, fence := decode(l.row.Value)
+	if holder != "" || fence == 0 || l.seen.IsZero() || l.yield {
+		return time.Time{}, false
+	}
+	rest := max(l.quiet-idleOf(l.row.Value), 0)
+	return l.seen.Add(rest + turnStep*time.Duration(l.place)), true
+}
+
+// inTurn returns the lease after a row was seen: where it was given back, the
+// table is asked again when this instance may take it.
+func (l Lease) inTurn() Lease {
+	if turn, ok := l.turn(); ok {
+		l.next = turn
+	}
+	return l
+}
+
 // WithTold returns the lease after a peer showed a newer row.
 func (l Lease) WithTold(row store.Row, now time.Time) Lease {
 	if row.Version <= l.row.Version {
@@ -157,14 +189,15 @@
 	if holder, _ := decode(row.Value); holder != l.self {
 		l.until = time.Time{}
 	}
-	return l
+	return l.inTurn()
 }
 
 // Row returns the last row that was seen.
 func (l Lease) Row() store.Row { return l.row }
 
-// WithRow returns the lease after a read that was planned as op.
-func (l Lease) WithRow(op Op, row store.Row, err error) Lease {
+// WithRow returns the lease after a read that was answered at now. The row may
+// have been written until then.
+func (l Lease) WithRow(row store.Row, err error, now time.Time) Lease {
 	if errors.Is(err, store.ErrMissing) {
 		row = store.Row{
 			Key: l.key,
@@ -175,13 +208,13 @@
 		return l
 	}
 	if l.seen.IsZero() || row.Version != l.row.Version {
-		l.seen = op.Sent
+		l.seen = now
 	}
 	l.row = row
 	if holder, _ := decode(row.Value); holder != l.self {
 		l.until = time.Time{}
 	}
-	return l
+	return l.inTurn()
 }
 
 // WithPut returns the lease after a write that was planned as op.
@@ -203,10 +236,33 @@
 	if holder == l.self {
 		l.until = op.Sent.Add(l.length)
 		l.fence = fence
+		if l.yield {
+			// The lease was to be given back while its renewal was under way.
+			l.next = time.Time{}
+		}
+	}
+	return l
+}
+
+// WithUsed returns the lease after an order that may be on its way until the
+// given time.
+func (l Lease) WithUsed(until time.Time) Lease {
+	if until.After(l.used) {
+		l.used = until
 	}
 	return l
 }
 
+// idle returns for how long no order was on its way; it is negative where one may
+// still be. A hold under which none was given began when the quiet time of the one
+// before was over.
+func (l Lease) idle(now time.Time) time.Duration {
+	if l.used.IsZero() {
+		return l.quiet
+	}
+	return min(now.Sub(l.used), l.quiet)
+}
+
 // WithPlace returns the lease of an instance before which others are to take it.
 // It reads the row less often, so that a large fleet asks little of the table.
 func (l Lease) WithPlace(others int) Lease {
@@ -216,6 +272,9 @@
 
 // WithYield returns a lease that is given back and not taken again.
 func (l Lease) WithYield() Lease {
+	if l.yield {
+		return l
+	}
 	l.yield = true
 	l.next = time.Time{}
 	return l
@@ -247,15 +306,34 @@
 // Until returns when the hold ends.
 func (l Lease) Until() time.Time { return l.until }
 
+// A row holds the fencing number and the holder; one that was given back, the
+// fencing number and for how many milliseconds no order was on its way then, less
+// than 0 where one may have been.
 func encode(holder string, fence int64) []byte {
 	return []byte(strconv.FormatInt(fence, 10) + " " + holder)
 }
 
+func encodeFree(fence int64, idle time.Duration) []byte {
+	return []byte(strconv.FormatInt(fence, 10) + "  " + strconv.FormatInt(idle.Milliseconds(), 10))
+}
+
 func decode(value []byte) (string, int64) {
-	number, holder, _ := strings.Cut(string(value), " ")
+	number, rest, _ := strings.Cut(string(value), " ")
 	fence, err := strconv.ParseInt(number, 10, 64)
 	if err != nil {
 		return "", 0
 	}
+	holder, _, _ := strings.Cut(rest, " ")
 	return holder, fence
 }
+
+// idleOf returns for how long no order was on its way when the row was written, or
+// minus the time for which one may have been.
+func idleOf(value []byte) time.Duration {
+	words := strings.Split(string(value), " ")
+	ms, err := strconv.ParseInt(words[len(words)-1], 10, 64)
+	if err != nil || len(words) != freeWords {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
