relay: an event that comes while the engine is asked keeps its attempt

Cause: the watchdog of a silent attempt asks the engine whether it has it under way, for up to a quarter of a second. An event that came in that time set the timer anew, but where the engine's report, which is some hundred milliseconds old, did not name the request, the attempt was given up all the same: the stream went on elsewhere and its prompt was read once more, at the cost of a retry. Ruled out: to ask for a shorter time, which makes the window smaller and reports lost.

TestEventThatComesWhileTheEngineIsAskedKeepsTheAttempt failed before; passes with -race, 20 times in a row.

--- a/internal/relay/patience.go
+++ b/internal/relay/patience.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -78,6 +79,10 @@
 // watchdog gives an attempt up that stays silent.
 type watchdog struct {
 	timer *time.Timer
+	// mu guards events, the number of those that came. An event that comes while
+	// the endpoint is asked has set the timer anew.
+	mu     sync.Mutex
+	events int
 }
 
 // newWatchdog returns a watchdog that calls cancel after d without an event. It
@@ -88,18 +93,36 @@
 	armed := make(chan struct{})
 	w.timer = time.AfterFunc(d, func() {
 		<-armed
-		if granted.CompareAndSwap(false, true) && underWay() {
+		before := w.seen()
+		held := granted.CompareAndSwap(false, true) && underWay()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		switch {
+		case w.events != before:
+		case held:
 			w.timer.Reset(d)
-			return
+		default:
+			cancel(errSilent)
 		}
-		cancel(errSilent)
 	})
 	close(armed)
 	return w
 }
 
 // next allows d more for what follows.
-func (w *watchdog) next(d time.Duration) { w.timer.Reset(d) }
+func (w *watchdog) next(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.events++
+	w.timer.Reset(d)
+}
+
+// seen returns how many events came.
+func (w *watchdog) seen() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.events
+}
 
 func (w *watchdog) stop() { w.timer.Stop() }
 
--- /dev/null
+++ b/internal/relay/patience_test.go
@@ -0,0 +1,29 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestEventThatComesWhileTheEngineIsAskedKeepsTheAttempt(t *testing.T) {
+	for _, held := range []bool{false, true} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		asked, answer := make(chan struct{}), make(chan bool)
+		w := newWatchdog(10*time.Millisecond, func() bool {
+			close(asked)
+			return <-answer
+		}, cancel)
+		<-asked
+		w.next(time.Minute)
+		answer <- held
+		require.Never(t, func() bool { return ctx.Err() != nil }, 100*time.Millisecond, 5*time.Millisecond)
+		w.next(10 * time.Millisecond)
+		require.Eventually(t, func() bool { return ctx.Err() != nil }, time.Second, 5*time.Millisecond, "it falls silent again")
+		require.ErrorIs(t, context.Cause(ctx), errSilent)
+		w.stop()
+		cancel(nil)
+	}
+}
