--- a/internal/relay/told.go
+++ b/internal/relay/logged.go
@@ -10,11 +10,12 @@
 	"github.com/baobabtally/baobabtally/pkg/fault"
 )
 
-// mostPath is how much of a request's path a log line has, in bytes.
+// mostPath is how much of a request's path a log line has, in bytes. Prefixes of
+// routes are shorter.
 const mostPath = 200
 
-// told is a filter whose refusals are logged and counted.
-type told struct {
+// logged is a filter whose refusals are logged and counted.
+type logged struct {
 	inner chain.Filter
 	view  viewer
 	log   zerolog.Logger
@@ -22,8 +23,8 @@
 }
 
 // Filter passes r to the filter in it.
-func (f told) Filter(ctx context.Context, r chain.Request, w chain.Writer, next chain.Handler) (chain.Result, error) {
-	p := passage{
+func (f logged) Filter(ctx context.Context, r chain.Request, w chain.Writer, next chain.Handler) (chain.Result, error) {
+	p := handoff{
 		next: next,
 	}
 	result, err := f.inner.Filter(ctx, r, w, &p)
@@ -33,8 +34,9 @@
 	return result, err
 }
 
-// refused logs a refusal with the configuration that decided it.
-func (f told) refused(r chain.Request, e fault.Error) {
+// refused logs a refusal with the configuration in force. Queries may hold secrets
+// and are left out.
+func (f logged) refused(r chain.Request, e fault.Error) {
 	routing := f.view.View().Routing
 	path, _, _ := strings.Cut(r.Path, "?")
 	f.meter.Refused(e.Kind.String())
@@ -43,14 +45,14 @@
 		Int64("site", routing.Site.Version()).Int64("listing", routing.Listing).Send()
 }
 
-// passage notes whether a request was passed on.
-type passage struct {
+// handoff notes whether a request was passed on.
+type handoff struct {
 	next  chain.Handler
 	taken bool
 }
 
 // Handle passes r on.
-func (p *passage) Handle(ctx context.Context, r chain.Request, w chain.Writer) (chain.Result, error) {
+func (p *handoff) Handle(ctx context.Context, r chain.Request, w chain.Writer) (chain.Result, error) {
 	p.taken = true
 	return p.next.Handle(ctx, r, w)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -203,11 +203,11 @@
 	p := d.parts
 	return chain.Build(
 		newForward(d, p),
-		d.told(filter.NewReady(d.loop, p.Now)),
-		d.told(routes{
+		d.logged(filter.NewReady(d.loop, p.Now)),
+		d.logged(routes{
 			view: d.loop,
 		}),
-		d.told(teams{
+		d.logged(teams{
 			view: d.loop,
 		}),
 		ranks{
@@ -218,9 +218,9 @@
 	)
 }
 
-// told returns f with its refusals logged and counted.
-func (d *doer) told(f chain.Filter) chain.Filter {
-	return told{
+// logged returns f with its refusals logged and counted.
+func (d *doer) logged(f chain.Filter) chain.Filter {
+	return logged{
 		inner: f,
 		view:  d.loop,
 		log:   d.parts.Log,
