--- /dev/null
+++ b/internal/soak/book.go
@@ -0,0 +1,288 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Attempt is a request as a caller sent it once, and what came of it.
+type Attempt struct {
+	// ID is the attempt's own; a retry has another.
+	ID string
+	// Node is the instance that took it.
+	Node string
+	// Key is the caller's key, and Team the team that holds it.
+	Key  string
+	Team string
+	// Route is the prefix of Path that a configuration may name.
+	Route  string
+	Method string
+	Path   string
+	Body   string
+	// Prompt tells how its prompt was described.
+	Prompt string
+	// Once marks work that must not run twice, and Stream an answer in pieces.
+	Once   bool
+	Stream bool
+	// Limit is how long the caller waits.
+	Limit time.Duration
+	// Kept counts the requests before it on its connection.
+	Kept int
+	// Begun is when its first byte was sent, Sent its last, and Done when its
+	// answer or its connection ended.
+	Begun time.Time
+	Sent  time.Time
+	Done  time.Time
+	// Status is 0 where no answer came.
+	Status int
+	// Echo is the id that the answer bears, and Seal the endpoint's mark.
+	Echo string
+	Seal string
+	// Answer is the answer's body, and Whole tells that it ended as complete.
+	Answer string
+	Whole  bool
+	// Left tells that the caller closed first, Stray that bytes came after the
+	// answer.
+	Left  bool
+	Stray bool
+	// Fail is the error of the connection.
+	Fail string
+}
+
+// Run is a request that an endpoint began.
+type Run struct {
+	End     string
+	Service string
+	ID      string
+	Method  string
+	Path    string
+	Body    string
+	Team    string
+	// Prompt tells how its prompt was described.
+	Prompt string
+	// Weights is the version that it began on; 0 where there is none.
+	Weights int64
+	// After is the piece after which a stream goes on.
+	After int
+	// Forged are names of headers that no caller may set.
+	Forged []string
+	At     time.Time
+}
+
+// Order is an order that an endpoint got.
+type Order struct {
+	End    string
+	Holder string
+	Fence  int64
+	At     time.Time
+}
+
+// Config is a configuration: which service each route leads to, and which team
+// holds each key. It is never written after it is published.
+type Config struct {
+	Version int64
+	Routes  map[string]string
+	Keys    map[string]string
+	// Written is when it was sent, and Acked when the store had confirmed it.
+	Written time.Time
+	Acked   time.Time
+}
+
+// Mark is when something was confirmed.
+type Mark struct {
+	Name  string
+	Value int64
+	At    time.Time
+}
+
+// Span is a time in which something was harmed.
+type Span struct {
+	// Subject is the name of an instance or endpoint, or Core.
+	Subject string
+	What    string
+	From    time.Time
+	// To is zero while it goes on.
+	To time.Time
+}
+
+// Core is the subject of spans of the store.
+const Core = "core"
+
+// Book is what was seen and done. It is safe for concurrent use.
+type Book struct {
+	mu       sync.Mutex
+	attempts []Attempt
+	runs     []Run
+	orders   []Order
+	configs  []Config
+	// weights are the versions named; gone are endpoints whose leaving was
+	// confirmed; stops are planned stops of instances; hups their new settings.
+	weights []Mark
+	gone    []Mark
+	stops   []Mark
+	hups    []Mark
+	spans   []Span
+	// found are breaches that were seen while the run went on.
+	found []Breach
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{} }
+
+// Asked notes an attempt that is over.
+func (b *Book) Asked(a Attempt) { b.note(func() { b.attempts = append(b.attempts, a) }) }
+
+// Ran notes a run.
+func (b *Book) Ran(r Run) { b.note(func() { b.runs = append(b.runs, r) }) }
+
+// Ordered notes an order.
+func (b *Book) Ordered(o Order) { b.note(func() { b.orders = append(b.orders, o) }) }
+
+// Configured notes a configuration that is written now. The function that it
+// returns notes when the store has confirmed it.
+func (b *Book) Configured(c Config, now time.Time) func(acked time.Time) {
+	c.Written = now
+	i := 0
+	b.note(func() {
+		i = len(b.configs)
+		b.configs = append(b.configs, c)
+	})
+	return func(acked time.Time) {
+		b.note(func() { b.configs[i].Acked = acked })
+	}
+}
+
+// Named notes that weights were named.
+func (b *Book) Named(version int64, at time.Time) {
+	b.note(func() { b.weights = append(b.weights, Mark{Value: version, At: at}) })
+}
+
+// Gone notes that the leaving of an endpoint was confirmed.
+func (b *Book) Gone(end string, at time.Time) {
+	b.note(func() { b.gone = append(b.gone, Mark{Name: end, At: at}) })
+}
+
+// Back notes that an endpoint may be used again.
+func (b *Book) Back(end string, at time.Time) {
+	b.note(func() { b.gone = append(b.gone, Mark{Name: end, At: at, Value: 1}) })
+}
+
+// Stopped notes the planned stop of an instance.
+func (b *Book) Stopped(node string, at time.Time) {
+	b.note(func() { b.stops = append(b.stops, Mark{Name: node, At: at}) })
+}
+
+// Reloaded notes new settings of an instance.
+func (b *Book) Reloaded(node string, at time.Time) {
+	b.note(func() { b.hups = append(b.hups, Mark{Name: node, At: at}) })
+}
+
+// Found notes a breach.
+func (b *Book) Found(rule, detail string) {
+	b.note(func() { b.found = append(b.found, Breach{Rule: rule, Detail: detail}) })
+}
+
+// Harm notes that subject is harmed until the function that it returns is called.
+func (b *Book) Harm(subject, what string) func() {
+	i := 0
+	b.note(func() {
+		i = len(b.spans)
+		b.spans = append(b.spans, Span{
+			Subject: subject,
+			What:    what,
+			From:    time.Now(),
+		})
+	})
+	return func() {
+		b.note(func() { b.spans[i].To = time.Now() })
+	}
+}
+
+// HarmedAt notes that subject was harmed between two times.
+func (b *Book) HarmedAt(subject, what string, from, to time.Time) {
+	b.note(func() {
+		b.spans = append(b.spans, Span{
+			Subject: subject,
+			What:    what,
+			From:    from,
+			To:      to,
+		})
+	})
+}
+
+// Calm tells whether no harm but what was planned came to a subject since a time.
+func (b *Book) Calm(subject, planned string, since time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.spans {
+		if s.Subject == subject && s.What != planned && (s.To.IsZero() || s.To.After(since)) {
+			return false
+		}
+	}
+	return true
+}
+
+// Served counts the attempts that ended with a whole success since a time, and
+// all that were sent since then.
+func (b *Book) Served(since time.Time) (int, int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	served, all := 0, 0
+	for _, a := range b.attempts {
+		if a.Begun.Before(since) || a.Left {
+			continue
+		}
+		all++
+		if a.success() {
+			served++
+		}
+	}
+	return served, all
+}
+
+// String counts what was seen.
+func (b *Book) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return fmt.Sprintf("%d runs, %d orders, %d harms, %d configurations, %d weights", len(b.runs), len(b.orders), len(b.spans), len(b.configs), len(b.weights))
+}
+
+// Dump writes all as lines of JSON.
+func (b *Book) Dump(w io.Writer) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := json.NewEncoder(w)
+	for kind, list := range map[string]any{
+		"attempts": b.attempts,
+		"runs":     b.runs,
+		"orders":   b.orders,
+		"configs":  b.configs,
+		"weights":  b.weights,
+		"gone":     b.gone,
+		"stops":    b.stops,
+		"reloads":  b.hups,
+		"spans":    b.spans,
+	} {
+		items := reflect.ValueOf(list)
+		for i := range items.Len() {
+			if err := out.Encode(map[string]any{kind: items.Index(i).Interface()}); err != nil {
+				return errors.Trace(err)
+			}
+		}
+	}
+	return nil
+}
+
+func (b *Book) note(change func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	change()
+}
+
+func (a Attempt) success() bool { return a.Status >= 200 && a.Status < 300 && a.Whole }
