--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 CHECKS ?= 500
 RAPID = $$(go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}}{{end}}{{end}}{{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}}{{end}}{{end}}' ./...)
 
-.PHONY: build run test lint fmt path prove bench slopes generate
+.PHONY: build run test lint fmt path prove soak bench slopes generate
 
 build:
 	@mkdir -p bin
@@ -36,6 +36,17 @@
 prove:
 	STEPS=$(STEPS) go test -count=1 -timeout 0 ./internal/proof -run Promises -v -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 
+# soak plays SECONDS of faults, drawn from SEED, against NODES processes of the
+# program before ENDS endpoints. LOGS keeps what is seen where a promise breaks.
+SECONDS ?= 60
+NODES ?= 3
+ENDS ?= 6
+CALLERS ?= 16
+LOGS ?= $(CURDIR)/out/soak
+soak:
+	SOAK_SEED=$(SEED) SOAK_SECONDS=$(SECONDS) SOAK_NODES=$(NODES) SOAK_ENDS=$(ENDS) SOAK_CALLERS=$(CALLERS) SOAK_LOGS=$(LOGS) \
+		go test -count=1 -timeout 0 ./platform -run 'TestSoak$$' -v
+
 # bench plays the users' workloads with five seeds, prints tables of medians and
 # draws flood.png and herd.png into PLOTS. OUTPUT=json prints JSON.
 PLOTS ?= out
