--- a/internal/soak/book.go
+++ b/internal/soak/book.go
@@ -11,15 +11,10 @@
 	"github.com/juju/errors"
 )
 
-// Attempt is a request as a caller sent it once, and what came of it.
-type Attempt struct {
-	// ID is the attempt's own; a retry has another.
-	ID string
-	// Node is the instance that took it.
-	Node string
-	// Key is the caller's key, and Team the team that holds it.
-	Key  string
-	Team string
+// Request is what a caller wants.
+type Request struct {
+	// Key is the caller's key.
+	Key string
 	// Route is the prefix of Path that a configuration may name.
 	Route  string
 	Method string
@@ -32,6 +27,15 @@
 	Stream bool
 	// Limit is how long the caller waits.
 	Limit time.Duration
+}
+
+// Attempt is a request as a caller sent it once, and what came of it.
+type Attempt struct {
+	Request
+	// ID is the attempt's own; a retry has another.
+	ID string
+	// Node is the instance that took it.
+	Node string
 	// Kept counts the requests before it on its connection.
 	Kept int
 	// Begun is when its first byte was sent, Sent its last, and Done when its
@@ -68,8 +72,8 @@
 	Prompt string
 	// Weights is the version that it began on; 0 where there is none.
 	Weights int64
-	// After is the piece after which a stream goes on.
-	After int
+	// Left is how long the endpoint was told that the caller waits; 0 is not told.
+	Left time.Duration
 	// Forged are names of headers that no caller may set.
 	Forged []string
 	At     time.Time
@@ -121,19 +125,20 @@
 	runs     []Run
 	orders   []Order
 	configs  []Config
-	// weights are the versions named; gone are endpoints whose leaving was
-	// confirmed; stops are planned stops of instances; hups their new settings.
-	weights []Mark
-	gone    []Mark
-	stops   []Mark
-	hups    []Mark
-	spans   []Span
+	// marks are when weights were named, the leaving (0) and the return (1) of
+	// endpoints were confirmed, and instances were told to stop or to reload.
+	marks map[Kind][]Mark
+	spans []Span
 	// found are breaches that were seen while the run went on.
 	found []Breach
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{} }
+func NewBook() *Book {
+	return &Book{
+		marks: map[Kind][]Mark{},
+	}
+}
 
 // Asked notes an attempt that is over.
 func (b *Book) Asked(a Attempt) { b.note(func() { b.attempts = append(b.attempts, a) }) }
@@ -158,29 +163,16 @@
 	}
 }
 
-// Named notes that weights were named.
-func (b *Book) Named(version int64, at time.Time) {
-	b.note(func() { b.weights = append(b.weights, Mark{Value: version, At: at}) })
-}
-
-// Gone notes that the leaving of an endpoint was confirmed.
-func (b *Book) Gone(end string, at time.Time) {
-	b.note(func() { b.gone = append(b.gone, Mark{Name: end, At: at}) })
-}
-
-// Back notes that an endpoint may be used again.
-func (b *Book) Back(end string, at time.Time) {
-	b.note(func() { b.gone = append(b.gone, Mark{Name: end, At: at, Value: 1}) })
-}
-
-// Stopped notes the planned stop of an instance.
-func (b *Book) Stopped(node string, at time.Time) {
-	b.note(func() { b.stops = append(b.stops, Mark{Name: node, At: at}) })
-}
-
-// Reloaded notes new settings of an instance.
-func (b *Book) Reloaded(node string, at time.Time) {
-	b.note(func() { b.hups = append(b.hups, Mark{Name: node, At: at}) })
+// Marked notes something that was confirmed. Kind is Weights, EndLeave, Stop or
+// Reload.
+func (b *Book) Marked(kind Kind, name string, value int64, at time.Time) {
+	b.note(func() {
+		b.marks[kind] = append(b.marks[kind], Mark{
+			Name:  name,
+			Value: value,
+			At:    at,
+		})
+	})
 }
 
 // Found notes a breach.
@@ -188,32 +180,21 @@
 	b.note(func() { b.found = append(b.found, Breach{Rule: rule, Detail: detail}) })
 }
 
-// Harm notes that subject is harmed until the function that it returns is called.
-func (b *Book) Harm(subject, what string) func() {
+// Harm notes that subject is harmed from a time on, until that which is given to
+// the function that it returns.
+func (b *Book) Harm(subject, what string, from time.Time) func(to time.Time) {
 	i := 0
 	b.note(func() {
 		i = len(b.spans)
-		b.spans = append(b.spans, Span{
-			Subject: subject,
-			What:    what,
-			From:    time.Now(),
-		})
-	})
-	return func() {
-		b.note(func() { b.spans[i].To = time.Now() })
-	}
-}
-
-// HarmedAt notes that subject was harmed between two times.
-func (b *Book) HarmedAt(subject, what string, from, to time.Time) {
-	b.note(func() {
 		b.spans = append(b.spans, Span{
 			Subject: subject,
 			What:    what,
 			From:    from,
-			To:      to,
 		})
 	})
+	return func(to time.Time) {
+		b.note(func() { b.spans[i].To = to })
+	}
 }
 
 // Calm tells whether no harm but what was planned came to a subject since a time.
@@ -250,7 +231,7 @@
 func (b *Book) String() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return fmt.Sprintf("%d runs, %d orders, %d harms, %d configurations, %d weights", len(b.runs), len(b.orders), len(b.spans), len(b.configs), len(b.weights))
+	return fmt.Sprintf("%d runs, %d orders, %d harms, %d configurations, %d weights", len(b.runs), len(b.orders), len(b.spans), len(b.configs), len(b.marks[Weights]))
 }
 
 // Dump writes all as lines of JSON.
@@ -263,10 +244,10 @@
 		"runs":     b.runs,
 		"orders":   b.orders,
 		"configs":  b.configs,
-		"weights":  b.weights,
-		"gone":     b.gone,
-		"stops":    b.stops,
-		"reloads":  b.hups,
+		"weights":  b.marks[Weights],
+		"leavings": b.marks[EndLeave],
+		"stops":    b.marks[Stop],
+		"reloads":  b.marks[Reload],
 		"spans":    b.spans,
 	} {
 		items := reflect.ValueOf(list)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -27,9 +27,9 @@
 	Pick(r *rand.Rand) (name, addr string)
 }
 
-// Source draws requests. It fills in what a caller decides, without an id.
+// Source draws requests.
 type Source interface {
-	Next(r *rand.Rand) Attempt
+	Next(r *rand.Rand) Request
 }
 
 const (
@@ -63,7 +63,7 @@
 
 	sent int
 	// again is work to be sent once more, tries times in all.
-	again *Attempt
+	again *Request
 	tried int
 }
 
@@ -107,11 +107,11 @@
 func (c *Caller) next() Attempt {
 	var a Attempt
 	if c.again != nil {
-		a = *c.again
+		a.Request = *c.again
 		c.again = nil
 		c.tried++
 	} else {
-		a = c.Source.Next(c.Rand)
+		a.Request = c.Source.Next(c.Rand)
 		c.tried = 1
 	}
 	c.sent++
@@ -129,18 +129,7 @@
 	case a.Once || a.Status >= 400 && a.Status < 500 || a.Status >= 200 && a.Status < 300:
 		return
 	}
-	c.again = &Attempt{
-		Key:    a.Key,
-		Team:   a.Team,
-		Route:  a.Route,
-		Method: a.Method,
-		Path:   a.Path,
-		Body:   a.Body,
-		Prompt: a.Prompt,
-		Once:   a.Once,
-		Stream: a.Stream,
-		Limit:  a.Limit,
-	}
+	c.again = &a.Request
 }
 
 // Promise tells whether a status promises that the request did not run and never
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -27,10 +27,16 @@
 	Slack time.Duration
 	// Abandon is how long after its caller left a request may reach an endpoint.
 	Abandon time.Duration
-	// Timeout is the routes' own limit.
+	// Timeout is the routes' own limit, and Over how long after it an answer may
+	// come.
 	Timeout time.Duration
+	Over    time.Duration
 	// Attempts is how many endpoints one request may be sent to.
 	Attempts int
+	// Extra is by how much the time that endpoints are told may exceed what the
+	// caller waits, and Loose how many exceptions are forgiven.
+	Extra time.Duration
+	Loose int
 	// Few is how many cases of the rules that count them are forgiven.
 	Few int
 }
@@ -94,6 +100,7 @@
 	}
 	c.lost()
 	c.spent()
+	c.held()
 	c.drained()
 	c.ordered()
 	return c.out
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -31,6 +31,9 @@
 	Slack:     200 * time.Millisecond,
 	Abandon:   500 * time.Millisecond,
 	Timeout:   3 * time.Second,
+	Over:      500 * time.Millisecond,
+	Extra:     500 * time.Millisecond,
+	Loose:     20,
 	Attempts:  2,
 	Few:       3,
 }
@@ -44,12 +47,14 @@
 // attempt is a success at 20 s.
 func attempt(change func(a *soak.Attempt)) soak.Attempt {
 	a := soak.Attempt{
+		Request: soak.Request{
+			Key:   "k",
+			Route: "/r/",
+			Once:  true,
+			Limit: 2 * time.Second,
+		},
 		ID:     "a",
 		Node:   "n",
-		Key:    "k",
-		Route:  "/r/",
-		Once:   true,
-		Limit:  2 * time.Second,
 		Begun:  at(20000),
 		Sent:   at(20000),
 		Done:   at(20100),
@@ -72,6 +77,7 @@
 		ID:      "a",
 		Team:    "t",
 		Weights: 1,
+		Left:    2 * time.Second,
 		At:      at(20050),
 	}
 	if change != nil {
@@ -82,18 +88,8 @@
 
 // cut has the connection of an attempt end without an answer.
 func cut(a *soak.Attempt) {
-	*a = soak.Attempt{
-		ID:    a.ID,
-		Node:  a.Node,
-		Key:   a.Key,
-		Route: a.Route,
-		Once:  true,
-		Limit: a.Limit,
-		Begun: a.Begun,
-		Sent:  a.Sent,
-		Done:  at(20800),
-		Fail:  "reset",
-	}
+	a.Status, a.Echo, a.Seal, a.Answer, a.Whole = 0, "", "", "", false
+	a.Done, a.Fail = at(20800), "reset"
 }
 
 func order(holder string, fence int64, ms int) soak.Order {
@@ -197,7 +193,7 @@
 		name: "weights of long ago",
 		rule: "VERSION",
 		see: func(b *soak.Book) {
-			b.Named(2, at(11000))
+			b.Marked(soak.Weights, "", 2, at(11000))
 			b.Asked(attempt(nil))
 			b.Ran(run(nil))
 		},
@@ -205,7 +201,7 @@
 	{
 		name: "weights of a while ago",
 		see: func(b *soak.Book) {
-			b.Named(2, at(13000))
+			b.Marked(soak.Weights, "", 2, at(13000))
 			b.Asked(attempt(nil))
 			b.Ran(run(nil))
 		},
@@ -214,7 +210,7 @@
 		name: "cut at a planned stop",
 		rule: "LOST",
 		see: func(b *soak.Book) {
-			b.Stopped("n", at(19000))
+			b.Marked(soak.Stop, "n", 0, at(19000))
 			b.Asked(attempt(cut))
 		},
 	},
@@ -229,7 +225,7 @@
 		name: "after the leaving was confirmed",
 		rule: "DRAIN",
 		see: func(b *soak.Book) {
-			b.Gone("e", at(18000))
+			b.Marked(soak.EndLeave, "e", 0, at(18000))
 			b.Asked(attempt(nil))
 			b.Ran(run(nil))
 		},
@@ -237,12 +233,31 @@
 	{
 		name: "the endpoint is back",
 		see: func(b *soak.Book) {
-			b.Gone("e", at(15000))
-			b.Back("e", at(19000))
+			b.Marked(soak.EndLeave, "e", 0, at(15000))
+			b.Marked(soak.EndLeave, "e", 1, at(19000))
 			b.Asked(attempt(nil))
 			b.Ran(run(nil))
 		},
 	},
+	{
+		name: "no answer after the route's limit",
+		rule: "CONFIG",
+		see: func(b *soak.Book) {
+			for range 8 {
+				b.Asked(attempt(func(a *soak.Attempt) { a.Limit, a.Status, a.Seal, a.Done = 5*time.Second, 504, "", at(23600) }))
+			}
+		},
+	},
+	{
+		name: "endpoints are told too long a time",
+		rule: "BUDGET",
+		see: func(b *soak.Book) {
+			b.Asked(attempt(func(a *soak.Attempt) { a.Once = false }))
+			for range 21 {
+				b.Ran(run(func(r *soak.Run) { r.Left = 3 * time.Second }))
+			}
+		},
+	},
 	{
 		name: "two holders in turn",
 		rule: "ONE",
@@ -331,7 +346,7 @@
 	}
 	require.Len(t, soak.Check(book(), bounds, teller{}), 1)
 	b := book()
-	b.HarmedAt("n", soak.Kill.String(), at(16000), at(17500))
+	b.Harm("n", soak.Kill.String(), at(16000))(at(17500))
 	require.Empty(t, soak.Check(b, bounds, teller{}))
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -46,6 +46,8 @@
 	EndFull
 	// EndFail has an endpoint answer with its own failure.
 	EndFail
+	// EndStray has an endpoint send an answer that nobody waits for.
+	EndStray
 	// EndLeave has an endpoint announce its leaving, leave, and be replaced.
 	EndLeave
 	// EndVanish is EndLeave without an announcement.
@@ -59,7 +61,7 @@
 
 var kindNames = [...]string{
 	"stop", "kill", "pause", "reload", "link", "store-slow", "store-away", "store-part", "store-lose", "store-forget",
-	"end-crash", "end-cut", "end-late", "end-mute", "end-full", "end-fail", "end-leave", "end-vanish", "weights", "change",
+	"end-crash", "end-cut", "end-late", "end-mute", "end-full", "end-fail", "end-stray", "end-leave", "end-vanish", "weights", "change",
 }
 
 // String returns the name of k.
@@ -170,7 +172,8 @@
 			s := d.add(at+time.Duration(i)*gap, Stop)
 			s.Target = i
 		}
-	case 1: // many are lost at once
+	case 1: // many are lost at once, just after a change
+		d.add(at, Change)
 		for i := range d.size.Nodes {
 			if d.rand.IntN(3) > 0 {
 				s := d.add(at+d.span(0, 300), Kill)
@@ -189,7 +192,12 @@
 		}
 	default:
 		for range 1 + d.rand.IntN(4) {
-			d.add(at, Kind(d.rand.IntN(int(kinds))))
+			// Links are many and harmed in several ways.
+			kind := Link
+			if d.rand.IntN(4) > 0 {
+				kind = Kind(d.rand.IntN(int(kinds)))
+			}
+			d.add(at, kind)
 			at += d.span(0, 1500)
 		}
 	}
--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -125,7 +125,7 @@
 	if r.Weights == 0 || !ok || !c.touch(a.Node, r.At, r.At) {
 		return
 	}
-	for _, m := range c.weights {
+	for _, m := range c.marks[Weights] {
 		if m.Value <= r.Weights || r.At.Sub(m.At) <= c.bounds.WeightsIn {
 			continue
 		}
@@ -179,7 +179,7 @@
 	if !c.calm(a.Node, a.Begun, a.Done, Stop.String()) || !c.calm(Core, a.Begun, a.Done) {
 		return false
 	}
-	for _, m := range c.stops {
+	for _, m := range c.marks[Stop] {
 		if m.Name != a.Node || a.Done.Before(m.At) || a.Done.After(m.At.Add(c.bounds.Grace+time.Second)) {
 			continue
 		}
@@ -189,7 +189,7 @@
 			return true
 		}
 	}
-	for _, m := range c.hups {
+	for _, m := range c.marks[Reload] {
 		if m.Name == a.Node && !a.Done.Before(m.At) && !a.Sent.After(m.At.Add(c.bounds.Apply)) {
 			return true
 		}
@@ -223,9 +223,38 @@
 	}
 }
 
+// held checks that answers come in time, and that endpoints are told how much of
+// it is left.
+func (c *checker) held() {
+	over, late := 0, 0
+	for _, a := range c.attempts {
+		took := a.Done.Sub(a.Begun)
+		if a.Limit < c.bounds.Timeout+c.bounds.Over || took <= c.bounds.Timeout || !c.touch(a.Node, a.Begun, a.Done) {
+			continue
+		}
+		over++
+		if took > c.bounds.Timeout+c.bounds.Over {
+			late++
+		}
+	}
+	// The rule counts from eight on, and more than a quarter of what is over.
+	if late >= 8 && 4*late > over {
+		c.breach("CONFIG", "%d of %d requests that outlast the route's limit have no answer %v after it", late, over, c.bounds.Over)
+	}
+	var long []string
+	for _, r := range c.runs {
+		if a, ok := c.byID[r.ID]; ok && c.touch(a.Node, r.At, r.At) && (r.Left <= 0 || r.Left > a.Limit+c.bounds.Extra) {
+			long = append(long, r.ID)
+		}
+	}
+	if len(long) > c.bounds.Loose && 5*len(long) > len(c.runs) {
+		c.breach("BUDGET", "%d endpoints are told more time than is left: %v", len(long), long[:c.bounds.Loose])
+	}
+}
+
 // drained checks that endpoints which leave get no new requests.
 func (c *checker) drained() {
-	for i, m := range c.gone {
+	for i, m := range c.marks[EndLeave] {
 		if m.Value != 0 || !c.calm(Core, m.At, m.At) {
 			continue
 		}
@@ -243,8 +272,8 @@
 
 // returned tells whether the endpoint of mark i was back before at.
 func (c *checker) returned(i int, at time.Time) bool {
-	for _, m := range c.gone[i+1:] {
-		if m.Name == c.gone[i].Name && m.Value == 1 && m.At.Before(at) {
+	for _, m := range c.marks[EndLeave][i+1:] {
+		if m.Name == c.marks[EndLeave][i].Name && m.Value == 1 && m.At.Before(at) {
 			return true
 		}
 	}
