--- a/internal/soak/book.go
+++ b/internal/soak/book.go
@@ -197,6 +197,16 @@
 	}
 }
 
+// Holder returns who gave the last order, or nothing.
+func (b *Book) Holder() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.orders) == 0 {
+		return ""
+	}
+	return b.orders[len(b.orders)-1].Holder
+}
+
 // Calm tells whether no harm but what was planned came to a subject since a time.
 func (b *Book) Calm(subject, planned string, since time.Time) bool {
 	b.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -75,6 +75,8 @@
 	For time.Duration
 	// Target is a number that the world takes modulo what it has of the kind.
 	Target int
+	// Holder aims at the instance that gave the last order instead.
+	Holder bool
 	// Mode is what a link does.
 	Mode Mode
 	// Draw decides what else a step leaves open.
@@ -84,6 +86,9 @@
 // String returns a line of a log.
 func (s Step) String() string {
 	out := fmt.Sprintf("%v at=%v for=%v target=%d", s.Kind, s.At, s.For, s.Target)
+	if s.Holder {
+		out += " holder"
+	}
 	if s.Kind == Link {
 		out += " mode=" + s.Mode.String()
 	}
@@ -165,7 +170,7 @@
 
 // series adds steps that belong together.
 func (d *drawer) series(at time.Duration) {
-	switch d.rand.IntN(8) {
+	switch d.rand.IntN(9) {
 	case 0: // a rolling restart, slow or in haste
 		gap := d.span(200, 4000)
 		for i := range d.size.Nodes {
@@ -190,6 +195,11 @@
 			d.add(at, Weights)
 			at += d.span(300, 5000)
 		}
+	case 4: // the holder of orders is lost between orders
+		d.add(at, Weights)
+		s := d.add(at+d.span(50, 1200), []Kind{Stop, Stop, Kill, Pause, Link}[d.rand.IntN(5)])
+		s.Holder = true
+		d.add(at+d.span(300, 4000), Weights)
 	default:
 		for range 1 + d.rand.IntN(4) {
 			// Links are many and harmed in several ways.
