--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -133,18 +133,20 @@
 	return c.calm(node, from, to) && c.calm(Core, from, to)
 }
 
-// stretch returns the longest time between from and to in which neither the store
-// nor a link was harmed.
+// stretch returns the longest time between from and to in which no link was harmed
+// and the store was stable, which it isn't before it was calm for Contact, towards
+// all instances.
 func (c *checker) stretch(from, to time.Time) time.Duration {
 	var harms []Span
 	for _, s := range c.spans {
-		if s.Subject != Core && s.What != Link.String() && s.What != StorePart.String() {
+		store := s.Subject == Core || s.What == StorePart.String() || s.What == StoreLose.String()
+		if !store && s.What != Link.String() {
 			continue
 		}
 		if s.To.IsZero() {
 			s.To = to
 		}
-		if s.Subject == Core {
+		if store {
 			s.To = s.To.Add(c.bounds.Contact)
 		}
 		harms = append(harms, s)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -147,6 +147,16 @@
 		b.Marked(soak.Weights, "", 2, at(13000))
 		asked(b, whole, usual)
 	},
+	"VERSION: the store was calm for long": func(b *soak.Book) {
+		b.Marked(soak.Weights, "", 2, at(8600))
+		b.Harm("m", soak.StorePart.String(), at(8500))(at(8900))
+		asked(b, whole, usual)
+	},
+	"ok: the store refused one instance": func(b *soak.Book) {
+		b.Marked(soak.Weights, "", 2, at(8600))
+		b.Harm("m", soak.StorePart.String(), at(8500))(at(9200))
+		asked(b, whole, usual)
+	},
 	"LOST: cut at a planned stop": func(b *soak.Book) {
 		b.Marked(soak.Stop, "n", 0, at(19000))
 		asked(b, cut)
