--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STEPS ?= 120
 CHECKS ?= 500
 
-.PHONY: build run test lint fmt path prove bench slopes generate
+.PHONY: build run test lint fmt path prove soak soak-seeds bench slopes generate
 
 build:
 	@mkdir -p bin
@@ -34,6 +34,21 @@
 prove:
 	STEPS=$(STEPS) go test -count=1 -timeout 0 ./internal/proof -run Promises -v -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 
+# soak plays SECONDS of faults, drawn from SEED, against NODES processes of the
+# program before ENDS endpoints. LOGS keeps what is seen where a promise breaks.
+SECONDS ?= 60
+NODES ?= 3
+ENDS ?= 6
+CALLERS ?= 16
+LOGS ?= $(CURDIR)/out/soak
+soak:
+	SOAK_SEED=$(SEED) SOAK_SECONDS=$(SECONDS) SOAK_NODES=$(NODES) SOAK_ENDS=$(ENDS) SOAK_CALLERS=$(CALLERS) SOAK_LOGS=$(LOGS) \
+		go test -count=1 -timeout 0 ./platform -run 'TestSoak$$' -v
+
+# soak-seeds plays the seeds that failed once.
+soak-seeds:
+	SOAK_SEEDS=1 SOAK_LOGS=$(LOGS) go test -count=1 -timeout 0 ./platform -run 'TestSoakSeeds$$' -v
+
 # bench plays the users' workloads with five seeds, prints tables of medians and
 # draws flood.png and herd.png into PLOTS. OUTPUT=json prints JSON.
 PLOTS ?= out
