lease, ctrl, peer: a rival that starts need not watch the lease's row anew

Change: pulses tell for how long the sender knows the row to be unchanged. The write that takes the lease still fails where the row has changed. Before: TestRivalThatStartsNeedNotWatchTheRowAnew, with the age left out: nobody takes the lease in 20 s. The log of the lease no longer tells a row that has to be read again as one without a holder, five times a second.

--- a/internal/ctrl/leases.go
+++ b/internal/ctrl/leases.go
@@ -36,7 +36,7 @@
 		}
 		return s, actions
 	case state.Pulse:
-		l = l.WithTold(e.Relay.Lease, now)
+		l = l.WithTold(e.Relay.Lease, e.Relay.LeaseAge, now)
 		return s.WithLease(l), c.changed(s.Lease, l, now)
 	case state.Stopping:
 		s.Routing.HandOver = now.Add(handOver)
@@ -64,17 +64,18 @@
 	}
 }
 
-// changed notes a holder that is new, or a lease that was given back.
+// changed notes a holder that is new, or a lease that was given back. While the
+// row has to be read again, the last holder that was seen stands.
 func (Leases) changed(before, after lease.Lease, now time.Time) []state.Action {
-	if holderOf(before, now) == holderOf(after, now) && before.Valid(now, now) == after.Valid(now, now) {
+	if before.Holder() == after.Holder() && before.Valid(now, now) == after.Valid(now, now) {
 		return nil
 	}
 	return []state.Action{
 		state.Note{
 			Event: "lease",
 			Pairs: []string{
-				"holder", holderOf(after, now),
-				"before", holderOf(before, now),
+				"holder", after.Holder(),
+				"before", before.Holder(),
 				"own", yes(after.Valid(now, now)),
 				"row", strconv.FormatInt(after.Row().Version, 10),
 			},
@@ -82,14 +83,6 @@
 	}
 }
 
-// holderOf returns who is known to hold l at now, or "none".
-func holderOf(l lease.Lease, now time.Time) string {
-	if !l.Held(now) {
-		return "none"
-	}
-	return l.Holder()
-}
-
 // placeOf returns how many other instances are to take the lease before this one.
 func placeOf(s state.State) int {
 	own, before := xxhash.Sum64String(s.Self.Name), 0
--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -159,6 +159,8 @@
 		Listing: s.Routing.Listing,
 		Follows: s.Routing.Follows,
 		Lease:   s.Lease.Row(),
+		// Who starts need not watch the row anew.
+		LeaseAge: s.Lease.Unchanged(s.At),
 	}
 	if len(s.Routing.Mates) <= fullMesh {
 		r.Mates = s.Routing.Mates
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -24,6 +24,7 @@
 		Lease: &rpcapi.Lease{
 			Version: r.Lease.Version,
 			Value:   r.Lease.Value,
+			Age:     r.LeaseAge.Milliseconds(),
 		},
 	}
 	for _, w := range r.Weights {
@@ -69,6 +70,7 @@
 			Version: m.GetLease().GetVersion(),
 			Value:   m.GetLease().GetValue(),
 		},
+		LeaseAge: time.Duration(m.GetLease().GetAge()) * time.Millisecond,
 	}
 	for _, w := range m.GetWeights() {
 		r.Weights = append(r.Weights, state.EngineWeights{
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -119,8 +119,10 @@
 	Listing int64
 	// Follows tells that the sender hears the platform's store.
 	Follows bool
-	// Lease is the row of the lease for orders.
-	Lease store.Row
+	// Lease is the row of the lease for orders, and LeaseAge for how long the sender
+	// knows it to be unchanged.
+	Lease    store.Row
+	LeaseAge time.Duration
 	// Names is the last versions of weights that were named.
 	Names []Named
 	// Leavers is the registry's version that says of each drained endpoint that it
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -178,23 +178,50 @@
 	return l
 }
 
-// WithTold returns the lease after a peer showed a newer row.
-func (l Lease) WithTold(row store.Row, now time.Time) Lease {
-	if row.Version <= l.row.Version {
+// WithTold returns the lease after a peer showed a row that it knows to be
+// unchanged for the given time. The write that takes the lease fails where the
+// row has changed since.
+func (l Lease) WithTold(row store.Row, unchanged time.Duration, now time.Time) Lease {
+	since := now.Add(-unchanged)
+	if row.Version == 0 || row.Version < l.row.Version {
 		return l
 	}
+	if row.Version == l.row.Version {
+		return l.withSeen(since)
+	}
 	l.row = row
-	l.seen = now
-	l.told = now
+	l.seen = since
+	l.told = since
 	if holder, _ := decode(row.Value); holder != l.self {
 		l.until = time.Time{}
 	}
 	return l.inTurn()
 }
 
+// withSeen returns the lease where the row is known to be unchanged since the
+// given time. The time of an own write stays.
+func (l Lease) withSeen(since time.Time) Lease {
+	if holder, _ := decode(l.row.Value); holder == l.self || !since.Before(l.seen) {
+		return l
+	}
+	if l.told.Equal(l.seen) {
+		l.told = since
+	}
+	l.seen = since
+	return l.inTurn()
+}
+
 // Row returns the last row that was seen.
 func (l Lease) Row() store.Row { return l.row }
 
+// Unchanged returns for how long the row is known to be unchanged at now.
+func (l Lease) Unchanged(now time.Time) time.Duration {
+	if l.seen.IsZero() {
+		return 0
+	}
+	return max(now.Sub(l.seen), 0)
+}
+
 // WithRow returns the lease after a read that was answered at now. The row may
 // have been written until then.
 func (l Lease) WithRow(row store.Row, err error, now time.Time) Lease {
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -163,7 +163,7 @@
 			tab.down = rapid.IntRange(0, 9).Draw(t, "down") == 0
 			i := rapid.IntRange(0, 1).Draw(t, "who")
 			if rapid.IntRange(0, 9).Draw(t, "told") == 0 {
-				holders[i] = holders[i].WithTold(holders[1-i].Row(), now)
+				holders[i] = holders[i].WithTold(holders[1-i].Row(), holders[1-i].Unchanged(now), now)
 			}
 			op, next, ok := holders[i].Plan(now)
 			holders[i] = next
@@ -233,7 +233,7 @@
 			holder = step(holder)
 			for i := range rivals {
 				if holder.Row().Version != before.Version {
-					rivals[i] = rivals[i].WithTold(holder.Row(), now)
+					rivals[i] = rivals[i].WithTold(holder.Row(), holder.Unchanged(now), now)
 				}
 				rivals[i] = step(rivals[i])
 			}
@@ -275,7 +275,7 @@
 		}
 		a = step(a.WithUsed(now.Add(-used)).WithYield())
 		released := now
-		b = b.WithTold(a.Row(), now)
+		b = b.WithTold(a.Row(), 0, now)
 		for !b.Valid(now, now) {
 			b = step(b)
 			now = now.Add(100 * time.Millisecond)
@@ -310,7 +310,7 @@
 			tab.lost = rapid.IntRange(0, 15).Draw(t, "lost") == 0
 			for i := range holders {
 				told := rapid.IntRange(0, 2).Draw(t, "told")
-				holders[i] = holders[i].WithTold(holders[told].Row(), now)
+				holders[i] = holders[i].WithTold(holders[told].Row(), holders[told].Unchanged(now), now)
 				switch {
 				case reads[i].Sent.IsZero():
 					op, next, ok := holders[i].Plan(now)
@@ -409,6 +409,33 @@
 		Key:     "k",
 		Version: a.Row().Version,
 		Value:   a.Row().Value,
-	}, now)
+	}, 0, now)
 	require.GreaterOrEqual(t, taken(t, &tab, b, now).Sub(until), rivalQuiet, "the order may arrive until %s after the release", until.Sub(now))
 }
+
+// TestRivalThatStartsNeedNotWatchTheRowAnew has the holder be killed and rivals
+// start and stop before they have seen the row unchanged for long enough.
+func TestRivalThatStartsNeedNotWatchTheRowAnew(t *testing.T) {
+	var tab table
+	now := taken(t, &tab, rival("holder"), start)
+	killed := now
+	watching := rival("r0")
+	for i := 0; now.Sub(killed) < 20*time.Second; i++ {
+		next := rival(fmt.Sprint("r", i+1))
+		for range 10 {
+			now = now.Add(200 * time.Millisecond)
+			next = next.WithTold(watching.Row(), watching.Unchanged(now), now)
+			for _, l := range []*lease.Lease{&watching, &next} {
+				if op, planned, ok := l.Plan(now); ok {
+					*l = tab.do(planned, op)
+				}
+				if l.Valid(now, now) {
+					require.LessOrEqual(t, now.Sub(killed), 1800*time.Millisecond+rivalQuiet+lease.Margin+time.Second)
+					return
+				}
+			}
+		}
+		watching = next
+	}
+	t.Fatal("nobody took the lease")
+}
