lease, platform: a lease that lapsed before an instance started is taken at once

Cause: nobody who runs has seen the row for 5.8 s, and the row does not tell when it was written. Ruled out: rivals that look too late (first order 6.6 s after the last start, as the wait of 5.8 s asks). Change: the store tells its own steady clock with each answer. A holder writes what that clock showed at most when it sent the row, and who reads the row dates it by the clock in that answer: never later than the hold began, so that the wait is the same, counted from the hold and not from the look. A reading is reckoned on from for ten minutes at most; rows without a clock are dated as before. Before: TestLeaseThatLapsedBeforeTheStartIsTakenAtOnce, with no clock told, waits 5.8 s after a start 10 s after the end.

--- a/internal/ctrl/leases.go
+++ b/internal/ctrl/leases.go
@@ -23,6 +23,7 @@
 	l := s.Lease
 	switch e := e.(type) {
 	case state.Leased:
+		l = l.WithClock(e.Clock)
 		if e.Op.Put {
 			l = l.WithPut(e.Op, e.Version, e.Err)
 		} else {
--- a/internal/relay/doer.go
+++ b/internal/relay/doer.go
@@ -101,6 +101,7 @@
 	if e.Err != nil {
 		d.failed("lease", a.Op.Row.Key, e.Err)
 	}
+	e.Clock = d.parts.Store.Clock()
 	return e
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,6 +52,8 @@
 	Put(ctx context.Context, row store.Row) (int64, error)
 	Rows(ctx context.Context, table string) (store.Batch, error)
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Batch, error)
+	// Clock returns the last reading of the store's clock.
+	Clock() store.Clock
 }
 
 // decoder reads the rows of the platform.
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -293,6 +293,8 @@
 	Version int64
 	// Err is the failure, or nil.
 	Err error
+	// Clock is the last reading of the table's clock, where it tells one.
+	Clock store.Clock
 }
 
 // Abandoned is a stream that goes on elsewhere and that nobody reads any more.
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -22,9 +22,9 @@
 	// turnStep is by how much one rival lets another go first, where a lease was
 	// given back: some answers of the table.
 	turnStep = 100 * time.Millisecond
-	// freeWords is the number of words of a row that was given back, of which the
-	// second one, the holder, is empty.
-	freeWords = 3
+	// clockLife is for how long a reading of the table's clock is reckoned on from:
+	// clocks that differ by 100 in a million are 60 ms apart by then.
+	clockLife = 10 * time.Minute
 )
 
 // Op is a call to the table.
@@ -57,6 +57,8 @@
 	// used is until when orders of this instance may be on their way; the zero time
 	// where it gave none.
 	used time.Time
+	// clock is the last reading of the table's clock.
+	clock store.Clock
 	// yield tells that the lease is not to be taken or renewed.
 	yield bool
 	// length, renew and quiet are the times of this lease.
@@ -127,13 +129,13 @@
 	case l.seen.IsZero():
 	case l.yield:
 		op.Put = true
-		op.Row.Value = encodeFree(fence, l.idle(now))
+		op.Row.Value = encodeFree(fence, l.idle(now), l.stamp(now))
 	case holder == l.self && now.Before(l.until):
 		op.Put = true
-		op.Row.Value = encode(l.self, fence)
+		op.Row.Value = encode(l.self, fence, l.stamp(now))
 	case l.free(holder, fence, now):
 		op.Put = true
-		op.Row.Value = encode(l.self, fence+1)
+		op.Row.Value = encode(l.self, fence+1, l.stamp(now))
 	}
 	return op, l, true
 }
@@ -241,9 +243,29 @@
 	if holder, _ := decode(row.Value); holder != l.self {
 		l.until = time.Time{}
 	}
+	if age, ok := l.clock.Since(stampOf(row.Value)); ok {
+		l = l.withSeen(now.Add(-age))
+	}
 	return l.inTurn()
 }
 
+// WithClock returns the lease after a reading of the table's clock.
+func (l Lease) WithClock(c store.Clock) Lease {
+	if c.Reading > 0 {
+		l.clock = c
+	}
+	return l
+}
+
+// stamp returns what the table's clock shows at now at most, or 0 where that is
+// not known.
+func (l Lease) stamp(now time.Time) time.Duration {
+	if l.clock.Reading == 0 || now.Sub(l.clock.Asked) > clockLife {
+		return 0
+	}
+	return l.clock.Reading + now.Sub(l.clock.Asked)
+}
+
 // WithPut returns the lease after a write that was planned as op.
 func (l Lease) WithPut(op Op, version int64, err error) Lease {
 	if err != nil {
@@ -333,15 +355,23 @@
 // Until returns when the hold ends.
 func (l Lease) Until() time.Time { return l.until }
 
-// A row holds the fencing number and the holder; one that was given back, the
-// fencing number and for how many milliseconds no order was on its way then, less
-// than 0 where one may have been.
-func encode(holder string, fence int64) []byte {
-	return []byte(strconv.FormatInt(fence, 10) + " " + holder)
+// A row holds the fencing number, the holder, and what the table's clock showed at
+// most when the row was sent. One that was given back has no holder, and before the
+// clock for how many milliseconds no order was on its way, less than 0 where one may
+// have been. Without a clock the row ends before it.
+func encode(holder string, fence int64, stamp time.Duration) []byte {
+	return stamped(strconv.FormatInt(fence, 10)+" "+holder, stamp)
 }
 
-func encodeFree(fence int64, idle time.Duration) []byte {
-	return []byte(strconv.FormatInt(fence, 10) + "  " + strconv.FormatInt(idle.Milliseconds(), 10))
+func encodeFree(fence int64, idle, stamp time.Duration) []byte {
+	return stamped(strconv.FormatInt(fence, 10)+"  "+strconv.FormatInt(idle.Milliseconds(), 10), stamp)
+}
+
+func stamped(row string, stamp time.Duration) []byte {
+	if stamp > 0 {
+		row += " " + strconv.FormatInt(stamp.Milliseconds()+1, 10)
+	}
+	return []byte(row)
 }
 
 func decode(value []byte) (string, int64) {
@@ -354,12 +384,27 @@
 	return holder, fence
 }
 
-// idleOf returns for how long no order was on its way when the row was written, or
-// minus the time for which one may have been.
-func idleOf(value []byte) time.Duration {
+// idleOf returns for how long no order was on its way when a row that was given
+// back was written, or minus the time for which one may have been.
+func idleOf(value []byte) time.Duration { return wordOf(value, 0) }
+
+// stampOf returns what the table's clock showed at most when the row was sent, or 0.
+func stampOf(value []byte) time.Duration {
+	if holder, _ := decode(value); holder == "" {
+		return wordOf(value, 1)
+	}
+	return wordOf(value, 0)
+}
+
+// wordOf returns the milliseconds in the word at n after the holder, or 0.
+func wordOf(value []byte, n int) time.Duration {
+	const before = 2
 	words := strings.Split(string(value), " ")
-	ms, err := strconv.ParseInt(words[len(words)-1], 10, 64)
-	if err != nil || len(words) != freeWords {
+	if len(words) <= before+n {
+		return 0
+	}
+	ms, err := strconv.ParseInt(words[before+n], 10, 64)
+	if err != nil {
 		return 0
 	}
 	return time.Duration(ms) * time.Millisecond
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -17,24 +17,35 @@
 
 // table is a table of one row.
 type table struct {
-	row  store.Row
+	row store.Row
+	// skew is by how much its clock is ahead; 0 where it tells none.
+	skew time.Duration
 	down bool
 	lost bool
 }
 
-// do answers op for l and returns the lease after it.
-func (t *table) do(l lease.Lease, op lease.Op) lease.Lease {
+// do answers op for l at once and returns the lease after it.
+func (t *table) do(l lease.Lease, op lease.Op) lease.Lease { return t.doAt(l, op, op.Sent) }
+
+// doAt answers op for l at now.
+func (t *table) doAt(l lease.Lease, op lease.Op, now time.Time) lease.Lease {
+	if t.skew > 0 && !t.down {
+		l = l.WithClock(store.Clock{
+			Reading: now.Sub(start) + t.skew,
+			Asked:   op.Sent,
+		})
+	}
 	if t.down {
 		if op.Put {
 			return l.WithPut(op, 0, store.ErrUnavailable)
 		}
-		return l.WithRow(store.Row{}, store.ErrUnavailable, op.Sent)
+		return l.WithRow(store.Row{}, store.ErrUnavailable, now)
 	}
 	if !op.Put {
 		if t.row.Version == 0 {
-			return l.WithRow(store.Row{}, store.ErrMissing, op.Sent)
+			return l.WithRow(store.Row{}, store.ErrMissing, now)
 		}
-		return l.WithRow(t.row, nil, op.Sent)
+		return l.WithRow(t.row, nil, now)
 	}
 	if op.Row.Version != t.row.Version {
 		return l.WithPut(op, 0, store.ErrConflict)
@@ -294,7 +305,9 @@
 	)
 	opts := []lease.Option{lease.WithLength(2*time.Second, 500*time.Millisecond), lease.WithQuiet(quiet)}
 	rapid.Check(t, func(t *rapid.T) {
-		var tab table
+		tab := table{
+			skew: time.Duration(rapid.IntRange(0, 1).Draw(t, "clock")) * time.Hour,
+		}
 		made := 0
 		join := func(place int) lease.Lease {
 			made++
@@ -321,9 +334,7 @@
 						reads[i] = op
 					}
 				case rapid.Bool().Draw(t, "answered"):
-					op := reads[i]
-					op.Sent = now
-					holders[i] = tab.do(holders[i], op)
+					holders[i] = tab.doAt(holders[i], reads[i], now)
 					reads[i] = lease.Op{}
 				}
 				name := fmt.Sprint(i, starts[i])
@@ -439,3 +450,24 @@
 	}
 	t.Fatal("nobody took the lease")
 }
+
+// TestLeaseThatLapsedBeforeTheStartIsTakenAtOnce has all instances be stopped, so
+// that nobody has seen for how long the row is unchanged.
+func TestLeaseThatLapsedBeforeTheStartIsTakenAtOnce(t *testing.T) {
+	tab := table{
+		skew: time.Hour,
+	}
+	killed := taken(t, &tab, rival("holder"), start)
+	for _, away := range []time.Duration{2 * time.Second, 10 * time.Second} {
+		next := tab
+		begun := killed.Add(away)
+		free := killed.Add(1800*time.Millisecond + rivalQuiet + lease.Margin)
+		at := taken(t, &next, rival("later"), begun)
+		require.False(t, at.Before(free), "%s after the end", away)
+		latest := free
+		if begun.After(free) {
+			latest = begun
+		}
+		require.WithinDuration(t, latest, at, time.Second, "%s after the end", away)
+	}
+}
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -1,6 +1,10 @@
 package store
 
-import "github.com/juju/errors"
+import (
+	"time"
+
+	"github.com/juju/errors"
+)
 
 const (
 	// ErrConflict means that the row's version was another one.
@@ -36,3 +40,19 @@
 	// Whole tells that Rows are all rows.
 	Whole bool
 }
+
+// Clock is a reading of a store's own clock, which is steady.
+type Clock struct {
+	// Reading is what it showed; 0 where the store tells none.
+	Reading time.Duration
+	// Asked is when the call was sent that it came with.
+	Asked time.Time
+}
+
+// Since returns how long before the reading the store's clock showed stamp at least.
+func (c Clock) Since(stamp time.Duration) (time.Duration, bool) {
+	if c.Reading == 0 || stamp == 0 || stamp > c.Reading {
+		return 0, false
+	}
+	return c.Reading - stamp, true
+}
