--- a/pkg/lease/doc.go
+++ b/pkg/lease/doc.go
@@ -4,7 +4,8 @@
 // Clocks of different machines are never compared. A holder counts its lease
 // from before it sent the last renewal that the table took; a rival takes over
 // only after it saw the row unchanged for the lease's length and a margin, on
-// its own clock. Each new holder gets a higher fencing number.
+// its own clock, or knows from a peer or from the table's clock that it was. Each new
+// holder gets a higher fencing number.
 //
 // A holder that stops writes for how long none of its orders was on its way, and
 // the next one waits only for what is left of the quiet time.
