ctrl: a version of weights that nobody can date counts as old

Cause: a peer that started tells the version that it found without a date; versions without a date were taken only where they are newer than those that are known. Change: an older one is taken too, as named nobody knows when. Before: TestVersionThatNobodyCanDateIsOld fails. After: it passes.

--- a/internal/ctrl/orders.go
+++ b/internal/ctrl/orders.go
@@ -55,6 +55,8 @@
 func (c Orders) named(s state.State, e state.Named, now time.Time) (state.State, []state.Action) {
 	before := s.Routing.Weights.Named(e.Model)
 	if !e.Dated && e.Version <= before.Version {
+		// What engines lack counts, also where nobody knows since when.
+		s.Routing.Weights = s.Routing.Weights.WithFound(e.Model, e.Version)
 		return s, nil
 	}
 	found := !e.Dated && before.Version == 0 && (s.Routing.Began.IsZero() || now.Sub(s.Routing.Began) < foundTime)
--- a/internal/ctrl/orders_test.go
+++ b/internal/ctrl/orders_test.go
@@ -343,3 +343,29 @@
 		require.False(t, since.After(alive.Add(time.Second)), "after %d ticks the naming counts from %s after the instance stood still", ticks, since.Sub(alive))
 	}
 }
+
+// TestVersionThatNobodyCanDateIsOld has a peer that started tell of a version that
+// it found, beside a newer one that it saw named.
+func TestVersionThatNobodyCanDateIsOld(t *testing.T) {
+	c := newControl()
+	c.step(state.Pulse{
+		Name: "n1",
+		Relay: state.Relay{
+			Names: []state.Named{
+				{
+					Model:   "m",
+					Version: 3,
+					Age:     time.Second,
+					Dated:   true,
+				},
+				{
+					Model:   "m",
+					Version: 2,
+				},
+			},
+		},
+	})
+	since, behind := c.state.Routing.Weights.Behind("e1", "m")
+	require.True(t, behind)
+	require.True(t, since.IsZero(), "version 2 was named before version 3, nobody knows when")
+}
