relay: silence alone does not end a response

Callers of streams saw their connection close in the middle of a response, without its end, when an engine that is sound sent nothing for a second or two. Beside a change of the configuration such a cut looks like a request that got neither an answer nor a refusal.

Cause: the watchdog canceled a silent attempt before anything could take its place. If no attempt was left, the retry budget was spent, or the other engines were full, failed or were silent too, the begun stream was aborted, although its engine would have gone on. Streams that can't be resumed were cut after 10 s of silence, and so was any longer plain response, whose timer was not restarted by data. Class of fault: a working attempt is given up before its replacement is secured.

A begun stream is now kept until another engine has begun to continue it; the search for one runs beside the silent attempt, which keeps the stream if it goes on first. Without a replacement the stream waits for its engine until the deadline. An attempt whose response has not begun is canceled only if the endpoints, the attempts and the retry budget allow another one. Requests without any deadline still end after 10 s of silence.

TestEventDuringInFlightQueryKeepsAttempt checks the same on the new type, and now exactly when the time runs out.

--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -38,7 +38,17 @@
 // takeRetry takes a retry from the budget that is divided among the given
 // number of instances, or returns false if none is left.
 func (b *retryBudgets) takeRetry(service string, instances int, now time.Time) bool {
-	return b.window(service).Take(now, extraRetryShare*b.bounds.RetryExtra/float64(instances))
+	return b.window(service).Take(now, b.extra(instances))
+}
+
+// allowsRetry reports whether takeRetry would take one.
+func (b *retryBudgets) allowsRetry(service string, instances int, now time.Time) bool {
+	return b.window(service).Allows(now, b.extra(instances))
+}
+
+// extra is this instance's part of the fixed retry allowance.
+func (b *retryBudgets) extra(instances int) float64 {
+	return extraRetryShare * b.bounds.RetryExtra / float64(instances)
 }
 
 func (b *retryBudgets) window(service string) *retry.Window {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -30,8 +30,6 @@
 	headWritten bool
 	status      int
 	firstByteAt time.Time
-	// lastReceived is when the current attempt started or last received data.
-	lastReceived time.Time
 	// lastEvent is the id of the last event that the caller received.
 	lastEvent string
 	// notRun counts the attempts that certainly did not execute the request.
@@ -40,23 +38,45 @@
 
 // run makes attempts until one succeeds or no further attempt is allowed.
 func (x *exchange) run(ctx context.Context) error {
+	var next *attempt
 	for {
-		c, err := x.choose()
-		if err != nil {
-			return x.withRunState(err)
+		if next == nil {
+			c, err := x.choose()
+			if err != nil {
+				return x.withRunState(err)
+			}
+			next = x.newAttempt(ctx, c)
 		}
-		x.attempts++
-		x.endpoint = c.endpoint.Node.Name
-		err = x.attempt(ctx, c)
+		a := next
+		x.endpoint = a.choice.endpoint.Node.Name
+		var err error
+		next, err = x.serve(ctx, a)
 		if err == nil {
 			return nil
 		}
-		if err := x.handleFailure(ctx, c, err); err != nil {
+		if next != nil {
+			f := failureOf(err)
+			x.recordFailure(a, f)
+			if f.Cause != call.TimedOut {
+				// A silent endpoint was reported when the search began.
+				x.reportFailure(x.endpoint, f)
+			}
+			continue
+		}
+		if err := x.handleFailure(ctx, a, err); err != nil {
 			return err
 		}
 	}
 }
 
+// callerIsWaiting reports whether the caller still waits for the response after
+// err.
+func callerIsWaiting(ctx context.Context, err error) bool {
+	var known fault.Error
+	left := errors.As(err, &known) && known.Kind == fault.Lost
+	return ctx.Err() == nil && !left
+}
+
 // withRunState returns err. It marks whether the request was executed as
 // unknown if an attempt may have executed it.
 func (x *exchange) withRunState(err error) error {
@@ -66,41 +86,92 @@
 	return fault.From(err).WithRun(fault.Unknown)
 }
 
-// attempt makes one attempt at the endpoint of c.
-func (x *exchange) attempt(ctx context.Context, c choice) error {
+// attempt is one attempt to serve the request at one endpoint.
+type attempt struct {
+	choice choice
+	// number is 1 for the first attempt.
+	number  int
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	counter load.Call
+	stale   *staleTimer
+	// reply is the response; nil until its head has arrived.
+	reply call.Reply
+	// lastReceived is when the attempt started or last received data.
+	lastReceived time.Time
+}
+
+// newAttempt counts an attempt at the endpoint of c, which open sends.
+func (x *exchange) newAttempt(ctx context.Context, c choice) *attempt {
 	invar.Check(x.request.Route.Kind != site.NonIdempotent || !x.maybeSent, invar.Once, "%s is sent again", x.request.ID)
 	invar.Check(!c.endpoint.Report.Departing, invar.Drain, "%s was chosen for %s and is departing", c.endpoint.Node.Name, x.request.ID)
-	counter := x.gauge.Start(c.endpoint.Node.Name, c.uncached)
-	defer counter.End()
+	x.attempts++
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	number := x.attempts
-	wd := newWatchdog(x.idleTimeout(), func() bool { return x.inFlight(ctx, c, number) }, cancel)
-	defer wd.stop()
-	x.lastReceived = x.now()
-	stale := x.newStaleTimer(c, cancel)
-	defer stale.stop()
-	reply, err := x.endpoints.Open(ctx, call.Attempt{
+	return &attempt{
+		choice:       c,
+		number:       x.attempts,
+		ctx:          ctx,
+		cancel:       cancel,
+		counter:      x.gauge.Start(c.endpoint.Node.Name, c.uncached),
+		stale:        x.newStaleTimer(c, cancel),
+		lastReceived: x.now(),
+	}
+}
+
+// open sends a and waits for the head of the response. The caller has received a
+// stream up to lastEvent.
+func (x *exchange) open(a *attempt, lastEvent string) error {
+	c := a.choice
+	reply, err := x.endpoints.Open(a.ctx, call.Attempt{
 		ID:             x.request.ID,
 		Endpoint:       c.endpoint,
 		Request:        x.request,
 		CacheSalt:      c.salt,
 		Priority:       x.request.CombinedPriority(),
-		LastEventID:    x.lastEvent,
+		LastEventID:    lastEvent,
 		WeightsVersion: c.weights,
 		KVSource:       c.source,
 		KVTarget:       c.target,
 		MaxConnections: c.limit,
 	})
 	if err != nil {
-		return attemptError(ctx, err)
+		return attemptError(a.ctx, err)
+	}
+	a.reply = reply
+	return nil
+}
+
+// close releases a. Its endpoint cancels a response that has not ended.
+func (a *attempt) close() {
+	if a.reply != nil {
+		a.reply.Close()
+	}
+	a.stale.stop()
+	a.counter.End()
+	a.cancel(nil)
+}
+
+// serve serves the request by a. If that fails, it returns the attempt that
+// replaces a, if its response has already begun.
+func (x *exchange) serve(ctx context.Context, a *attempt) (*attempt, error) {
+	defer a.close()
+	s := x.watchSilence(ctx, a)
+	err := x.forward(a, s)
+	return s.settle(err), err
+}
+
+// forward sends a, unless its response has begun, and forwards the response.
+func (x *exchange) forward(a *attempt, s *silence) error {
+	if a.reply == nil {
+		if err := x.open(a, x.lastEvent); err != nil {
+			return err
+		}
 	}
-	defer reply.Close()
-	if x.request.Stream && reply.Head().Status == streamStatus {
-		return attemptError(ctx, x.forwardStream(reply, counter, wd, stale))
+	if x.request.Stream && a.reply.Head().Status == streamStatus {
+		return attemptError(a.ctx, x.forwardStream(a, s))
 	}
-	stale.stop()
-	return attemptError(ctx, x.forwardResponse(reply))
+	a.stale.stop()
+	return attemptError(a.ctx, x.forwardResponse(a, s))
 }
 
 // attemptError returns the reason for which an attempt was canceled instead of
@@ -117,17 +188,20 @@
 }
 
 // forwardStream forwards the events of one attempt.
-func (x *exchange) forwardStream(reply call.Reply, counter load.Call, wd *watchdog, stale *staleTimer) error {
+func (x *exchange) forwardStream(a *attempt, s *silence) error {
 	for {
-		c, _, err := reply.Next()
+		c, _, err := a.reply.Next()
 		if err != nil {
 			return err
 		}
-		stale.stop()
-		counter.EndPrefill()
-		x.lastReceived = x.now()
-		wd.reset(x.idleTimeout())
-		if err := x.writeHead(reply.Head()); err != nil {
+		a.stale.stop()
+		a.counter.EndPrefill()
+		a.lastReceived = x.now()
+		if !s.reset(c.Event, true) {
+			// The attempt that replaces this one repeats the event.
+			return errIdleTimeout
+		}
+		if err := x.writeHead(a.reply.Head()); err != nil {
 			return err
 		}
 		if c.Event != "" {
@@ -159,24 +233,25 @@
 
 // forwardResponse forwards a response that is not a stream. Short responses are
 // buffered until they are complete, so that a truncated one can be retried.
-func (x *exchange) forwardResponse(reply call.Reply) error {
-	head := reply.Head()
+func (x *exchange) forwardResponse(a *attempt, s *silence) error {
+	head := a.reply.Head()
 	if err := x.checkHead(head); err != nil {
 		return err
 	}
 	var buffered []chain.Chunk
 	size := 0
 	for {
-		c, _, err := reply.Next()
+		c, _, err := a.reply.Next()
 		if err != nil {
 			return err
 		}
-		x.lastReceived = x.now()
+		a.lastReceived = x.now()
 		buffered = append(buffered, c)
 		size += len(c.Data)
 		if size > maxResponseBytes {
 			return errResponseTooLong
 		}
+		s.reset("", size > maxBufferedBytes)
 		if !c.End && size <= maxBufferedBytes {
 			continue
 		}
@@ -219,27 +294,54 @@
 	return nil
 }
 
-// handleFailure returns nil if another attempt should follow the failed one, or
-// else the error for the caller.
-func (x *exchange) handleFailure(ctx context.Context, c choice, err error) error {
+// handleFailure returns nil if another attempt should follow a, or else the error
+// for the caller.
+func (x *exchange) handleFailure(ctx context.Context, a *attempt, err error) error {
+	var known fault.Error
+	if errors.As(err, &known) && known.Kind == fault.Lost {
+		return known
+	}
+	f := failureOf(err)
+	x.recordFailure(a, f)
+	if ctx.Err() != nil {
+		return x.contextError(ctx)
+	}
+	name := a.choice.endpoint.Node.Name
+	x.reportFailure(name, f)
+	if f.MaybeSent && !x.retryable() {
+		return fault.New(fault.Lost, "the answer of %s was lost (%s): look the result up before you send it again", name, f.Detail).WithRun(fault.Unknown)
+	}
+	if !x.attemptsLeft() {
+		return x.withRunState(fault.New(fault.Unavailable, "%s did not serve the request (%s) and no more attempts are left: come back later", name, f.Cause).WithRetry(busyRetryAfter))
+	}
+	if !x.takeRetry() {
+		return x.withRunState(fault.New(fault.Unavailable, "%s did not serve the request (%s) and the retry budget is spent: come back later", name, f.Cause).WithRetry(busyRetryAfter))
+	}
+	return nil
+}
+
+// failureOf returns the failure of an attempt that ended with err.
+func failureOf(err error) call.Failure {
 	var f call.Failure
-	if !errors.As(err, &f) {
-		var known fault.Error
-		if errors.As(err, &known) && known.Kind == fault.Lost {
-			return known
-		}
-		f = call.Failure{
-			Cause:     call.Broken,
-			MaybeSent: true,
-			Detail:    err.Error(),
-		}
+	if errors.As(err, &f) {
+		return f
+	}
+	return call.Failure{
+		Cause:     call.Broken,
+		MaybeSent: true,
+		Detail:    err.Error(),
 	}
+}
+
+// recordFailure logs and counts a failed attempt. Its endpoint gets no further
+// attempt.
+func (x *exchange) recordFailure(a *attempt, f call.Failure) {
+	name := a.choice.endpoint.Node.Name
 	x.maybeSent = x.maybeSent || f.MaybeSent
-	name := c.endpoint.Node.Name
 	x.meter.Failed(f.Cause.String())
 	x.log.Warn().Str("event", "fail").Str("request", x.request.ID).Str("endpoint", name).
-		Str("cause", f.Cause.String()).Bool("sent", f.MaybeSent).Bool("begun", x.headWritten).Int("attempt", x.attempts).
-		Stringer("quiet", x.now().Sub(x.lastReceived).Round(time.Millisecond)).Str("detail", f.Detail).Send()
+		Str("cause", f.Cause.String()).Bool("sent", f.MaybeSent).Bool("begun", x.headWritten).Int("attempt", a.number).
+		Stringer("quiet", x.now().Sub(a.lastReceived).Round(time.Millisecond)).Str("detail", f.Detail).Send()
 	if f.WeightsVersion > 0 {
 		x.control.Post(state.WeightsSeen{
 			Engine:  name,
@@ -247,24 +349,15 @@
 			Version: f.WeightsVersion,
 		})
 	}
-	if ctx.Err() != nil {
-		return x.contextError(ctx)
-	}
-	x.reportFailure(name, f)
 	x.tried = append(x.tried, name)
 	if !f.MaybeSent {
 		x.notRun++
 	}
-	if f.MaybeSent && !x.retryable() {
-		return fault.New(fault.Lost, "the answer of %s was lost (%s): look the result up before you send it again", name, f.Detail).WithRun(fault.Unknown)
-	}
-	if !x.attemptsLeft() {
-		return x.withRunState(fault.New(fault.Unavailable, "%s did not serve the request (%s) and no more attempts are left: come back later", name, f.Cause).WithRetry(busyRetryAfter))
-	}
-	if !x.budgets.takeRetry(x.request.Service, x.instanceCount(), x.now()) {
-		return x.withRunState(fault.New(fault.Unavailable, "%s did not serve the request (%s) and the retry budget is spent: come back later", name, f.Cause).WithRetry(busyRetryAfter))
-	}
-	return nil
+}
+
+// takeRetry takes a retry from the budget that all instances share.
+func (x *exchange) takeRetry() bool {
+	return x.budgets.takeRetry(x.request.Service, x.instanceCount(), x.now())
 }
 
 // contextError returns the error of a request whose deadline has passed or
@@ -290,12 +383,16 @@
 
 // retryable reports whether another endpoint may serve the request after an
 // attempt that may have executed it.
-func (x *exchange) retryable() bool {
+func (x *exchange) retryable() bool { return x.retryableAfter(x.headWritten, x.lastEvent) }
+
+// retryableAfter is retryable for a response that has or hasn't begun and of which
+// the caller received the events up to lastEvent.
+func (x *exchange) retryableAfter(begun bool, lastEvent string) bool {
 	switch x.request.Route.Kind {
 	case site.Idempotent:
-		return !x.headWritten
+		return !begun
 	case site.Stream:
-		return x.request.Route.Resumable && (!x.headWritten || x.lastEvent != "")
+		return x.request.Route.Resumable && (!begun || lastEvent != "")
 	default:
 		return false
 	}
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -277,7 +277,7 @@
 			x.writer = discardWriter{}
 			picked, ok := choose(t, c.state.state, sharedPromptRequest())
 			require.True(t, ok)
-			err := x.attempt(t.Context(), picked)
+			_, err := x.serve(t.Context(), x.newAttempt(t.Context(), picked))
 			require.NoError(t, err, "cause %v", errors.Unwrap(err))
 		})
 	}
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -128,6 +128,16 @@
 	return p.newPrompt(pool).best(pool)
 }
 
+// hasCandidate reports whether choose would find an endpoint.
+func (x *exchange) hasCandidate() bool {
+	p := picker{
+		exchange: x,
+		state:    x.control.View(),
+		now:      x.now(),
+	}
+	return len(p.candidates()) > 0
+}
+
 // candidates returns the endpoints that may be called: those that were not
 // tried and are trusted or, if there are none, all that were not tried.
 func (p picker) candidates() []member.Endpoint {
--- /dev/null
+++ b/internal/relay/silence.go
@@ -0,0 +1,249 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/baobabtally/baobabtally/internal/call"
+	"github.com/baobabtally/baobabtally/internal/state"
+)
+
+// silence watches for an attempt that receives no data for too long and seeks
+// another endpoint for its request.
+//
+// A silent endpoint may still go on, so an attempt is not given up for silence
+// alone. One whose response has not begun is canceled only if another attempt may
+// follow. A begun stream is kept until another endpoint has begun to continue it;
+// if none does, the stream waits for its endpoint until the request's deadline.
+type silence struct {
+	exchange *exchange
+	attempt  *attempt
+	// ctx ends with the request.
+	ctx   context.Context
+	limit time.Duration
+	timer *time.Timer
+	// mu guards the fields below.
+	mu sync.Mutex
+	// events counts how often data was received.
+	events int
+	// begun is true if the caller has received a part of the response, the last
+	// event of which was lastEvent.
+	begun     bool
+	lastEvent string
+	// asked is true once the endpoint was asked whether it has the request.
+	asked bool
+	// ended is true once the attempt has ended.
+	ended bool
+	// search is the search in progress, or the one that found a replacement; nil
+	// if there is none. Invariant: while it is in progress, it alone uses the
+	// exchange's record of attempts.
+	search *search
+}
+
+// search is a search for an endpoint that continues a silent stream.
+type search struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	// events and lastEvent are those of the silent attempt when the search began.
+	events    int
+	lastEvent string
+	// found is the attempt that replaces the silent one; nil if there is none.
+	found *attempt
+	// done is closed when the search has ended.
+	done chan struct{}
+}
+
+// watchSilence watches a until settle is called.
+func (x *exchange) watchSilence(ctx context.Context, a *attempt) *silence {
+	s := &silence{
+		exchange:  x,
+		attempt:   a,
+		ctx:       ctx,
+		limit:     x.idleTimeout(),
+		begun:     x.headWritten,
+		lastEvent: x.lastEvent,
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer = time.AfterFunc(s.limit, s.expire)
+	return s
+}
+
+// reset records that data was received, of which event was the last event, and
+// whether the caller receives it. It returns false if the attempt was replaced.
+func (s *silence) reset(event string, begun bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.search != nil {
+		if s.search.found != nil {
+			return false
+		}
+		s.search.cancel()
+	}
+	s.events++
+	s.begun = begun
+	if event != "" {
+		s.lastEvent = event
+	}
+	s.timer.Reset(s.limit)
+	return true
+}
+
+// settle ends the watch of an attempt that ended with err. It returns the attempt
+// that replaces a failed one, if there is one and the caller still waits.
+func (s *silence) settle(err error) *attempt {
+	needed := err != nil && callerIsWaiting(s.ctx, err)
+	s.mu.Lock()
+	s.ended = true
+	s.timer.Stop()
+	q := s.search
+	s.mu.Unlock()
+	if q == nil {
+		return nil
+	}
+	if !needed {
+		q.cancel()
+	}
+	<-q.done
+	if !needed && q.found != nil {
+		q.found.close()
+		return nil
+	}
+	return q.found
+}
+
+// expire handles an attempt that was silent for the limit. An endpoint that still
+// has the request is given the same time once more.
+func (s *silence) expire() {
+	s.mu.Lock()
+	before, ask := s.events, !s.asked
+	s.asked = true
+	s.mu.Unlock()
+	held := ask && s.exchange.inFlight(s.attempt)
+	if q := s.react(before, held); q != nil {
+		s.run(q)
+	}
+}
+
+// react decides what follows from a silence during which the number of events
+// stayed at before. It returns a search that is to be run, or nil.
+func (s *silence) react(before int, held bool) *search {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.exchange
+	switch {
+	case s.ended || s.events != before:
+		// The timer was stopped or restarted.
+	case held || s.search != nil:
+		s.timer.Reset(s.limit)
+	case !x.retryableAfter(s.begun, s.lastEvent) || !x.attemptsLeft():
+		if x.request.EffectiveDeadline().IsZero() {
+			s.attempt.cancel(errIdleTimeout)
+			return nil
+		}
+		s.logKept("no further attempt is allowed")
+	case !x.hasOther(s.attempt.choice.endpoint.Node.Name):
+		s.logKept("no other endpoint or no retry budget is left")
+		s.timer.Reset(s.limit)
+	case !s.begun:
+		s.attempt.cancel(errIdleTimeout)
+	default:
+		ctx, cancel := context.WithCancel(s.ctx)
+		s.search = &search{
+			ctx:       ctx,
+			cancel:    cancel,
+			events:    s.events,
+			lastEvent: s.lastEvent,
+			done:      make(chan struct{}),
+		}
+		return s.search
+	}
+	return nil
+}
+
+// logKept logs that a silent attempt goes on.
+func (s *silence) logKept(reason string) {
+	s.exchange.log.Info().Str("event", "kept").Str("request", s.exchange.request.ID).
+		Str("endpoint", s.attempt.choice.endpoint.Node.Name).Int("attempt", s.attempt.number).
+		Bool("begun", s.begun).Str("reason", reason).Send()
+}
+
+// hasOther reports whether the retry budget and the endpoints allow another attempt
+// while the one at endpoint goes on, which then gets no further attempt.
+func (x *exchange) hasOther(endpoint string) bool {
+	if !slices.Contains(x.tried, endpoint) {
+		x.tried = append(x.tried, endpoint)
+	}
+	return x.hasCandidate() && x.budgets.allowsRetry(x.request.Service, x.instanceCount(), x.now())
+}
+
+// run seeks an endpoint that continues the stream, until one does or no further
+// attempt is allowed.
+func (s *silence) run(q *search) {
+	defer close(q.done)
+	x := s.exchange
+	x.control.Post(state.Called{
+		Endpoint: s.attempt.choice.endpoint.Node.Name,
+		Failed:   true,
+	})
+	for x.attemptsLeft() && x.hasCandidate() && x.takeRetry() {
+		c, err := x.choose()
+		if err != nil {
+			break
+		}
+		a := x.newAttempt(q.ctx, c)
+		err = s.openInTime(a, q.lastEvent)
+		if err == nil && s.replace(q, a) {
+			return
+		}
+		a.close()
+		if q.ctx.Err() != nil || err == nil {
+			x.maybeSent = true
+			break
+		}
+		f := failureOf(err)
+		x.recordFailure(a, f)
+		x.reportFailure(c.endpoint.Node.Name, f)
+	}
+	q.cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.search = nil
+	s.logKept("no other endpoint went on with the stream")
+	if !s.ended && s.events == q.events {
+		s.timer.Reset(s.limit)
+	}
+}
+
+// openInTime sends a, which has to begin to continue a stream after lastEvent
+// within the limit.
+func (s *silence) openInTime(a *attempt, lastEvent string) error {
+	timer := time.AfterFunc(s.limit, func() { a.cancel(errIdleTimeout) })
+	err := s.exchange.open(a, lastEvent)
+	switch {
+	case !timer.Stop() && err == nil:
+		return errIdleTimeout
+	case err == nil && a.reply.Head().Status != streamStatus:
+		return call.Failure{
+			Cause:     call.Refused,
+			MaybeSent: true,
+			Detail:    "the endpoint did not go on with the stream: status " + statusText(a.reply.Head().Status),
+		}
+	}
+	return err
+}
+
+// replace has a replace the silent attempt, or returns false if that one has gone
+// on in the meantime.
+func (s *silence) replace(q *search, a *attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.events != q.events || q.ctx.Err() != nil {
+		return false
+	}
+	q.found = a
+	s.attempt.cancel(errIdleTimeout)
+	return true
+}
--- /dev/null
+++ b/internal/relay/silence_test.go
@@ -0,0 +1,349 @@
+package relay
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabtally/baobabtally/internal/call"
+	"github.com/baobabtally/baobabtally/pkg/chain"
+	"github.com/baobabtally/baobabtally/pkg/member"
+)
+
+// scriptedEvents is the number of events in the streams of scriptedEndpoints.
+const scriptedEvents = 4
+
+// script is what an engine does with an attempt.
+type script struct {
+	// refuse rejects the attempt as not run, after the delay.
+	refuse bool
+	// delay is the time until the head of the response.
+	delay time.Duration
+	// pause is a silence before the event with number pauseAt.
+	pause   time.Duration
+	pauseAt int
+	// breakAt, if positive, breaks the connection in place of that event.
+	breakAt int
+	// status is the status of the response, if it is not 200.
+	status int
+}
+
+// scriptedEndpoints are engines that treat the attempts, in their order, as the
+// scripts say, and all further ones as the last script.
+type scriptedEndpoints struct {
+	endpoints
+	scripts []script
+	// mu guards the fields below: the engines that were asked, and how many
+	// replies are open.
+	mu    sync.Mutex
+	asked []string
+	open  int
+	// mostOpen is the greatest number of replies that were open at one time.
+	mostOpen int
+}
+
+func (e *scriptedEndpoints) Open(ctx context.Context, a call.Attempt) (call.Reply, error) {
+	e.mu.Lock()
+	s := e.scripts[min(len(e.asked), len(e.scripts)-1)]
+	e.asked = append(e.asked, a.Endpoint.Node.Name)
+	e.mu.Unlock()
+	if err := sleep(ctx, s.delay); err != nil {
+		return nil, err
+	}
+	if s.refuse {
+		return nil, call.Failure{
+			Cause: call.NoCapacity,
+		}
+	}
+	next, _ := strconv.Atoi(a.LastEventID)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.open++
+	e.mostOpen = max(e.mostOpen, e.open)
+	return &scriptedReply{
+		endpoints: e,
+		ctx:       ctx,
+		script:    s,
+		next:      next + 1,
+	}, nil
+}
+
+func (*scriptedEndpoints) InFlight(context.Context, member.Node, string) (bool, error) {
+	return false, nil
+}
+
+// sleep waits for d, or returns an error once ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return call.Failure{
+			Cause:     call.Broken,
+			MaybeSent: true,
+			Detail:    ctx.Err().Error(),
+		}
+	}
+}
+
+// scriptedReply is the response to one attempt.
+type scriptedReply struct {
+	endpoints *scriptedEndpoints
+	ctx       context.Context
+	script    script
+	next      int
+}
+
+func (r *scriptedReply) Head() chain.Head {
+	return chain.Head{
+		Status: max(r.script.status, streamStatus),
+	}
+}
+
+func (r *scriptedReply) Next() (chain.Chunk, int, error) {
+	wait := 10 * time.Millisecond
+	if r.next == r.script.pauseAt {
+		wait = r.script.pause
+	}
+	if err := sleep(r.ctx, wait); err != nil {
+		return chain.Chunk{}, 0, err
+	}
+	if r.next == r.script.breakAt {
+		return chain.Chunk{}, 0, call.Failure{
+			Cause:     call.Broken,
+			MaybeSent: true,
+			Detail:    "EOF",
+		}
+	}
+	id := strconv.Itoa(r.next)
+	r.next++
+	return chain.Chunk{
+		Event: id,
+		Data:  []byte(id + " "),
+		End:   id == strconv.Itoa(scriptedEvents),
+	}, 0, nil
+}
+
+func (*scriptedReply) Usage() call.Usage { return call.Usage{} }
+
+func (r *scriptedReply) Close() {
+	r.endpoints.mu.Lock()
+	defer r.endpoints.mu.Unlock()
+	r.endpoints.open--
+}
+
+// recordingWriter records the response that a caller gets.
+type recordingWriter struct {
+	heads int
+	body  strings.Builder
+	ended bool
+}
+
+func (w *recordingWriter) Begin(chain.Head) error {
+	w.heads++
+	return nil
+}
+
+func (w *recordingWriter) Write(c chain.Chunk) error {
+	w.body.Write(c.Data)
+	w.ended = c.End
+	return nil
+}
+
+// wholeStream is the body of a complete scripted stream.
+const wholeStream = "1 2 3 4 "
+
+// serveScripted has engines with the given scripts serve one stream, and returns
+// what the caller got.
+func serveScripted(t *testing.T, e *scriptedEndpoints, change func(x *exchange)) (*recordingWriter, error) {
+	t.Helper()
+	x := newWaitingExchange(fixedState{
+		state: fiveEngines(),
+	}, e, time.Minute)
+	x.request.Route.TargetLatency = 0
+	w := &recordingWriter{}
+	x.writer = w
+	if change != nil {
+		change(&x)
+	}
+	ctx, cancel := context.WithTimeoutCause(t.Context(), 20*time.Second, errDeadline)
+	defer cancel()
+	x.request.Deadline = x.now().Add(20 * time.Second)
+	err := x.run(ctx)
+	synctest.Wait()
+	require.Zero(t, e.open, "all replies are closed")
+	return w, err
+}
+
+// A sound engine that falls silent in a begun stream and goes on must not lose the
+// caller the rest, if no other engine takes over.
+func TestSilentEngineIsNotCutOffWithoutReplacement(t *testing.T) {
+	t.Parallel()
+	silent := script{
+		pauseAt: 3,
+		pause:   3 * time.Second,
+	}
+	for name, c := range map[string]struct {
+		others script
+		change func(x *exchange)
+		asked  int
+	}{
+		"all others are full": {
+			others: script{
+				refuse: true,
+			},
+			asked: 4,
+		},
+		"all others are silent": {
+			others: script{
+				delay: time.Minute,
+			},
+			asked: 2,
+		},
+		"all others fail": {
+			others: script{
+				status: 500,
+			},
+			asked: 2,
+		},
+		"no attempt is left": {
+			change: func(x *exchange) { x.request.Route.Attempts = 1 },
+			asked:  1,
+		},
+		"the retry budget is spent": {
+			change: func(x *exchange) {
+				x.budgets = newRetryBudgets(Bounds{
+					RetrySpan: time.Second,
+				})
+			},
+			asked: 1,
+		},
+		"the stream can't be resumed": {
+			change: func(x *exchange) { x.request.Route.Resumable = false },
+			asked:  1,
+		},
+		"the silence is long": {
+			change: func(x *exchange) {
+				x.request.Route.Resumable = false
+				x.endpoints.(*scriptedEndpoints).scripts[0].pause = defaultIdleTimeout + 5*time.Second
+			},
+			asked: 1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				e := &scriptedEndpoints{
+					scripts: []script{silent, c.others},
+				}
+				w, err := serveScripted(t, e, c.change)
+				require.NoError(t, err, "got %q", w.body.String())
+				require.Equal(t, wholeStream, w.body.String())
+				require.True(t, w.ended)
+				require.Equal(t, 1, w.heads)
+				require.Len(t, e.asked, c.asked)
+			})
+		})
+	}
+}
+
+// A silent stream goes on at another engine, and the silent engine is given up only
+// once the other one has begun.
+func TestSilentStreamMovesOnceAnotherEngineBegan(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		e := &scriptedEndpoints{
+			scripts: []script{
+				{
+					pauseAt: 3,
+					pause:   time.Minute,
+				},
+				{
+					refuse: true,
+				},
+				{
+					delay: 200 * time.Millisecond,
+				},
+			},
+		}
+		begin := time.Now()
+		w, err := serveScripted(t, e, nil)
+		require.NoError(t, err)
+		require.Equal(t, wholeStream, w.body.String())
+		require.Equal(t, 1, w.heads)
+		require.Len(t, e.asked, 3)
+		require.Equal(t, 2, e.mostOpen, "the silent engine is kept until then")
+		require.Less(t, time.Since(begin), minCallerTimeout, "the caller would have left")
+	})
+}
+
+// An engine that goes on while its replacement is sought keeps the stream.
+func TestEngineThatGoesOnKeepsItsStream(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		e := &scriptedEndpoints{
+			scripts: []script{
+				{
+					pauseAt: 3,
+					pause:   1300 * time.Millisecond,
+				},
+				{
+					delay: time.Second,
+				},
+			},
+		}
+		w, err := serveScripted(t, e, nil)
+		require.NoError(t, err)
+		require.Equal(t, wholeStream, w.body.String())
+		require.Len(t, e.asked, 2)
+		require.Equal(t, 1, e.mostOpen, "the replacement is withdrawn before it begins")
+	})
+}
+
+// An engine that breaks off while its replacement is sought must not cause a third
+// attempt.
+func TestReplacementInProgressTakesOverBrokenStream(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		e := &scriptedEndpoints{
+			scripts: []script{
+				{
+					pauseAt: 3,
+					pause:   1300 * time.Millisecond,
+					breakAt: 3,
+				},
+				{
+					delay: time.Second,
+				},
+			},
+		}
+		w, err := serveScripted(t, e, nil)
+		require.NoError(t, err)
+		require.Equal(t, wholeStream, w.body.String())
+		require.Len(t, e.asked, 2)
+	})
+}
+
+// An attempt that waits for its first event is given up only if another one may
+// follow.
+func TestWaitingAttemptIsKeptIfNoneMayFollow(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		e := &scriptedEndpoints{
+			scripts: []script{
+				{
+					delay: 3 * time.Second,
+				},
+			},
+		}
+		w, err := serveScripted(t, e, func(x *exchange) { x.request.Route.Attempts = 1 })
+		require.NoError(t, err)
+		require.Equal(t, wholeStream, w.body.String())
+	})
+}
--- a/internal/relay/timeout.go
+++ b/internal/relay/timeout.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,9 +17,9 @@
 	minCallerTimeout     = 2 * time.Second
 	callerTimeoutTargets = 4
 	callerTimeoutGaps    = 8
-	// idleTimeoutShare is the share of the caller's timeout after which a
-	// silent attempt at a stream is canceled, so that another one can still
-	// respond in time.
+	// idleTimeoutShare is the share of the caller's timeout after which another
+	// endpoint is sought for a silent stream, so that it can still respond in
+	// time.
 	idleTimeoutShare = 0.6
 	// reportTimeout limits a query of an endpoint's requests. It allows for
 	// several network round trips and the slowest responses of the store.
@@ -51,19 +50,20 @@
 // inFlight reports whether the endpoint of a silent attempt still has the
 // request in flight. If so, a retry elsewhere would repeat the prefill, and
 // busy endpoints would make all other requests wait longer.
-func (x *exchange) inFlight(ctx context.Context, c choice, attempt int) bool {
+func (x *exchange) inFlight(a *attempt) bool {
 	if !x.request.Stream || !x.request.Route.Resumable {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	ctx, cancel := context.WithTimeout(a.ctx, reportTimeout)
 	defer cancel()
-	ok, err := x.endpoints.InFlight(ctx, c.endpoint.Node, x.request.ID)
+	node := a.choice.endpoint.Node
+	ok, err := x.endpoints.InFlight(ctx, node, x.request.ID)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		// The attempt ended in the meantime.
 		return false
 	}
-	line := x.log.Info().Str("event", "silent").Str("request", x.request.ID).Str("endpoint", c.endpoint.Node.Name).
-		Int("attempt", attempt).Bool("held", ok)
+	line := x.log.Info().Str("event", "silent").Str("request", x.request.ID).Str("endpoint", node.Name).
+		Int("attempt", a.number).Bool("held", ok)
 	if err != nil {
 		line = line.Str("detail", err.Error())
 	}
@@ -72,63 +72,13 @@
 		// Counted as a failure of the endpoint, so that further requests go
 		// elsewhere.
 		x.control.Post(state.Called{
-			Endpoint: c.endpoint.Node.Name,
+			Endpoint: node.Name,
 			Failed:   true,
 		})
 	}
 	return ok
 }
 
-// watchdog cancels an attempt that receives no data for too long.
-type watchdog struct {
-	timer *time.Timer
-	// mu guards events, the number of events received. An event that arrives
-	// during the endpoint's query has already reset the timer.
-	mu     sync.Mutex
-	events int
-}
-
-// newWatchdog returns a watchdog that calls cancel after d without an event. It
-// extends the time once by d if inFlight returns true.
-func newWatchdog(d time.Duration, inFlight func() bool, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{}
-	var extended atomic.Bool
-	armed := make(chan struct{})
-	w.timer = time.AfterFunc(d, func() {
-		<-armed
-		before := w.eventCount()
-		extend := extended.CompareAndSwap(false, true) && inFlight()
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		switch {
-		case w.events != before:
-		case extend:
-			w.timer.Reset(d)
-		default:
-			cancel(errIdleTimeout)
-		}
-	})
-	close(armed)
-	return w
-}
-
-// reset records an event and restarts the timer with d.
-func (w *watchdog) reset(d time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.events++
-	w.timer.Reset(d)
-}
-
-// eventCount returns how many events were received.
-func (w *watchdog) eventCount() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.events
-}
-
-func (w *watchdog) stop() { w.timer.Stop() }
-
 func statusText(status int) string { return strconv.Itoa(status) }
 
 // staleTimer withdraws an attempt that has not started by the time at which
--- a/internal/relay/timeout_test.go
+++ b/internal/relay/timeout_test.go
@@ -2,28 +2,54 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/baobabtally/baobabtally/pkg/member"
 )
 
+// askedEndpoints are engines that tell when they are asked for a request.
+type askedEndpoints struct {
+	endpoints
+	asked  chan struct{}
+	answer chan bool
+}
+
+func (e askedEndpoints) InFlight(context.Context, member.Node, string) (bool, error) {
+	close(e.asked)
+	return <-e.answer, nil
+}
+
 func TestEventDuringInFlightQueryKeepsAttempt(t *testing.T) {
 	for _, inFlight := range []bool{false, true} {
-		ctx, cancel := context.WithCancelCause(t.Context())
-		asked, answer := make(chan struct{}), make(chan bool)
-		w := newWatchdog(10*time.Millisecond, func() bool {
-			close(asked)
-			return <-answer
-		}, cancel)
-		<-asked
-		w.reset(time.Minute)
-		answer <- inFlight
-		require.Never(t, func() bool { return ctx.Err() != nil }, 100*time.Millisecond, 5*time.Millisecond)
-		w.reset(10 * time.Millisecond)
-		require.Eventually(t, func() bool { return ctx.Err() != nil }, time.Second, 5*time.Millisecond, "no further event arrives")
-		require.ErrorIs(t, context.Cause(ctx), errIdleTimeout)
-		w.stop()
-		cancel(nil)
+		synctest.Test(t, func(t *testing.T) {
+			e := askedEndpoints{
+				asked:  make(chan struct{}),
+				answer: make(chan bool),
+			}
+			x := newWaitingExchange(fixedState{
+				state: fiveEngines(),
+			}, e, time.Hour)
+			x.request.Route.TargetLatency = 0
+			c, ok := choose(t, fiveEngines(), x.request)
+			require.True(t, ok)
+			a := x.newAttempt(t.Context(), c)
+			defer a.close()
+			s := x.watchSilence(t.Context(), a)
+			<-e.asked
+			require.True(t, s.reset("", false))
+			e.answer <- inFlight
+			time.Sleep(s.limit - time.Millisecond)
+			synctest.Wait()
+			require.NoError(t, a.ctx.Err())
+			time.Sleep(2 * time.Millisecond)
+			synctest.Wait()
+			require.ErrorIs(t, context.Cause(a.ctx), errIdleTimeout, "no further event arrives")
+			require.Nil(t, s.settle(errors.New("canceled")))
+		})
 	}
 }
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -44,17 +44,29 @@
 func (w *Window) Take(now time.Time, extra float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.allows(now, extra) {
+		return false
+	}
+	w.retries[w.newest%buckets]++
+	return true
+}
+
+// Allows reports whether Take would record a retry.
+func (w *Window) Allows(now time.Time, extra float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.allows(now, extra)
+}
+
+// allows reports whether the window allows another retry. The caller holds mu.
+func (w *Window) allows(now time.Time, extra float64) bool {
 	w.advance(now)
 	first, taken := 0, 0
 	for i := range buckets {
 		first += w.first[i]
 		taken += w.retries[i]
 	}
-	if float64(taken+1) > w.share*float64(first)+extra {
-		return false
-	}
-	w.retries[w.newest%buckets]++
-	return true
+	return float64(taken+1) <= w.share*float64(first)+extra
 }
 
 // advance clears the buckets that have left the window.
