httpd: a server that logs and counts each request without a complete response

A request that was read could end without a response and without a line: an aborted stream, a panic (a trace without the id), a connection that the idle timer or the shutdown closed, the end of the grace period (one line without ids), errors of http.Server (standard error).

The package wraps the connections of http.Server. Each request that ends without a complete response leaves `event=cut` with its id, a reason (broken, caller, panic, grace, header, read), the phase and the time since the last byte, and is counted in cut_requests. A panic leaves `event=panic` with the place; where no head was sent the caller gets a response that claims nothing. http.ErrAbortHandler still aborts.

The server also ends connections by what was read of them, not by the state of http.Server, which it updates only after the whole header: a decision to close interrupts the pending read, and the reading goroutine closes the connection only if no byte has arrived. Stop never calls http.Server.Shutdown, which makes http.Server drop each request whose header it reads from then on.

--- /dev/null
+++ b/internal/httpd/cut.go
@@ -0,0 +1,177 @@
+package httpd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"runtime"
+	"strings"
+	"time"
+)
+
+// reason is why a request ended without a complete response.
+type reason uint8
+
+const (
+	// responseBroke means that the handler aborted a response that it had begun.
+	responseBroke reason = iota
+	// callerLeft means that the caller closed the connection.
+	callerLeft
+	// handlerPanicked means that the handler panicked.
+	handlerPanicked
+	// graceEnded means that the server was stopped before the response was complete.
+	graceEnded
+	// headerLate means that the rest of the header did not come in time.
+	headerLate
+	// readFailed means that the header could not be read.
+	readFailed
+)
+
+// String returns the name of the reason in logs and metrics.
+func (r reason) String() string {
+	return [...]string{"broken", "caller", "panic", "grace", "header", "read"}[r%6]
+}
+
+// unreadReason returns why a header was not read to its end.
+func unreadReason(err error) reason {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return headerLate
+	case err != nil:
+		return callerLeft
+	}
+	return readFailed
+}
+
+// abortReason returns why a handler aborted its response, given the cause for which
+// the context of the request ended, if it did.
+func abortReason(cause error) reason {
+	switch {
+	case errors.Is(cause, errStopped):
+		return graceEnded
+	case cause != nil:
+		return callerLeft
+	}
+	return responseBroke
+}
+
+// logCut logs and counts a request that ended without a complete response.
+func (s *Server) logCut(c state, why reason, err error) {
+	s.meter.Cut(why.String())
+	line := s.log.Warn()
+	if why == callerLeft {
+		line = s.log.Info()
+	}
+	line.Str("event", "cut").Str("request", c.id).Str("reason", why.String()).Stringer("phase", c.phase).
+		Stringer("quiet", c.quiet.Round(time.Millisecond)).
+		Stringer("took", time.Since(c.since).Round(time.Millisecond)).
+		Str("peer", c.peer).AnErr("detail", err).Send()
+}
+
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// SetID sets the ID with which the server logs the request whose context is ctx.
+func SetID(ctx context.Context, id string) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.setID(id)
+	}
+}
+
+// serve calls the handler. A panic ends the request alone: with a response if none
+// was begun, and else by closing the connection.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		s.handler.ServeHTTP(w, r)
+		return
+	}
+	c.markServed()
+	out := &responseWriter{
+		ResponseWriter: w,
+		server:         s,
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			s.recovered(r.Context(), c, out, p, panicSite())
+		}
+	}()
+	s.handler.ServeHTTP(out, r)
+}
+
+// recovered ends a request whose handler panicked with p at site.
+func (s *Server) recovered(ctx context.Context, c *conn, w *responseWriter, p any, site string) {
+	if err, ok := p.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		cause := context.Cause(ctx)
+		c.cut(abortReason(cause), cause)
+		panic(http.ErrAbortHandler)
+	}
+	s.log.Error().Str("event", "panic").Str("request", c.requestID()).Str("detail", fmt.Sprint(p)).
+		Str("at", site).Bool("begun", w.begun).Send()
+	if w.begun {
+		c.cut(handlerPanicked, nil)
+		panic(http.ErrAbortHandler)
+	}
+	s.meter.Cut(handlerPanicked.String())
+	s.fail(w, c.requestID())
+}
+
+// panicSite returns the function and the line that panicked. It is called by the
+// deferred function that recovers.
+func panicSite() string {
+	pc := make([]uintptr, 32)
+	frames := runtime.CallersFrames(pc[:runtime.Callers(2, pc)])
+	raised := false
+	for {
+		f, more := frames.Next()
+		inRuntime := strings.HasPrefix(f.Function, "runtime.")
+		if raised && !inRuntime {
+			return fmt.Sprintf("%s:%d", f.Function, f.Line)
+		}
+		raised = raised || inRuntime
+		if !more {
+			return "an unknown place"
+		}
+	}
+}
+
+// responseWriter notes whether a response was begun, and asks callers to close their
+// connections while the server is draining.
+type responseWriter struct {
+	http.ResponseWriter
+	server *Server
+	begun  bool
+}
+
+// Unwrap returns the inner writer for http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader writes the status and the header.
+func (w *responseWriter) WriteHeader(status int) {
+	if status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+		w.begin()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the body.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(p)
+}
+
+// FlushError sends what was written.
+func (w *responseWriter) FlushError() error {
+	w.begin()
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// begin is called before the header is sent.
+func (w *responseWriter) begin() {
+	if !w.begun && w.server.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.begun = true
+}
--- /dev/null
+++ b/internal/httpd/server.go
@@ -0,0 +1,360 @@
+package httpd
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// sweepInterval is how often idle connections are checked against the current
+	// limit. A connection is kept that much longer at most.
+	sweepInterval = 200 * time.Millisecond
+	// backlogTime is how long a stopping server accepts the connections that wait
+	// in the backlog of its listeners.
+	backlogTime = 20 * time.Millisecond
+	// abortTime is how long handlers have to respond after the end of the grace
+	// period has canceled their requests.
+	abortTime = 150 * time.Millisecond
+)
+
+// errStopped is the cause with which requests are canceled at the end of the grace
+// period.
+var errStopped = errors.New("the instance stopped before the request ended")
+
+// meter counts requests that ended without a complete response, by reason.
+type meter interface {
+	Cut(reason string)
+}
+
+// Server serves HTTP/1.1 until Stop or Close is called. Use New to create one.
+type Server struct {
+	inner   *http.Server
+	handler http.Handler
+	log     zerolog.Logger
+	meter   meter
+	// idle returns the current limit for idle connections; 0 for none.
+	idle func() time.Duration
+	// fail writes the response to a request whose handler failed before it wrote
+	// anything.
+	fail          func(w http.ResponseWriter, id string)
+	headerTimeout time.Duration
+	// draining is true once responses ask callers to close their connections, and
+	// stopping once connections without a request are closed.
+	draining atomic.Bool
+	stopping atomic.Bool
+	// cancel ends the contexts of all requests.
+	cancel context.CancelCauseFunc
+	// serving counts the calls of Serve and the sweeper.
+	serving sync.WaitGroup
+	sweep   sync.Once
+	done    chan struct{}
+	end     sync.Once
+
+	// mu guards the fields below.
+	mu        sync.Mutex
+	conns     map[*conn]struct{}
+	listeners []*listener
+	// empty is closed when the last connection is, if somebody waits.
+	empty chan struct{}
+}
+
+// Option configures a Server.
+type Option func(*Server)
+
+// WithLog logs the errors of connections and the requests that are cut.
+func WithLog(l zerolog.Logger) Option { return func(s *Server) { s.log = l } }
+
+// WithMeter counts the requests that are cut.
+func WithMeter(m meter) Option { return func(s *Server) { s.meter = m } }
+
+// WithIdleTimeout closes connections that are idle for longer than limit returns at
+// that time; 0 is no limit.
+func WithIdleTimeout(limit func() time.Duration) Option { return func(s *Server) { s.idle = limit } }
+
+// WithFailure sets how to respond to a request whose handler failed.
+func WithFailure(fail func(w http.ResponseWriter, id string)) Option {
+	return func(s *Server) { s.fail = fail }
+}
+
+// WithHeaderTimeout limits the time from the first to the last byte of a header, and
+// the time that a new connection may take to send its first byte.
+func WithHeaderTimeout(d time.Duration) Option { return func(s *Server) { s.headerTimeout = d } }
+
+// WithReadTimeout limits the time to read a complete request.
+func WithReadTimeout(d time.Duration) Option { return func(s *Server) { s.inner.ReadTimeout = d } }
+
+// WithMaxHeaderBytes limits the size of a header.
+func WithMaxHeaderBytes(n int) Option { return func(s *Server) { s.inner.MaxHeaderBytes = n } }
+
+// defaultHeaderTimeout is the header timeout unless another is set.
+const defaultHeaderTimeout = 5 * time.Second
+
+// New returns a server for the requests that h handles.
+func New(h http.Handler, options ...Option) *Server {
+	s := &Server{
+		handler:       h,
+		log:           zerolog.Nop(),
+		meter:         noMeter{},
+		idle:          func() time.Duration { return 0 },
+		fail:          func(w http.ResponseWriter, _ string) { w.WriteHeader(http.StatusBadGateway) },
+		headerTimeout: defaultHeaderTimeout,
+		conns:         map[*conn]struct{}{},
+		done:          make(chan struct{}),
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	s.cancel = cancel
+	s.inner = &http.Server{
+		DisableGeneralOptionsHandler: true,
+		BaseContext:                  func(net.Listener) context.Context { return ctx },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+		ConnState: connStateChanged,
+	}
+	for _, o := range options {
+		o(s)
+	}
+	s.inner.Handler = http.HandlerFunc(s.serve)
+	s.inner.ReadHeaderTimeout = s.headerTimeout
+	s.inner.ErrorLog = log.New(errorWriter{
+		log: s.log,
+	}, "", 0)
+	return s
+}
+
+// noMeter counts nothing.
+type noMeter struct{}
+
+// Cut does nothing.
+func (noMeter) Cut(string) {}
+
+// connStateChanged follows the requests of a connection.
+func connStateChanged(nc net.Conn, to http.ConnState) {
+	c, ok := nc.(*conn)
+	switch {
+	case !ok:
+	case to == http.StateActive:
+		c.beginRequest()
+	case to == http.StateIdle:
+		c.endRequest()
+	}
+}
+
+// Serve accepts connections on l until Stop or Close is called, and returns
+// http.ErrServerClosed then.
+func (s *Server) Serve(l net.Listener) error {
+	inner := &listener{
+		Listener: l,
+		server:   s,
+		done:     make(chan struct{}),
+	}
+	s.mu.Lock()
+	if s.stopping.Load() {
+		s.mu.Unlock()
+		_ = l.Close()
+		return http.ErrServerClosed
+	}
+	s.listeners = append(s.listeners, inner)
+	s.serving.Add(1)
+	s.mu.Unlock()
+	defer s.serving.Done()
+	s.sweep.Do(func() { s.serving.Go(s.sweepIdle) })
+	err := s.inner.Serve(inner)
+	inner.end()
+	if s.stopping.Load() {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// sweepIdle ends idle connections until the server stops. It reads the limit each
+// time, so that a new one also applies to connections that are idle already.
+func (s *Server) sweepIdle() {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-t.C:
+		}
+		idle := s.idle()
+		for _, c := range s.connections() {
+			c.endIfIdle(idle, s.headerTimeout)
+		}
+	}
+}
+
+// Drain makes each response ask its caller to close the connection.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Stop stops accepting connections and returns when each request that was read has
+// its response. Connections without a request are closed; a new one may still send
+// its first request within the header timeout. When ctx ends, the remaining requests
+// are canceled, and those that still have no response are cut.
+func (s *Server) Stop(ctx context.Context) error {
+	s.Drain()
+	s.mu.Lock()
+	s.stopping.Store(true)
+	listeners := s.listeners
+	s.mu.Unlock()
+	for _, l := range listeners {
+		l.drain()
+	}
+	for _, c := range s.connections() {
+		c.endIfKept()
+	}
+	var err error
+	if !s.waitEmpty(ctx) {
+		err = s.abort()
+	}
+	return errors.Join(err, s.Close())
+}
+
+// abort cancels the remaining requests and cuts those that don't end in time. It
+// returns an error if there are any.
+func (s *Server) abort() error {
+	s.cancel(errStopped)
+	ctx, cancel := context.WithTimeout(context.Background(), abortTime)
+	defer cancel()
+	s.waitEmpty(ctx)
+	var err error
+	for _, c := range s.connections() {
+		if c.inRequest() {
+			err = errStopped
+			c.cut(graceEnded, err)
+		}
+	}
+	return err
+}
+
+// Close closes all listeners and connections at once.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.stopping.Store(true)
+	s.mu.Unlock()
+	s.end.Do(func() { close(s.done) })
+	s.cancel(errStopped)
+	err := s.inner.Close()
+	s.serving.Wait()
+	return err
+}
+
+// waitEmpty waits until all connections are closed. It returns false if ctx ends
+// before.
+func (s *Server) waitEmpty(ctx context.Context) bool {
+	s.mu.Lock()
+	if len(s.conns) == 0 {
+		s.mu.Unlock()
+		return true
+	}
+	if s.empty == nil {
+		s.empty = make(chan struct{})
+	}
+	empty := s.empty
+	s.mu.Unlock()
+	select {
+	case <-empty:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// connections returns the open connections.
+func (s *Server) connections() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+// add registers a connection.
+func (s *Server) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+// remove unregisters a connection.
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	if len(s.conns) == 0 && s.empty != nil {
+		close(s.empty)
+		s.empty = nil
+	}
+}
+
+// listener registers connections before http.Server sees them.
+type listener struct {
+	net.Listener
+	server *Server
+	// close guards closeErr, the result of closing Listener.
+	close    sync.Once
+	closeErr error
+	once     sync.Once
+	// done is closed when no more connections will be accepted.
+	done chan struct{}
+}
+
+// Accept accepts a connection.
+func (l *listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		if l.server.stopping.Load() {
+			// The deadline of drain is a temporary error, after which http.Server
+			// would try again.
+			l.end()
+			err = net.ErrClosed
+		}
+		return nil, err
+	}
+	c := newConn(nc, l.server)
+	l.server.add(c)
+	return c, nil
+}
+
+// Close closes the listener. Further calls do nothing.
+func (l *listener) Close() error {
+	l.close.Do(func() { l.closeErr = l.Listener.Close() })
+	return l.closeErr
+}
+
+// end records that no more connections will be accepted.
+func (l *listener) end() { l.once.Do(func() { close(l.done) }) }
+
+// drain accepts the connections in the backlog and closes the listener. When it
+// returns, all accepted connections are registered.
+func (l *listener) drain() {
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if ok && d.SetDeadline(time.Now().Add(backlogTime)) == nil {
+		<-l.done
+	}
+	_ = l.Close()
+	<-l.done
+}
+
+// errorWriter logs what http.Server reports.
+type errorWriter struct {
+	log zerolog.Logger
+}
+
+// Write logs a line.
+func (w errorWriter) Write(p []byte) (int, error) {
+	w.log.Warn().Str("event", "server").Str("detail", strings.TrimSpace(string(p))).Send()
+	return len(p), nil
+}
