oper: SIGHUP no longer ends an instance that is starting or stopping

The handler of SIGHUP was installed after the settings had been read and the instance built, and removed when the instance had stopped, so that the signal ended the process before and after, with all requests that it had.

It is installed first now and stays until the process has exited; a signal that comes early is handled once the instance runs. Commands that don't reload end on SIGHUP as on SIGTERM.

--- a/internal/oper/main.go
+++ b/internal/oper/main.go
@@ -26,6 +26,10 @@
 // Main runs the command line and returns the exit status: 0 on success, 1 if the
 // command failed, 2 if args are invalid.
 func Main(args []string, stdout, stderr io.Writer) int {
+	// SIGHUP ends a process that does not handle it, so an instance must do so from
+	// its start until it has exited.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	app := kingpin.New("baobabtally", "A router for language-model traffic with long shared prompts.")
@@ -36,7 +40,7 @@
 	format := app.Flag("output", "How to print: text or json.").Default("text").Enum("text", "json")
 	t := addTargetFlags(app)
 	addServe(app, commands, stderr)
-	addPlatform(app, commands, stdout)
+	addPlatform(app, commands, stdout, hup)
 	addLint(app, commands)
 	addTrace(app, commands)
 	addLoad(app, commands)
@@ -51,7 +55,15 @@
 		w:    stdout,
 		json: *format == "json",
 	}
-	if err := commands[name].run(ctx, out); err != nil {
+	c := commands[name]
+	if _, ok := c.(platformInstance); !ok {
+		// Only an instance on the platform reloads its settings.
+		hangup, stop := signal.NotifyContext(ctx, syscall.SIGHUP)
+		defer stop()
+		signal.Stop(hup)
+		ctx = hangup
+	}
+	if err := c.run(ctx, out); err != nil {
 		_, _ = fmt.Fprintln(stderr, "baobabtally: "+err.Error())
 		return 1
 	}
