httpd: a stopping server serves the connections in its backlog

The listener accepted the backlog for a fixed 20 ms, which a busy processor can use up before the first accept.

The time is counted anew until one accept finds nothing in it, for 0.5 s at most.

--- a/internal/httpd/httpd_test.go
+++ b/internal/httpd/httpd_test.go
@@ -361,6 +361,22 @@
 	require.NoError(t, <-stopped)
 }
 
+// A listener at which connections keep arriving must be closed, too.
+func TestStopClosesBusyListener(t *testing.T) {
+	f := newFixture(t, nil)
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.server.Stop(t.Context()) }()
+	require.Eventually(t, func() bool {
+		c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", f.addr)
+		if err != nil {
+			return true
+		}
+		_ = c.Close()
+		return false
+	}, waitTimeout, time.Millisecond)
+	require.NoError(t, <-stopped)
+}
+
 // Responses that begin while the server is draining must ask callers to close their
 // connections, and kept connections without a request must stay usable until the stop.
 func TestDrainKeepsConnectionsUsable(t *testing.T) {
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -6,6 +6,7 @@
 	"log"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,9 +19,12 @@
 	// sweepInterval is how often idle connections are checked against the current
 	// limit. A connection is kept that much longer at most.
 	sweepInterval = 200 * time.Millisecond
-	// backlogTime is how long a stopping server accepts the connections that wait
-	// in the backlog of its listeners.
+	// backlogTime is how long no connection must arrive before a stopping server
+	// closes its listener, so that it leaves none in the backlog.
 	backlogTime = 20 * time.Millisecond
+	// drainLimit bounds the time until a stopping server closes its listener, in case
+	// connections keep arriving.
+	drainLimit = 500 * time.Millisecond
 	// abortTime is how long handlers have to respond after the end of the grace
 	// period has canceled their requests.
 	abortTime = 150 * time.Millisecond
@@ -306,18 +310,25 @@
 	// close guards closeErr, the result of closing Listener.
 	close    sync.Once
 	closeErr error
+	// drainEnd is when a draining listener is closed at the latest, as a Unix time in
+	// nanoseconds.
+	drainEnd atomic.Int64
 	once     sync.Once
 	// done is closed when no more connections will be accepted.
 	done chan struct{}
 }
 
-// Accept accepts a connection.
+// Accept accepts a connection. It is called by one goroutine.
 func (l *listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().UnixNano() < l.drainEnd.Load() && l.setDeadline(backlogTime) {
+		// The listener is draining and its deadline may have passed between two
+		// calls: the backlog is empty only if this call finds nothing.
+		nc, err = l.Listener.Accept()
+	}
 	if err != nil {
 		if l.server.stopping.Load() {
-			// The deadline of drain is a temporary error, after which http.Server
-			// would try again.
+			// http.Server would try again after a deadline, a temporary error.
 			l.end()
 			err = net.ErrClosed
 		}
@@ -328,6 +339,12 @@
 	return c, nil
 }
 
+// setDeadline sets the deadline of Accept. It reports whether the listener has one.
+func (l *listener) setDeadline(d time.Duration) bool {
+	inner, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	return ok && inner.SetDeadline(time.Now().Add(d)) == nil
+}
+
 // Close closes the listener. Further calls do nothing.
 func (l *listener) Close() error {
 	l.close.Do(func() { l.closeErr = l.Listener.Close() })
@@ -340,8 +357,8 @@
 // drain accepts the connections in the backlog and closes the listener. When it
 // returns, all accepted connections are registered.
 func (l *listener) drain() {
-	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
-	if ok && d.SetDeadline(time.Now().Add(backlogTime)) == nil {
+	l.drainEnd.Store(time.Now().Add(drainLimit).UnixNano())
+	if l.setDeadline(0) {
 		<-l.done
 	}
 	_ = l.Close()
