httpd: close a draining listener in the same step that finds its backlog empty

The listener was closed one timer and two goroutine switches after the last accept. The accepting goroutine now asks the socket whether a connection waits, and closes the listener at once if none does.

An idle connection is closed in the same step, too, in place of by http.Server once the read has returned.

--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // phase is what the server does with a connection.
@@ -105,10 +107,14 @@
 		}
 		return false
 	}
-	if c.phase == waiting && errors.Is(err, os.ErrDeadlineExceeded) && hasInput(c.Conn) {
-		c.ending = false
-		_ = c.applyDeadline()
-		return true
+	if c.phase == waiting && errors.Is(err, os.ErrDeadlineExceeded) {
+		if hasInput(c.Conn) {
+			c.ending = false
+			_ = c.applyDeadline()
+			return true
+		}
+		// http.Server closes the connection too, but a request may arrive until then.
+		_ = c.Conn.Close()
 	}
 	c.readErr = err
 	return false
@@ -312,3 +318,25 @@
 	})
 	return err == nil && found
 }
+
+// hasBacklog reports whether l has connections that were not accepted.
+func hasBacklog(l net.Listener) bool {
+	sc, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _ = unix.Poll([]unix.PollFd{
+			{
+				Fd:     int32(fd),
+				Events: unix.POLLIN,
+			},
+		}, 0)
+	})
+	return err == nil && n > 0
+}
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -19,8 +19,8 @@
 	// sweepInterval is how often idle connections are checked against the current
 	// limit. A connection is kept that much longer at most.
 	sweepInterval = 200 * time.Millisecond
-	// backlogTime is how long no connection must arrive before a stopping server
-	// closes its listener, so that it leaves none in the backlog.
+	// backlogTime is how long a stopping server accepts connections before it looks
+	// whether any are left in the backlog.
 	backlogTime = 20 * time.Millisecond
 	// drainLimit bounds the time until a stopping server closes its listener, in case
 	// connections keep arriving.
@@ -129,9 +129,7 @@
 	}
 	s.inner.Handler = http.HandlerFunc(s.serve)
 	s.inner.ReadHeaderTimeout = s.headerTimeout
-	s.inner.ErrorLog = log.New(errorWriter{
-		log: s.log,
-	}, "", 0)
+	s.inner.ErrorLog = ErrorLog(s.log)
 	return s
 }
 
@@ -318,12 +316,15 @@
 	done chan struct{}
 }
 
-// Accept accepts a connection. It is called by one goroutine.
+// Accept accepts a connection. It is called by one goroutine. When the deadline of drain
+// has passed, it accepts what is left in the backlog and closes the listener.
 func (l *listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().UnixNano() < l.drainEnd.Load() && l.setDeadline(backlogTime) {
-		// The listener is draining and its deadline may have passed between two
-		// calls: the backlog is empty only if this call finds nothing.
+	for errors.Is(err, os.ErrDeadlineExceeded) && l.server.stopping.Load() {
+		if time.Now().UnixNano() > l.drainEnd.Load() || !hasBacklog(l.Listener) || !l.setDeadline(backlogTime) {
+			_ = l.Close()
+			break
+		}
 		nc, err = l.Listener.Accept()
 	}
 	if err != nil {
@@ -358,13 +359,20 @@
 // returns, all accepted connections are registered.
 func (l *listener) drain() {
 	l.drainEnd.Store(time.Now().Add(drainLimit).UnixNano())
-	if l.setDeadline(0) {
+	if l.setDeadline(backlogTime) {
 		<-l.done
 	}
 	_ = l.Close()
 	<-l.done
 }
 
+// ErrorLog returns a logger for an http.Server that logs to l.
+func ErrorLog(l zerolog.Logger) *log.Logger {
+	return log.New(errorWriter{
+		log: l,
+	}, "", 0)
+}
+
 // errorWriter logs what http.Server reports.
 type errorWriter struct {
 	log zerolog.Logger
