platform, watch: one unreadable row costs that row only

What callers saw: none has reported it here. Operators of other systems did: one odd row in the store and the instances stopped following the table.

Cause: a response of the store was decoded as a whole. A row with a value that is not base64, a version that is no int64, or a key or a marker of another type failed the whole response. The same changes were read after the same version forever, so the registry and the configuration stood still; an instance that started never got ready. The row of the lease for orders could not be replaced, since it could not be read.

--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -165,7 +165,7 @@
 		return false
 	}
 	for _, r := range b.Rows {
-		if r.Version < t.rows[r.Key] {
+		if r.Err == nil && r.Version < t.rows[r.Key] {
 			return false
 		}
 	}
--- a/internal/watch/table_test.go
+++ b/internal/watch/table_test.go
@@ -172,3 +172,25 @@
 	require.NoError(t, got.errs[2])
 	require.Equal(t, []store.Batch{rows(1, true, "a")}, got.batches)
 }
+
+// A row whose version can't be read must not make a snapshot count as outdated.
+func TestRowWithoutVersionKeepsSnapshot(t *testing.T) {
+	odd := rows(9, true, "x")
+	odd.Rows[0].Version = 0
+	odd.Rows[0].Err = store.ErrUnavailable
+	s := &fakeStore{
+		responses: []response{
+			{
+				batch: rows(3, true, "a"),
+			},
+			{
+				err: store.ErrCompacted,
+			},
+			{
+				batch: odd,
+			},
+		},
+	}
+	got := follow(t, s, 2*time.Second)
+	require.Equal(t, []store.Batch{rows(3, true, "a"), odd}, got.batches)
+}
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -28,6 +28,9 @@
 	Value []byte
 	// Version increases with each write. It is greater than 0 for a row that exists.
 	Version int64
+	// Err says why the row can't be read; nil if it can. Value is then not valid, and
+	// Key and Version may be zero.
+	Err error
 }
 
 // Batch is the result of reading a table in full or its changes since a version.
