watch: changes that can't be decoded are not read again forever

A response of the feed that can't be decoded is returned again after the same version, so that the table was no longer followed. Such a response now leads to a read of the whole table, as a compacted history does.

Evidence: TestTableIsReadAgainAfterMalformedChanges fails before: it calls 'rows, changes, changes' instead of 'rows, changes, rows'.

--- a/internal/watch/doc.go
+++ b/internal/watch/doc.go
@@ -1,9 +1,9 @@
 // Package watch follows a table of the platform's store.
 //
 // A Table reads all rows once and then the changes. If the store no longer
-// keeps the changes since the last read, it reads all rows again. It ignores
-// responses that are older than what it has already read, so that its sink
-// never sees a row go back to an earlier version.
+// keeps the changes since the last read, or if they can't be decoded, it reads
+// all rows again. It ignores responses that are older than what it has already
+// read, so that its sink never sees a row go back to an earlier version.
 //
 //	t := watch.New(source, "op", sink, watch.WithLongPoll(20*time.Second))
 //	t.Run(ctx)
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -130,7 +130,8 @@
 	limited, cancel := context.WithTimeout(ctx, t.longPoll+responseTimeout)
 	defer cancel()
 	b, err := t.source.Changes(limited, t.name, t.version, t.longPoll)
-	if errors.Is(err, store.ErrCompacted) {
+	if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrMalformed) {
+		// Malformed changes would be returned again after the same version.
 		t.synced = false
 		return t.readAll(ctx)
 	}
--- a/internal/watch/table_test.go
+++ b/internal/watch/table_test.go
@@ -173,11 +173,31 @@
 	require.Equal(t, []store.Batch{rows(1, true, "a")}, got.batches)
 }
 
+// Changes that can't be decoded must not be read again forever.
+func TestTableIsReadAgainAfterMalformedChanges(t *testing.T) {
+	s := &fakeStore{
+		responses: []response{
+			{
+				batch: rows(3, true, "a"),
+			},
+			{
+				err: store.ErrMalformed,
+			},
+			{
+				batch: rows(9, true, "c"),
+			},
+		},
+	}
+	got := follow(t, s, 2*time.Second)
+	require.Equal(t, []string{"rows", "changes", "rows"}, s.calls[:3])
+	require.Equal(t, []store.Batch{rows(3, true, "a"), rows(9, true, "c")}, got.batches)
+}
+
 // A row whose version can't be read must not make a snapshot count as outdated.
 func TestRowWithoutVersionKeepsSnapshot(t *testing.T) {
 	odd := rows(9, true, "x")
 	odd.Rows[0].Version = 0
-	odd.Rows[0].Err = store.ErrUnavailable
+	odd.Rows[0].Err = store.ErrMalformed
 	s := &fakeStore{
 		responses: []response{
 			{
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -18,6 +18,9 @@
 	// ErrLost is returned when the response was lost, so that the write may or may
 	// not have taken effect.
 	ErrLost = errors.ConstError("the table's answer was lost: read the row back to settle it")
+	// ErrMalformed is returned when the table answered with what can't be decoded. It
+	// may do so again when the same changes are read again.
+	ErrMalformed = errors.ConstError("the table's answer can't be decoded: check its address and version")
 )
 
 // Row is a versioned key-value pair of the table.
