member, platform: an entry with an odd address, id or number names no endpoint

What callers saw: an entry whose address is no IP address and port, such as one with port 65536 or a host name, counted as an endpoint. Attempts were sent to it and failed; rendezvous hashing preferred it for its share of the prompts. An id with a line break or blanks went into X-Expect-Instance.

Cause: entries were checked for their types only.

--- a/pkg/member/member_test.go
+++ b/pkg/member/member_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -118,3 +120,45 @@
 	}
 	require.Equal(t, "v2", set.Version("small"))
 }
+
+// An entry that can't name an endpoint must not reach a set: an unknown role, for
+// example, is outside of its tables.
+func TestEntryMustNameAnEndpoint(t *testing.T) {
+	valid := member.RegistryEntry{
+		Node: member.Node{
+			Name:   "i-7f3a91c2",
+			Role:   member.Engine,
+			Addr:   "10.0.0.9:8080",
+			Models: []string{"llm"},
+		},
+		Weights: map[string]int64{
+			"m": 1,
+		},
+	}
+	require.NoError(t, valid.Validate())
+	long := strings.Repeat("x", 201)
+	for name, change := range map[string]func(r *member.RegistryEntry){
+		"no name":         func(r *member.RegistryEntry) { r.Node.Name = "" },
+		"long name":       func(r *member.RegistryEntry) { r.Node.Name = long },
+		"line break":      func(r *member.RegistryEntry) { r.Node.Name = "a\nb" },
+		"not ASCII":       func(r *member.RegistryEntry) { r.Node.Name = "é" },
+		"instance":        func(r *member.RegistryEntry) { r.Node.Role = member.Instance },
+		"unknown role":    func(r *member.RegistryEntry) { r.Node.Role = 77 },
+		"host name":       func(r *member.RegistryEntry) { r.Node.Addr = "localhost:8080" },
+		"port":            func(r *member.RegistryEntry) { r.Node.Addr = "10.0.0.9:65536" },
+		"no port":         func(r *member.RegistryEntry) { r.Node.Addr = "10.0.0.9" },
+		"port 0":          func(r *member.RegistryEntry) { r.Node.Addr = "10.0.0.9:0" },
+		"any address":     func(r *member.RegistryEntry) { r.Node.Addr = "0.0.0.0:8080" },
+		"negative slots":  func(r *member.RegistryEntry) { r.Report.Slots = -1 },
+		"many slots":      func(r *member.RegistryEntry) { r.Report.Slots = math.MaxInt },
+		"long domain":     func(r *member.RegistryEntry) { r.Node.Domain = long },
+		"no service":      func(r *member.RegistryEntry) { r.Node.Models = nil },
+		"empty service":   func(r *member.RegistryEntry) { r.Node.Models = []string{""} },
+		"negative weight": func(r *member.RegistryEntry) { r.Weights = map[string]int64{"m": -1} },
+		"unnamed model":   func(r *member.RegistryEntry) { r.Weights = map[string]int64{"": 1} },
+	} {
+		r := valid
+		change(&r)
+		require.Error(t, r.Validate(), name)
+	}
+}
--- a/pkg/member/node.go
+++ b/pkg/member/node.go
@@ -1,11 +1,24 @@
 package member
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/baobabtally/baobabtally/pkg/label"
 )
 
+const (
+	// maxNameBytes is the maximum length of the names in an entry, which is the
+	// platform's limit for the key of a row.
+	maxNameBytes = 200
+	// maxSlots is the maximum number of slots in an entry. It is orders of magnitude
+	// above what one accelerator can run.
+	maxSlots = 1 << 20
+)
+
 // Role is the kind of a node.
 type Role uint8
 
@@ -87,6 +100,53 @@
 	Weights map[string]int64 `json:"Weights"`
 }
 
+// Validate returns an error unless r describes an endpoint that can be called. Sources of
+// entries validate each of them, so that one that another writer or another release made
+// is left out and the others are kept.
+func (r RegistryEntry) Validate() error {
+	n := r.Node
+	switch {
+	case !validName(n.Name):
+		return errors.New("its id is not printable ASCII of at most 200 bytes: register the endpoint under another id")
+	case n.Role != Engine && n.Role != Service:
+		return errors.Errorf("its role %d is not that of an endpoint: run the same version on all instances", n.Role)
+	case !validAddr(n.Addr):
+		return errors.New("its address is not that of one host: write an IP address and port such as 10.0.0.1:8080")
+	case r.Report.Slots < 0 || r.Report.Slots > maxSlots:
+		return errors.Errorf("its slots are not between 1 and %d: correct the program that wrote it", maxSlots)
+	case len(n.Domain) > maxNameBytes:
+		return errors.New("its failure domain is too long: correct the program that wrote it")
+	case len(n.Models) == 0 || slices.ContainsFunc(n.Models, invalidModel):
+		return errors.New("the name of its service is missing or too long: correct the program that wrote it")
+	}
+	for model, version := range r.Weights {
+		if invalidModel(model) || version < 0 {
+			return errors.New("a model has no name, one that is too long, or a negative version of weights: correct the program that wrote it")
+		}
+	}
+	return nil
+}
+
+// invalidModel reports whether name can't be that of a model or a service.
+func invalidModel(name string) bool { return name == "" || len(name) > maxNameBytes }
+
+// validName reports whether name can be sent in a header and written to a log as it is.
+func validName(name string) bool {
+	for i := range len(name) {
+		if name[i] <= ' ' || name[i] > '~' {
+			return false
+		}
+	}
+	return name != "" && len(name) <= maxNameBytes
+}
+
+// validAddr reports whether addr is the IP address and port of one host. The platform
+// has no host names.
+func validAddr(addr string) bool {
+	ap, err := netip.ParseAddrPort(addr)
+	return err == nil && ap.Port() != 0 && ap.Addr().Zone() == "" && !ap.Addr().IsUnspecified() && !ap.Addr().IsMulticast()
+}
+
 // Endpoint is a node with its own report and its health.
 type Endpoint struct {
 	// Node is the registry's description of the node.
