relay: log and count each version of an unusable row once

A row that can't be used was logged with each read that returned it, and each complete read logs all of them again: 500 odd rows were 500 lines a read, with the whole of a long value in the reason. Nothing counted them.

Each version is now logged once with its key, version and the reason, cut to 300 bytes; after 16 lines of one read a line says how many are left out. The metric unreadable_rows counts each version by table.

Evidence: TestProblemIsLoggedOncePerVersion, TestManyProblemsAreSummarized and TestProblemKeyIsQuoted.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,12 +60,12 @@
 
 // decoder decodes the rows of the platform's store.
 type decoder interface {
-	// Operator returns the operators' settings as events, and an error for each
+	// Operator returns the operators' settings as events, and a problem for each
 	// row that can't be decoded.
-	Operator(b store.Batch) ([]state.Event, []error)
-	// Registry returns the registered endpoints, and an error for each row that
-	// can't be decoded.
-	Registry(b store.Batch) (state.RegistrySnapshot, []error)
+	Operator(b store.Batch) ([]state.Event, []store.Problem)
+	// Registry returns the registered endpoints, and a problem for each row that
+	// names none.
+	Registry(b store.Batch) (state.RegistrySnapshot, []store.Problem)
 	// Tables returns the names of the operators' table and of the registry's.
 	Tables() (operators, registry string)
 }
@@ -105,6 +105,8 @@
 	Failed(cause string)
 	// Refused counts a request that was refused before any endpoint was called.
 	Refused(reason string)
+	// Unreadable counts a version of a row that can't be used.
+	Unreadable(table string)
 	// Waited records the time that a request waited in the queue, and whether
 	// it was admitted.
 	Waited(wait time.Duration, served bool)
@@ -178,10 +180,13 @@
 		ctrl.WithControllers(ctrl.Forwarding()...))
 	exec.loop = loop
 	operators, registry := p.Decoder.Tables()
-	storeSink := controlSink{
-		loop:    loop,
-		decoder: p.Decoder,
-		log:     p.Log,
+	newSink := func(table string) controlSink {
+		return controlSink{
+			loop:     loop,
+			decoder:  p.Decoder,
+			log:      p.Log,
+			problems: newProblemLog(table, p.Log, p.Meter),
+		}
 	}
 	return &Relay{
 		Loop:    loop,
@@ -189,10 +194,10 @@
 		Peer:    peer.NewServer(loop),
 		parts:   p,
 		operators: watch.New(p.Store, operators, operatorSink{
-			controlSink: storeSink,
+			controlSink: newSink("operators"),
 		}, watch.WithLongPoll(operatorLongPoll)),
 		registry: watch.New(p.Store, registry, registrySink{
-			controlSink: storeSink,
+			controlSink: newSink("registry"),
 		}, watch.WithLongPoll(registryLongPoll), watch.WithInterval(func() time.Duration { return registryReadInterval(loop.View()) })),
 		done: make(chan struct{}),
 	}
--- a/internal/relay/sinks.go
+++ b/internal/relay/sinks.go
@@ -15,6 +15,8 @@
 	loop    *ctrl.Loop
 	decoder decoder
 	log     zerolog.Logger
+	// problems logs the rows that can't be used. The others are still used.
+	problems *problemLog
 }
 
 // send sends e to the control thread. It fails only when the instance stops.
@@ -24,14 +26,6 @@
 	}
 }
 
-// logUnreadable logs the rows that can't be decoded. The other rows are still
-// used.
-func (s controlSink) logUnreadable(table string, problems []error) {
-	for _, p := range problems {
-		s.log.Warn().Str("event", "unread").Str("table", table).Err(p).Send()
-	}
-}
-
 // operatorSink receives the rows that operators write.
 type operatorSink struct {
 	controlSink
@@ -40,7 +34,7 @@
 // HandleBatch sends the operators' settings to the control thread.
 func (s operatorSink) HandleBatch(ctx context.Context, b store.Batch) {
 	events, problems := s.decoder.Operator(b)
-	s.logUnreadable("operators", problems)
+	s.problems.update(b, problems)
 	for _, e := range events {
 		s.send(ctx, e)
 	}
@@ -65,7 +59,7 @@
 // HandleBatch sends the registry entries to the control thread.
 func (s registrySink) HandleBatch(ctx context.Context, b store.Batch) {
 	r, problems := s.decoder.Registry(b)
-	s.logUnreadable("registry", problems)
+	s.problems.update(b, problems)
 	r.Source = "store"
 	s.send(ctx, r)
 }
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -36,6 +36,25 @@
 	Err error
 }
 
+// Problem is a row that can't be used.
+type Problem struct {
+	// Key and Version identify the version of the row. They are zero if they can't be
+	// read.
+	Key     string
+	Version int64
+	// Err says why the row can't be used.
+	Err error
+}
+
+// Problem returns the problem that r can't be used for the reason err.
+func (r Row) Problem(err error) Problem {
+	return Problem{
+		Key:     r.Key,
+		Version: r.Version,
+		Err:     err,
+	}
+}
+
 // Batch is the result of reading a table in full or its changes since a version.
 type Batch struct {
 	// Rows holds all rows, or only the changed ones.
