peer: an odd entry of a peer neither ends this instance nor costs the others

An instance that has lost the store takes the registry from a peer. An entry with a role that this release does not know ended the process: the role is an index. A peer of a release before the validation of entries may hand on such entries.

Entries are now decoded one by one and validated like those of the store; the others are logged and counted. Ages, which overflowed a duration into the past or the future, are limited; usage that is no number, versions of weights below 1 and instances without name or address are left out.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"math"
+
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -72,6 +74,9 @@
 		}
 	}
 	for k, u := range m.GetUsage() {
+		if !(u >= 0 && u <= math.MaxFloat32) {
+			continue
+		}
 		h.Summary.Usage[k] = float64(u)
 	}
 	for k, t := range m.GetTally() {
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -14,6 +14,10 @@
 	"github.com/baobabtally/baobabtally/pkg/store"
 )
 
+// maxAge is the longest age that is taken from a peer: longer than any process runs, and
+// short enough that sums with other durations do not overflow.
+const maxAge = 365 * 24 * time.Hour
+
 // encodeRelay returns r, the part of a heartbeat for instances that forward by
 // routes, as a message.
 func encodeRelay(r state.Relay) *rpcapi.Relay {
@@ -73,7 +77,7 @@
 			Version: m.GetLease().GetVersion(),
 			Value:   m.GetLease().GetValue(),
 		},
-		LeaseAge: time.Duration(m.GetLease().GetAge()) * time.Millisecond,
+		LeaseAge: ageOf(m.GetLease().GetAge()),
 	}
 	for _, w := range m.GetWeights() {
 		r.Weights = append(r.Weights, state.EngineWeights{
@@ -90,14 +94,20 @@
 		r.DepartureVersions[l.GetName()] = l.GetListing()
 	}
 	for _, n := range m.GetNames() {
+		if n.GetModel() == "" || n.GetVersion() <= 0 {
+			continue
+		}
 		r.DesiredVersions = append(r.DesiredVersions, state.DesiredVersion{
 			Model:   n.GetModel(),
 			Version: n.GetVersion(),
-			Age:     time.Duration(n.GetAge()) * time.Millisecond,
+			Age:     ageOf(n.GetAge()),
 			Dated:   n.GetDated(),
 		})
 	}
 	for _, n := range m.GetMates() {
+		if n.GetName() == "" || n.GetAddr() == "" {
+			continue
+		}
 		r.Peers = append(r.Peers, member.Node{
 			Name:   n.GetName(),
 			Role:   member.Instance,
@@ -108,6 +118,11 @@
 	return r
 }
 
+// ageOf returns an age in milliseconds as a duration within its range.
+func ageOf(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxAge.Milliseconds())) * time.Millisecond
+}
+
 // registrySnapshot is the endpoints that an instance knows, as peers exchange them.
 type registrySnapshot struct {
 	Version int64                  `json:"Version"`
@@ -136,14 +151,34 @@
 // decodeSnapshot returns the complete snapshot that data encodes, received from the
 // peer named from.
 func decodeSnapshot(data []byte, from string) (state.RegistrySnapshot, error) {
-	var snapshot registrySnapshot
+	var snapshot struct {
+		Version int64             `json:"Version"`
+		Entries []json.RawMessage `json:"Entries"`
+	}
 	if err := json.Unmarshal(data, &snapshot); err != nil {
 		return state.RegistrySnapshot{}, errors.Annotate(err, "the peer's registry snapshot is malformed: run the same version on all instances")
 	}
-	return state.RegistrySnapshot{
-		Put:      snapshot.Entries,
+	out := state.RegistrySnapshot{
 		Version:  snapshot.Version,
 		Complete: true,
 		Source:   from,
-	}, nil
+	}
+	// Entries are decoded one by one, since a peer of another release may hold one that
+	// this release refuses.
+	for _, raw := range snapshot.Entries {
+		var entry member.RegistryEntry
+		err := json.Unmarshal(raw, &entry)
+		if err == nil {
+			err = entry.Validate()
+		}
+		if err != nil {
+			out.Invalid = append(out.Invalid, store.Problem{
+				Key: entry.Node.Name,
+				Err: err,
+			})
+			continue
+		}
+		out.Put = append(out.Put, entry)
+	}
+	return out, nil
 }
--- a/internal/peer/relay_test.go
+++ b/internal/peer/relay_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/baobabtally/baobabtally/internal/rpcapi"
+	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/label"
 	"github.com/baobabtally/baobabtally/pkg/member"
 )
@@ -71,3 +77,149 @@
 		require.EqualValues(t, number, role)
 	}
 }
+
+// An entry that a peer of another release accepted must not end this instance, for
+// example by a role outside of its tables, nor cost the entries beside it.
+func TestOddEntryOfPeerCostsOnlyItself(t *testing.T) {
+	const entry = `{"Node":{"Name":%q,"Role":1,"Addr":"10.0.0.9:8080","Models":["m"]},"Report":{"Slots":1},"Weights":{"m":5}}`
+	e1, e2 := fmt.Sprintf(entry, "e1"), fmt.Sprintf(entry, "e2")
+	odd := fmt.Sprintf(entry, "odd")
+	for name, value := range map[string]string{
+		"unknown role":    strings.Replace(odd, `"Role":1`, `"Role":77`, 1),
+		"large role":      strings.Replace(odd, `"Role":1`, `"Role":300`, 1),
+		"instance":        strings.Replace(odd, `"Role":1`, `"Role":0`, 1),
+		"named role":      strings.Replace(odd, `"Role":1`, `"Role":"engine"`, 1),
+		"port":            strings.Replace(odd, `:8080`, `:65536`, 1),
+		"host name":       strings.Replace(odd, `10.0.0.9`, `engine`, 1),
+		"id":              strings.Replace(odd, `"odd"`, `"a\r\nb"`, 1),
+		"negative slots":  strings.Replace(odd, `"Slots":1`, `"Slots":-1`, 1),
+		"infinite slots":  strings.Replace(odd, `"Slots":1`, `"Slots":1e400`, 1),
+		"negative weight": strings.Replace(odd, `"m":5`, `"m":-5`, 1),
+		"text as weight":  strings.Replace(odd, `"m":5`, `"m":"5"`, 1),
+		"null":            `null`,
+		"array":           `[]`,
+		"empty":           `{}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, err := decodeSnapshot([]byte(`{"Version":7,"Entries":[`+e1+`,`+value+`,`+e2+`]}`), "n2")
+			require.NoError(t, err)
+			require.Len(t, r.Put, 2)
+			require.Equal(t, "e2", r.Put[1].Node.Name)
+			require.Len(t, r.Invalid, 1)
+			var nodes []member.Node
+			for _, p := range r.Put {
+				nodes = append(nodes, p.Node)
+			}
+			require.Len(t, member.Set{}.WithRegistry(nodes).Pool("m"), 2)
+		})
+	}
+}
+
+// Ages that overflow a duration must not move the start of a lease or of a version into
+// the future.
+func TestAgesOfPeersStayInRange(t *testing.T) {
+	for _, ms := range []int64{math.MinInt64, -1, 0, 1, math.MaxInt64 / int64(time.Millisecond), math.MaxInt64} {
+		r := decodeRelay(&rpcapi.Relay{
+			Lease: &rpcapi.Lease{
+				Age: ms,
+			},
+			Names: []*rpcapi.Name{
+				{
+					Model:   "m",
+					Version: 1,
+					Age:     ms,
+				},
+			},
+		})
+		for _, age := range []time.Duration{r.LeaseAge, r.DesiredVersions[0].Age} {
+			require.GreaterOrEqual(t, age, time.Duration(0))
+			require.LessOrEqual(t, age, maxAge)
+		}
+	}
+}
+
+// What a peer can't have meant must be left out: usage that is no number, a version of
+// weights below 1 and an instance without an address.
+func TestOddFieldsOfHeartbeatAreLeftOut(t *testing.T) {
+	h := DecodeHeartbeat(&rpcapi.Pulse{
+		Usage: map[string]float32{
+			"nan":      float32(math.NaN()),
+			"infinite": float32(math.Inf(1)),
+			"negative": -1,
+			"good":     2,
+		},
+		Relay: &rpcapi.Relay{
+			Names: []*rpcapi.Name{
+				{
+					Model: "m",
+				},
+				{
+					Version: 1,
+				},
+				nil,
+			},
+			Mates: []*rpcapi.Mate{
+				{
+					Name: "n2",
+				},
+				{
+					Addr: "10.0.0.1:1",
+				},
+				nil,
+			},
+		},
+	})
+	require.Equal(t, map[string]float64{"good": 2}, h.Summary.Usage)
+	require.Empty(t, h.Relay.DesiredVersions)
+	require.Empty(t, h.Relay.Peers)
+}
+
+// FuzzHeartbeat guards against messages of another release that panic or carry values
+// out of range.
+func FuzzHeartbeat(f *testing.F) {
+	data, err := proto.Marshal(EncodeHeartbeat(state.Heartbeat{
+		Name: "n1",
+		Relay: state.Relay{
+			Addr:     "10.0.0.1:1",
+			LeaseAge: time.Second,
+			DesiredVersions: []state.DesiredVersion{
+				{
+					Model:   "m",
+					Version: 2,
+				},
+			},
+		},
+	}))
+	require.NoError(f, err)
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := &rpcapi.Pulse{}
+		if proto.Unmarshal(data, m) != nil {
+			return
+		}
+		h := DecodeHeartbeat(m)
+		require.GreaterOrEqual(t, h.Relay.LeaseAge, time.Duration(0))
+		for _, u := range h.Summary.Usage {
+			require.False(t, math.IsNaN(u) || math.IsInf(u, 0))
+		}
+	})
+}
+
+// FuzzSnapshot guards against snapshots of another release that panic or bring an entry
+// that names no endpoint.
+func FuzzSnapshot(f *testing.F) {
+	f.Add([]byte(encodedSnapshot))
+	f.Add([]byte(`{"Version":7,"Entries":[{"Node":{"Name":"n","Role":77}}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := decodeSnapshot(data, "n2")
+		if err != nil {
+			return
+		}
+		var nodes []member.Node
+		for _, e := range r.Put {
+			require.NoError(t, e.Validate())
+			nodes = append(nodes, e.Node)
+		}
+		member.Set{}.WithRegistry(nodes)
+	})
+}
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -86,6 +86,11 @@
 		x.logFailedCall("roster", a.From.Name, err)
 		return nil
 	}
+	// Snapshots of peers are rare: they are read while the store is lost.
+	for _, p := range r.Invalid[:min(len(r.Invalid), maxProblemLines)] {
+		x.parts.Meter.Unreadable("registry")
+		x.parts.Log.Warn().Str("event", "unread").Str("table", "registry").Str("source", r.Source).Str("key", p.Key).Str("error", reasonOf(p)).Send()
+	}
 	return r
 }
 
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -181,6 +181,9 @@
 	Complete bool
 	// Source names the store or the peer that the entries came from.
 	Source string
+	// Invalid holds a problem for each entry of a peer that names no endpoint. Put does
+	// not hold it.
+	Invalid []store.Problem
 }
 
 // PeersFound reports other instances that were discovered.
