ctrl: an entry with the name of an instance does not take its place

Nodes are kept by name, and endpoints were added after the instances. An entry of another writer whose id is the name of a peer replaced that peer: it got no more heartbeats from this instance, and the engine controllers saw it as an endpoint. Such an entry is now left out and noted, and where the instance is found after the entry, the instance goes before it.

Evidence: TestEntryWithNameOfInstanceIsLeftOut and TestInstanceGoesBeforeEntryOfItsName fail before: expected the peers [n1], actual none.

--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -326,3 +326,47 @@
 	require.Equal(t, []string{"e1", "e2", "e3"}, c.pool(), "the peer has read the registry only up to version 11")
 	require.NotContains(t, ctrl.HeartbeatOf(c.state).Drained, "e1", "this instance would pass it on to other peers")
 }
+
+// An entry with the name of an instance must not take the place of that instance, which
+// would get no more heartbeats.
+func TestEntryWithNameOfInstanceIsLeftOut(t *testing.T) {
+	for name, complete := range map[string]bool{
+		"all":     true,
+		"changes": false,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := servingInstance(t, "e1", "e2")
+			c.step(state.PeersFound{
+				Peers: []member.Node{
+					{
+						Name: "n1",
+						Role: member.Instance,
+						Addr: "10.0.0.2:1",
+					},
+				},
+			})
+			require.Equal(t, []string{"n1"}, c.state.Others())
+			r := fullSnapshot(11, "e1", "n1", "n0", "e2", "e3")
+			r.Complete = complete
+			c.step(r)
+			require.Equal(t, []string{"n1"}, c.state.Others())
+			require.Equal(t, []string{"e1", "e2", "e3"}, c.pool())
+		})
+	}
+}
+
+// An instance that starts after an entry with its name was read must be found.
+func TestInstanceGoesBeforeEntryOfItsName(t *testing.T) {
+	c := servingInstance(t, "e1", "n1")
+	c.step(state.PeersFound{
+		Peers: []member.Node{
+			{
+				Name: "n1",
+				Role: member.Instance,
+				Addr: "10.0.0.2:1",
+			},
+		},
+	})
+	require.Equal(t, []string{"n1"}, c.state.Others())
+	require.Equal(t, []string{"e1"}, c.pool())
+}
--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -65,11 +65,11 @@
 	r.RegistryVersion = e.Version
 	r.RegistryConfirmed = now
 	s = s.WithRouting(r)
+	e, actions := c.withoutInstances(s, e)
 	removed := e.Removed
 	if e.Complete {
 		removed = c.missingEndpoints(s, e.Put)
 	}
-	var actions []state.Action
 	nodes := c.knownEndpoints(s)
 	storeLoss := float64(len(removed)) > massRemovalShare*float64(len(nodes))
 	for _, entry := range e.Put {
@@ -111,6 +111,32 @@
 	return s, actions
 }
 
+// withoutInstances returns e without the entries that have the name of an instance. They
+// would take its place, and the instance would get no more heartbeats.
+func (Registry) withoutInstances(s state.State, e state.RegistrySnapshot) (state.RegistrySnapshot, []state.Action) {
+	isInstance := func(entry member.RegistryEntry) bool {
+		return entry.Node.Name == s.Self.Name ||
+			slices.ContainsFunc(s.Routing.Peers, func(p member.Node) bool { return p.Name == entry.Node.Name })
+	}
+	if !slices.ContainsFunc(e.Put, isInstance) {
+		return e, nil
+	}
+	var actions []state.Action
+	var put []member.RegistryEntry
+	for _, entry := range e.Put {
+		if !isInstance(entry) {
+			put = append(put, entry)
+			continue
+		}
+		actions = append(actions, state.Note{
+			Event: "unread",
+			Pairs: []string{"table", "registry", "key", entry.Node.Name, "source", e.Source, "reason", "it has the name of an instance"},
+		})
+	}
+	e.Put = put
+	return e, actions
+}
+
 // endpointNote returns the log line for a change of an endpoint's state.
 func endpointNote(name, status string, e state.RegistrySnapshot) state.Note {
 	return state.Note{
@@ -220,7 +246,8 @@
 	if same {
 		return s
 	}
-	nodes := slices.AppendSeq(slices.Clone(s.Routing.Peers), maps.Values(endpoints))
+	// Of nodes with one name the last counts: an instance goes before an endpoint.
+	nodes := append(slices.Collect(maps.Values(endpoints)), s.Routing.Peers...)
 	s = s.WithMembers(s.Members.WithRegistry(nodes))
 	s.Routing.Weights = s.Routing.Weights.WithOnly(func(engine string) bool {
 		_, ok := endpoints[engine]
