ctrl: rows that never named an endpoint are no loss of the store

An odd row counts as a removed entry. When more than half as many rows as there are endpoints were odd in one read, the store was taken to have lost entries, and an endpoint whose entry was removed in the same read kept getting work for 2.5 s. Only known endpoints count now.

Evidence: TestOddRowsAreNoLossOfTheStore fails before: the pool is [e1 e2] instead of [e2].

--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -370,3 +370,14 @@
 	require.Equal(t, []string{"n1"}, c.state.Others())
 	require.Equal(t, []string{"e1"}, c.pool())
 }
+
+// Many rows that never named an endpoint must not count as entries lost by the store:
+// an endpoint that departs beside them departs at once.
+func TestOddRowsAreNoLossOfTheStore(t *testing.T) {
+	c := servingInstance(t, "e1", "e2")
+	c.step(state.RegistrySnapshot{
+		Removed: []string{"x1", "x2", "x3", "e1"},
+		Version: 11,
+	})
+	require.Equal(t, []string{"e2"}, c.pool())
+}
--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -71,14 +71,15 @@
 		removed = c.missingEndpoints(s, e.Put)
 	}
 	nodes := c.knownEndpoints(s)
-	storeLoss := float64(len(removed)) > massRemovalShare*float64(len(nodes))
+	vanished := slices.DeleteFunc(slices.Clone(removed), func(name string) bool {
+		_, known := nodes[name]
+		return !known
+	})
+	storeLoss := float64(len(vanished)) > massRemovalShare*float64(len(nodes))
 	for _, entry := range e.Put {
 		nodes[entry.Node.Name] = entry.Node
 	}
-	for _, name := range removed {
-		if _, ok := nodes[name]; !ok {
-			continue
-		}
+	for _, name := range vanished {
 		if r.StoreReachable && now.Sub(r.StoreSince) >= reregisterTimeout && !storeLoss {
 			delete(nodes, name)
 			s = c.markDeparted(s, name, now)
