ctrl, watch: a panic costs one step, not the process

A panic in a controller, in an action or while rows are handled ended the process. Where the cause lies in the store, the process that starts again reads the same row and ends again.

States are immutable, so that the one before a step is intact: a controller that panics now keeps it for this event, and the others go on. An action that panics has no result and is no longer in flight. A table is read again in full, and the failure is reported as one of the store.

This is the second line: no row, answer or message is known that panics here after the entries of peers are validated.

--- a/internal/ctrl/loop.go
+++ b/internal/ctrl/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,6 +91,7 @@
 	for _, o := range opts {
 		o(l)
 	}
+	l.controllers = guardAll(l.controllers)
 	l.view.Store(&s)
 	return l
 }
@@ -207,7 +209,7 @@
 	l.workers.Go(func() {
 		limited, cancel := context.WithTimeout(ctx, actionTimeout)
 		defer cancel()
-		if e := l.executor.Execute(limited, a); e != nil {
+		if e := l.execute(limited, a); e != nil {
 			select {
 			case l.events <- e:
 			case <-ctx.Done():
@@ -218,3 +220,18 @@
 		}
 	})
 }
+
+// execute executes a. A panic costs the result of the action, rather than the process.
+func (l *Loop) execute(ctx context.Context, a state.Action) (e state.Event) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		e = nil
+		if _, isNote := a.(state.Note); !isNote {
+			l.execute(ctx, panicNote(reflect.TypeOf(a).String(), p))
+		}
+	}()
+	return l.executor.Execute(ctx, a)
+}
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -96,7 +96,7 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		begin := time.Now()
-		err := t.read(ctx)
+		err := t.guardedRead(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -122,6 +122,18 @@
 	return d - d/jitterDivisor + rand.N(2*d/jitterDivisor+1)
 }
 
+// guardedRead is like read, but returns an error if the source or the sink panics. The
+// whole table is read next, since the rows of this read may be lost.
+func (t *Table) guardedRead(ctx context.Context) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			t.synced = false
+			err = errors.Errorf("reading table %q failed unexpectedly: %v: report this", t.name, p)
+		}
+	}()
+	return t.read(ctx)
+}
+
 // read does one read and passes on what is new.
 func (t *Table) read(ctx context.Context) error {
 	if !t.synced {
--- a/internal/watch/table_test.go
+++ b/internal/watch/table_test.go
@@ -62,9 +62,15 @@
 type recordingSink struct {
 	batches []store.Batch
 	errs    []error
+	// panics is how many calls of HandleBatch panic, the first ones.
+	panics int
 }
 
 func (s *recordingSink) HandleBatch(_ context.Context, b store.Batch) {
+	if s.panics > 0 {
+		s.panics--
+		panic("odd row")
+	}
 	s.batches = append(s.batches, b)
 }
 
@@ -88,7 +94,12 @@
 // follow runs a table on s for d and returns what its sink received.
 func follow(t *testing.T, s *fakeStore, d time.Duration) *recordingSink {
 	t.Helper()
-	got := &recordingSink{}
+	return followWith(t, s, &recordingSink{}, d)
+}
+
+// followWith is like follow with the sink got.
+func followWith(t *testing.T, s *fakeStore, got *recordingSink, d time.Duration) *recordingSink {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), d)
 		defer cancel()
@@ -214,3 +225,24 @@
 	got := follow(t, s, 2*time.Second)
 	require.Equal(t, []store.Batch{rows(3, true, "a"), odd}, got.batches)
 }
+
+// A panic while rows are handled must neither end the process nor lose the rows: they are
+// read again.
+func TestTableIsReadAgainAfterPanic(t *testing.T) {
+	s := &fakeStore{
+		responses: []response{
+			{
+				batch: rows(3, true, "a"),
+			},
+			{
+				batch: rows(9, true, "c"),
+			},
+		},
+	}
+	got := followWith(t, s, &recordingSink{
+		panics: 1,
+	}, 2*time.Second)
+	require.Equal(t, []string{"rows", "rows", "changes"}, s.calls[:3])
+	require.ErrorContains(t, got.errs[0], "odd row")
+	require.Equal(t, []store.Batch{rows(9, true, "c")}, got.batches)
+}
