lease: an odd row neither blocks the lease nor lowers its token

The row of the lease can be replaced by another writer. A token of 2^63-1 overflowed, an idle time that overflows kept the lease from being taken for centuries, and a clock below 0 made the row seem unchanged for long.

A row that can't be read, or that is gone after one was seen, is now waited for like that of an unknown holder. Tokens go on after the greatest one seen, and times out of range count as unknown.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -55,6 +55,9 @@
 	nextCall time.Time
 	// token is the fencing token with which this instance held the lease last.
 	token int64
+	// maxSeen is the greatest fencing token that was seen in a row. Tokens do not go
+	// back when a row is lost or replaced by one that can't be read.
+	maxSeen int64
 	// inFlightUntil is the time until which an order of this instance may be in
 	// flight; zero if it sent none.
 	inFlightUntil time.Time
@@ -136,9 +139,9 @@
 	case holder == l.self && now.Before(l.heldUntil):
 		op.Put = true
 		op.Row.Value = encodeHeld(l.self, token, l.clockBound(now))
-	case l.mayTake(holder, token, now):
+	case l.mayTake(holder, now):
 		op.Put = true
-		op.Row.Value = encodeHeld(l.self, token+1, l.clockBound(now))
+		op.Row.Value = encodeHeld(l.self, max(token, l.maxSeen)+1, l.clockBound(now))
 	}
 	return op, l, true
 }
@@ -152,13 +155,18 @@
 
 // mayTake reports whether this instance may take the lease. If the row still names
 // this instance, no other instance has held the lease since.
-func (l Lease) mayTake(holder string, token int64, now time.Time) bool {
+func (l Lease) mayTake(holder string, now time.Time) bool {
 	switch holder {
 	case l.self:
 		return l.quietPeriod > 0 || now.Sub(l.unchangedSince) >= l.length+Margin
 	case "":
-		takeover, ok := l.takeoverTime()
-		return token == 0 || ok && !now.Before(takeover)
+		if l.row.Version == 0 && l.maxSeen == 0 {
+			return true
+		}
+		if takeover, ok := l.takeoverTime(); ok {
+			return !now.Before(takeover)
+		}
+		// A lost or unreadable row does not show whether the lease is held.
 	}
 	return now.Sub(l.unchangedSince) >= l.length+l.quietPeriod+Margin
 }
@@ -170,7 +178,7 @@
 	if holder != "" || token == 0 || l.unchangedSince.IsZero() || l.releasing {
 		return time.Time{}, false
 	}
-	rest := max(l.quietPeriod-idleTimeOf(l.row.Value), 0)
+	rest := min(max(l.quietPeriod-idleTimeOf(l.row.Value), 0), l.length+l.quietPeriod+Margin)
 	return l.unchangedSince.Add(rest + takeoverDelay*time.Duration(l.rivalsAhead)), true
 }
 
@@ -194,7 +202,7 @@
 	if row.Version == l.row.Version {
 		return l.withUnchangedSince(since)
 	}
-	l.row = row
+	l = l.withRow(row)
 	l.unchangedSince = since
 	l.peerSince = since
 	if holder, _ := decodeHolder(row.Value); holder != l.self {
@@ -243,7 +251,7 @@
 	if l.unchangedSince.IsZero() || row.Version != l.row.Version {
 		l.unchangedSince = now
 	}
-	l.row = row
+	l = l.withRow(row)
 	if holder, _ := decodeHolder(row.Value); holder != l.self {
 		l.heldUntil = time.Time{}
 	}
@@ -253,6 +261,14 @@
 	return l.withTakeoverScheduled()
 }
 
+// withRow returns the lease with row as the last row that was seen.
+func (l Lease) withRow(row store.Row) Lease {
+	_, token := decodeHolder(row.Value)
+	l.row = row
+	l.maxSeen = max(l.maxSeen, token)
+	return l
+}
+
 // WithClock returns the lease with a reading of the table's clock.
 func (l Lease) WithClock(c store.Clock) Lease {
 	if c.Reading > 0 {
@@ -280,7 +296,7 @@
 		l.nextCall = op.Sent
 		return l
 	}
-	l.row = op.Row
+	l = l.withRow(op.Row)
 	l.row.Version = version
 	l.unchangedSince = op.Sent
 	l.nextCall = op.Sent.Add(l.renewInterval)
--- a/pkg/lease/row.go
+++ b/pkg/lease/row.go
@@ -1,11 +1,21 @@
 package lease
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
 )
 
+const (
+	// maxToken is the greatest fencing token that a row may hold, so that the next
+	// ones do not overflow.
+	maxToken = math.MaxInt64 / 2
+	// maxRowTime is the longest time that a row may hold, so that sums of them do not
+	// overflow.
+	maxRowTime = 10 * 365 * 24 * time.Hour
+)
+
 // encodeHeld returns the row of a lease that is held: the fencing token, the holder
 // and an upper bound of the table's clock when the row was sent, in milliseconds. The
 // clock is left out if it is not known.
@@ -30,11 +40,11 @@
 }
 
 // decodeHolder returns the holder and the fencing token of a row. The holder is empty
-// if the lease is free.
+// if the lease is free. The token is 0 if there is no row or it can't be read.
 func decodeHolder(value []byte) (string, int64) {
 	number, rest, _ := strings.Cut(string(value), " ")
 	token, err := strconv.ParseInt(number, 10, 64)
-	if err != nil {
+	if err != nil || token <= 0 || token > maxToken {
 		return "", 0
 	}
 	holder, _, _ := strings.Cut(rest, " ")
@@ -48,10 +58,11 @@
 // clockOf returns an upper bound of the table's clock when the row was sent, or 0 if
 // it is not known.
 func clockOf(value []byte) time.Duration {
+	n := 0
 	if holder, _ := decodeHolder(value); holder == "" {
-		return millisAt(value, 1)
+		n = 1
 	}
-	return millisAt(value, 0)
+	return max(millisAt(value, n), 0)
 }
 
 // millisAt returns the duration in the field at index n after the holder, or 0.
@@ -62,7 +73,7 @@
 		return 0
 	}
 	ms, err := strconv.ParseInt(fields[before+n], 10, 64)
-	if err != nil {
+	if err != nil || ms < -maxRowTime.Milliseconds() || ms > maxRowTime.Milliseconds() {
 		return 0
 	}
 	return time.Duration(ms) * time.Millisecond
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -78,7 +78,7 @@
 // Since returns a lower bound of the time between stamp, an earlier value of the
 // store's clock, and the reading. It returns false if either value is unknown.
 func (c Clock) Since(stamp time.Duration) (time.Duration, bool) {
-	if c.Reading == 0 || stamp == 0 || stamp > c.Reading {
+	if c.Reading <= 0 || stamp <= 0 || stamp > c.Reading {
 		return 0, false
 	}
 	return c.Reading - stamp, true
