--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -87,8 +87,11 @@
 		return nil
 	}
 	// Snapshots of peers are rare: they are read while the store is lost.
-	for _, p := range r.Invalid[:min(len(r.Invalid), maxProblemLines)] {
+	for i, p := range r.Invalid {
 		x.parts.Meter.Unreadable("registry")
+		if i >= maxProblemLines {
+			continue
+		}
 		x.parts.Log.Warn().Str("event", "unread").Str("table", "registry").Str("source", r.Source).Str("key", p.Key).Str("error", reasonOf(p)).Send()
 	}
 	return r
