--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -96,7 +96,7 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		begin := time.Now()
-		err := t.read(ctx)
+		err := t.guardedRead(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -122,6 +122,18 @@
 	return d - d/jitterDivisor + rand.N(2*d/jitterDivisor+1)
 }
 
+// guardedRead is like read, but returns an error if the source or the sink panics. The
+// whole table is read next, since the rows of this read may be lost.
+func (t *Table) guardedRead(ctx context.Context) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			t.synced = false
+			err = errors.Errorf("reading table %q failed unexpectedly: %v: report this", t.name, p)
+		}
+	}()
+	return t.read(ctx)
+}
+
 // read does one read and passes on what is new.
 func (t *Table) read(ctx context.Context) error {
 	if !t.synced {
@@ -130,7 +142,8 @@
 	limited, cancel := context.WithTimeout(ctx, t.longPoll+responseTimeout)
 	defer cancel()
 	b, err := t.source.Changes(limited, t.name, t.version, t.longPoll)
-	if errors.Is(err, store.ErrCompacted) {
+	if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrMalformed) {
+		// Malformed changes would be returned again after the same version.
 		t.synced = false
 		return t.readAll(ctx)
 	}
@@ -165,7 +178,7 @@
 		return false
 	}
 	for _, r := range b.Rows {
-		if r.Version < t.rows[r.Key] {
+		if r.Err == nil && r.Version < t.rows[r.Key] {
 			return false
 		}
 	}
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -18,6 +18,9 @@
 	// ErrLost is returned when the response was lost, so that the write may or may
 	// not have taken effect.
 	ErrLost = errors.ConstError("the table's answer was lost: read the row back to settle it")
+	// ErrMalformed is returned when the table answered with what can't be decoded. It
+	// may do so again when the same changes are read again.
+	ErrMalformed = errors.ConstError("the table's answer can't be decoded: check its address and version")
 )
 
 // Row is a versioned key-value pair of the table.
@@ -28,6 +31,28 @@
 	Value []byte
 	// Version increases with each write. It is greater than 0 for a row that exists.
 	Version int64
+	// Err says why the row can't be read; nil if it can. Value is then not valid, and
+	// Key and Version may be zero.
+	Err error
+}
+
+// Problem is a row that can't be used.
+type Problem struct {
+	// Key and Version identify the version of the row. They are zero if they can't be
+	// read.
+	Key     string
+	Version int64
+	// Err says why the row can't be used.
+	Err error
+}
+
+// Problem returns the problem that r can't be used for the reason err.
+func (r Row) Problem(err error) Problem {
+	return Problem{
+		Key:     r.Key,
+		Version: r.Version,
+		Err:     err,
+	}
 }
 
 // Batch is the result of reading a table in full or its changes since a version.
@@ -53,7 +78,7 @@
 // Since returns a lower bound of the time between stamp, an earlier value of the
 // store's clock, and the reading. It returns false if either value is unknown.
 func (c Clock) Since(stamp time.Duration) (time.Duration, bool) {
-	if c.Reading == 0 || stamp == 0 || stamp > c.Reading {
+	if c.Reading <= 0 || stamp <= 0 || stamp > c.Reading {
 		return 0, false
 	}
 	return c.Reading - stamp, true
