link: a refused id does not return to the connection it was refused on

What callers saw: a 503 or 429 with the promise "not run", or a second run at another endpoint, for a request that an endpoint had run.

Cause: a refusal is matched to its request by the echoed X-Attempt-Id. A connection is kept after a refusal, and a second attempt with the same id may be sent on it: when two names in the registry share an address (the first attempt gets 421, the second one runs), or when a caller sends an id again. A faulty engine that then writes the earlier refusal once more is believed, since the id matches.

Fix: a connection remembers the ids that were refused on it, and Get does not return it for one of them. It is not kept once it would have to forget one (64 refusals), so a refusal with the request's id on its connection can only be this request's. At the connection limit, Dial closes an idle connection to make room for the new one.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -28,6 +29,9 @@
 	// before it, in bytes. It is twice the longest request head, because an
 	// endpoint may echo the request's headers.
 	maxHeadBytes = 32 << 10
+	// maxRefusals is how many refused requests a connection remembers. It is
+	// not kept after one more, so that none of them is forgotten.
+	maxRefusals = 64
 	// maxErrorBytes limits how much of a malformed response an error message
 	// quotes, in bytes.
 	maxErrorBytes = 200
@@ -47,7 +51,8 @@
 	// Body is the complete body.
 	Body []byte
 	// EchoHeader names a header that the response must repeat with the request's
-	// value. It is empty if responses aren't checked.
+	// value. If the request has none, the response must have none either. It is
+	// empty if responses aren't checked.
 	EchoHeader string
 }
 
@@ -72,6 +77,10 @@
 	peerIdleTimeout time.Duration
 	// reused is true if the connection has served a request before.
 	reused bool
+	// echo is the current request's value of its EchoHeader, and refused holds
+	// those of the requests that were refused. Invariant: at most maxRefusals+1.
+	echo    string
+	refused []string
 }
 
 func newConn(addr string, nc net.Conn) *Conn {
@@ -114,11 +123,24 @@
 // Reused reports whether the connection has served a request before.
 func (c *Conn) Reused() bool { return c.reused }
 
+// Refused records that the endpoint refused the current request. The endpoint
+// may send the refusal once more, which could not be told from a refusal of
+// another attempt with the same echo value, so Get does not return the
+// connection for one.
+func (c *Conn) Refused() { c.refused = append(c.refused, c.echo) }
+
+// mayRepeatRefusal reports whether a response with the given echo value may be
+// the repeated refusal of an earlier request.
+func (c *Conn) mayRepeatRefusal(echo string) bool {
+	return echo != "" && slices.Contains(c.refused, echo)
+}
+
 // Do sends req and returns the response once its head has arrived; the caller
 // reads the body. When ctx ends, pending reads and writes fail at once.
 func (c *Conn) Do(ctx context.Context, req Request) (*http.Response, error) {
 	stop := context.AfterFunc(ctx, c.abort)
 	c.sent = true
+	c.echo = req.Header.Get(req.EchoHeader)
 	c.writeDone = make(chan error, 1)
 	c.writeOK = false
 	if len(req.Body) > bufferSize/2 {
@@ -159,13 +181,12 @@
 // readResponse returns the response to req. It skips responses to earlier
 // requests.
 func (c *Conn) readResponse(req Request) (*http.Response, error) {
-	want := req.Header.Get(req.EchoHeader)
 	for range maxStaleResponses + 1 {
 		resp, err := c.readHead(req.Method)
 		if err != nil {
 			return nil, err
 		}
-		if req.EchoHeader == "" || resp.Header.Get(req.EchoHeader) == want {
+		if req.EchoHeader == "" || resp.Header.Get(req.EchoHeader) == c.echo {
 			return resp, nil
 		}
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || resp.ContentLength > maxStaleBytes {
--- a/internal/link/doc.go
+++ b/internal/link/doc.go
@@ -5,7 +5,7 @@
 // a time and never retries. It closes a connection on which unexpected bytes
 // arrive.
 //
-//	c, err := pool.Get(ctx, "10.2.0.7:8080", 50, true)
+//	c, err := pool.Get(ctx, "10.2.0.7:8080", req.Header.Get(req.EchoHeader), 50, true)
 //	resp, err := c.Do(ctx, req)
 //	pool.Put(c, resp)
 package link
--- a/internal/link/endless_test.go
+++ b/internal/link/endless_test.go
@@ -212,7 +212,7 @@
 	addr := serve(t, func(_ int, c net.Conn, _ *bufio.Reader) {
 		sent <- writeUntilClosed(c, "HTTP/1.1 200 ", "x")
 	})
-	c, err := p.Get(t.Context(), addr, 1, true)
+	c, err := p.Get(t.Context(), addr, "", 1, true)
 	require.NoError(t, err)
 	begin := time.Now()
 	_, err = c.Do(t.Context(), link.Request{
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -53,7 +53,7 @@
 }
 
 func sendRequest(ctx context.Context, p *link.Pool, addr string) (string, error) {
-	c, err := p.Get(ctx, addr, 2, true)
+	c, err := p.Get(ctx, addr, "", 2, true)
 	if err != nil {
 		return "", err
 	}
@@ -179,11 +179,11 @@
 	addr := serve(t, func(int, net.Conn, *bufio.Reader) { <-hold })
 	var conns []*link.Conn
 	for range 2 {
-		c, err := p.Get(t.Context(), addr, 2, true)
+		c, err := p.Get(t.Context(), addr, "", 2, true)
 		require.NoError(t, err)
 		conns = append(conns, c)
 	}
-	_, err := p.Get(t.Context(), addr, 2, true)
+	_, err := p.Get(t.Context(), addr, "", 2, true)
 	require.ErrorIs(t, err, link.ErrFull)
 	close(hold)
 	for _, c := range conns {
@@ -200,7 +200,7 @@
 		}
 		time.Sleep(30 * time.Millisecond)
 	})
-	c, err := p.Get(t.Context(), addr, 1, true)
+	c, err := p.Get(t.Context(), addr, "", 1, true)
 	require.NoError(t, err)
 	resp, err := c.Do(t.Context(), link.Request{
 		Method: http.MethodPost,
@@ -218,7 +218,7 @@
 	require.Equal(t, "no", string(data))
 	p.Put(c, resp)
 	require.EqualValues(t, 1, p.Dialed())
-	next, err := p.Get(t.Context(), addr, 1, true)
+	next, err := p.Get(t.Context(), addr, "", 1, true)
 	require.NoError(t, err)
 	require.EqualValues(t, 2, p.Dialed(), "the connection must not be reused")
 	p.Drop(next)
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -68,17 +69,30 @@
 }
 
 // Get returns a connection to addr, of which at most limit may be open; 0 means
-// no limit. Unless allowLongIdle is set, connections that were idle for more
+// no limit. It is not one on which a request with the given echo value was
+// refused. Unless allowLongIdle is set, connections that were idle for more
 // than half of their idle timeout are not used, because the endpoint may be
 // closing them at this moment.
-func (p *Pool) Get(ctx context.Context, addr string, limit int, allowLongIdle bool) (*Conn, error) {
-	if c := p.takeIdle(addr, allowLongIdle); c != nil {
+func (p *Pool) Get(ctx context.Context, addr, echo string, limit int, allowLongIdle bool) (*Conn, error) {
+	if c := p.takeIdle(addr, echo, allowLongIdle); c != nil {
 		return c, nil
 	}
+	return p.Dial(ctx, addr, limit)
+}
+
+// Dial returns a new connection to addr. If the limit is reached, an idle
+// connection is closed for it.
+func (p *Pool) Dial(ctx context.Context, addr string, limit int) (*Conn, error) {
 	p.mu.Lock()
 	if limit > 0 && p.open[addr] >= limit {
-		p.mu.Unlock()
-		return nil, ErrFull
+		list := p.idle[addr]
+		if len(list) == 0 {
+			p.mu.Unlock()
+			return nil, ErrFull
+		}
+		list[0].Close()
+		p.open[addr]--
+		p.idle[addr] = list[1:]
 	}
 	p.open[addr]++
 	p.dialed++
@@ -91,17 +105,22 @@
 	return newConn(addr, nc), nil
 }
 
-// takeIdle returns an idle connection that can be reused, or nil.
-func (p *Pool) takeIdle(addr string, allowLongIdle bool) *Conn {
+// takeIdle returns an idle connection that can be reused for a request with the
+// given echo value, or nil.
+func (p *Pool) takeIdle(addr, echo string, allowLongIdle bool) *Conn {
 	for {
 		p.mu.Lock()
 		list := p.idle[addr]
-		if len(list) == 0 {
+		at := len(list) - 1
+		for at >= 0 && list[at].mayRepeatRefusal(echo) {
+			at--
+		}
+		if at < 0 {
 			p.mu.Unlock()
 			return nil
 		}
-		c := list[len(list)-1]
-		p.idle[addr] = list[:len(list)-1]
+		c := list[at]
+		p.idle[addr] = slices.Delete(list, at, at+1)
 		p.mu.Unlock()
 		idle := time.Since(c.idleSince)
 		if idle < c.idleTimeout() && (allowLongIdle || idle < c.idleTimeout()/2) && c.reusable() {
@@ -124,7 +143,7 @@
 func (p *Pool) Put(c *Conn, resp *http.Response) {
 	b, ok := resp.Body.(*responseBody)
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if !ok || !b.complete || resp.Close || !framed || !c.reusable() {
+	if !ok || !b.complete || resp.Close || !framed || len(c.refused) > maxRefusals || !c.reusable() {
 		p.Drop(c)
 		return
 	}
