stream: a stream that ends inside an event is broken off

Cause: at the end of a body the reply forwarded whatever bytes were left after the last event and reported the end. The end of a body without a length or chunks is the end of its connection, so an engine that stops in the middle of an event produced exactly this; a chunked body that ends there did too.

A stream without framing that is closed between two events still passes as complete: nothing on the wire tells it from a whole one.

--- a/pkg/stream/event.go
+++ b/pkg/stream/event.go
@@ -12,8 +12,12 @@
 // with new ids. Typical events carry a few tokens in some hundred bytes.
 const MaxEventBytes = 64 << 10
 
-// ErrNoEvent means that a stream sent more than MaxEventBytes without a new event.
-const ErrNoEvent = errors.ConstError("64 KB came without a new event: check the endpoint")
+const (
+	// ErrNoEvent means that a stream sent more than MaxEventBytes without a new event.
+	ErrNoEvent = errors.ConstError("64 KB came without a new event: check the endpoint")
+	// ErrCut means that a stream ended inside an event.
+	ErrCut = errors.ConstError("the stream ended inside an event: check the endpoint")
+)
 
 // Events splits a byte stream of server-sent events into complete events. Event ids must
 // increase. Bytes without a new id, such as a comment, are buffered until an event with
@@ -59,6 +63,15 @@
 // Rest returns the bytes after the last event with a new id.
 func (e *Events) Rest() []byte { return e.buffer }
 
+// End returns the rest of a stream whose body has ended, or ErrCut if the end is inside
+// an event. Whether further events are missing can't be told from the events.
+func (e *Events) End() ([]byte, error) {
+	if len(bytes.Trim(e.buffer[e.scanned:], "\r\n")) > 0 {
+		return nil, ErrCut
+	}
+	return e.buffer, nil
+}
+
 // eventLength returns the length of the first complete event in data, or 0 if there is
 // none.
 func eventLength(data []byte) int {
--- a/pkg/stream/event_test.go
+++ b/pkg/stream/event_test.go
@@ -70,3 +70,32 @@
 		require.ErrorIs(t, err, stream.ErrNoEvent)
 	}
 }
+
+func TestEndInsideAnEventIsCut(t *testing.T) {
+	text := ""
+	ends := map[int]bool{
+		0: true,
+	}
+	for _, whole := range []string{"id: 1\ndata: a\n\n", ": none\n\n", "id: 2\r\ndata: b\r\n\r\n", "data: end\n\n", "\n"} {
+		text += whole
+		ends[len(text)] = true
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, len(text)).Draw(t, "n")
+		split := rapid.IntRange(0, n).Draw(t, "split")
+		var e stream.Events
+		var got string
+		for _, part := range []string{text[:split], text[split:n]} {
+			whole, _, err := e.Push([]byte(part))
+			require.NoError(t, err)
+			got += string(whole)
+		}
+		rest, err := e.End()
+		if !ends[n] {
+			require.ErrorIs(t, err, stream.ErrCut, "%q", text[:n])
+			return
+		}
+		require.NoError(t, err, "%q", text[:n])
+		require.Equal(t, text[:n], got+string(rest))
+	})
+}
