stream: bytes that are no events are not forwarded as part of a stream

Cause: a stream was split at empty lines, and everything up to an event with a new id, or to the end of the body, was forwarded without a look at its lines. A second response on a connection whose stream has no framing is part of the body for HTTP, and the error text of an engine that answers a resumption with status 200 is as well.

Fix: each line must be a comment, one of the four fields of an event or an extension field, which has the name of a header in lowercase and needs an event with an id; an event has one id at most. Anything else fails the attempt, so the stream is resumed after its last event or the caller's connection is aborted.

--- a/pkg/stream/event.go
+++ b/pkg/stream/event.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"strconv"
-	"strings"
 
 	"github.com/juju/errors"
 )
@@ -15,12 +14,15 @@
 const (
 	// ErrNoEvent means that a stream sent more than MaxEventBytes without a new event.
 	ErrNoEvent = errors.ConstError("64 KB came without a new event: check the endpoint")
+	// ErrMalformed means that a stream contained bytes that are no event.
+	ErrMalformed = errors.ConstError("the stream holds bytes that are no event: check the endpoint")
 	// ErrCut means that a stream ended inside an event.
 	ErrCut = errors.ConstError("the stream ended inside an event: check the endpoint")
 )
 
 // Events splits a byte stream of server-sent events into complete events. Event ids must
-// increase. Bytes without a new id, such as a comment, are buffered until an event with
+// increase. Lines must be comments or fields of events; extension fields must have the
+// name of a header in lowercase. Bytes without a new id, such as a comment, are buffered until an event with
 // a new id follows them. The zero value is ready to use.
 type Events struct {
 	// buffer holds the bytes that were not returned yet. Invariant: at most
@@ -43,23 +45,32 @@
 		if n == 0 {
 			break
 		}
-		newID := eventID(e.buffer[e.scanned : e.scanned+n])
+		newID, wellFormed := eventID(e.buffer[e.scanned : e.scanned+n])
+		if !wellFormed {
+			return e.take(end), id, ErrMalformed
+		}
 		e.scanned += n
 		if isNewer(newID, e.lastID) {
 			end, id, e.lastID = e.scanned, newID, newID
 		}
 	}
-	complete := e.buffer[:end]
-	if end > 0 {
-		e.buffer = append([]byte(nil), e.buffer[end:]...)
-		e.scanned -= end
-	}
+	complete := e.take(end)
 	if len(e.buffer) > MaxEventBytes {
 		return complete, id, ErrNoEvent
 	}
 	return complete, id, nil
 }
 
+// take removes the first n bytes, which were scanned, from the buffer and returns them.
+func (e *Events) take(n int) []byte {
+	taken := e.buffer[:n]
+	if n > 0 {
+		e.buffer = append([]byte(nil), e.buffer[n:]...)
+		e.scanned -= n
+	}
+	return taken
+}
+
 // Rest returns the bytes after the last event with a new id.
 func (e *Events) Rest() []byte { return e.buffer }
 
@@ -101,17 +112,37 @@
 	return id != "" && id != lastID
 }
 
-// eventID returns the value of the last id field of an event, or an empty string.
-func eventID(event []byte) string {
-	at := bytes.LastIndex(event, []byte("\nid:"))
-	switch {
-	case at >= 0:
-		at += len("\nid:")
-	case bytes.HasPrefix(event, []byte("id:")):
-		at = len("id:")
-	default:
-		return ""
+// eventID returns the id of an event, or an empty string if it has none, and whether the
+// event is well-formed. Only an event with an id may have extension fields.
+func eventID(event []byte) (string, bool) {
+	id, ids, extended := "", 0, false
+	for len(event) > 0 {
+		var line []byte
+		line, event, _ = bytes.Cut(event, []byte("\n"))
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		name, value, hasColon := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "id":
+			id = string(bytes.TrimSpace(value))
+			ids++
+		case "", "data", "event", "retry":
+		default:
+			extended = true
+			if !hasColon || !isExtension(name) {
+				return "", false
+			}
+		}
+	}
+	return id, ids <= 1 && (id != "" || !extended)
+}
+
+// isExtension reports whether name is that of an extension field, which is the name of a
+// header in lowercase. A response head inside a stream has names with capitals.
+func isExtension(name []byte) bool {
+	for _, c := range name {
+		if c != '-' && (c < 'a' || c > 'z') && (c < '0' || c > '9') {
+			return false
+		}
 	}
-	line, _, _ := strings.Cut(string(event[at:]), "\n")
-	return strings.TrimSpace(line)
+	return bytes.ContainsRune(name, '-')
 }
--- a/pkg/stream/event_test.go
+++ b/pkg/stream/event_test.go
@@ -99,3 +99,33 @@
 		require.Equal(t, text[:n], got+string(rest))
 	})
 }
+
+func TestBytesThatAreNoEventAreMalformed(t *testing.T) {
+	for text, wellFormed := range map[string]bool{
+		"id: 2\ndata: b\nevent: x\nretry: 5\n\n":               true,
+		"x-weight-versions: 2\nid: 2\ndata: b\n\n":             true,
+		"id:2\r\ndata\r\n:none\r\n\r\n":                        true,
+		"data: HTTP/1.1 500 No\n\n":                            true,
+		"\n\n":                                                 true,
+		"no such stream\n\n":                                   false,
+		"error\n\n":                                            false,
+		"error: none\n\n":                                      false,
+		"x-weight-versions: 2\n\n":                             false,
+		"{\"error\":\"full\"}\n\n":                             false,
+		"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n":         false,
+		"id: 2\ndata: tHTTP/1.1 500 No\nContent-Length: 0\n\n": false,
+		"id: 2\ndaid: 3\ndata: c\n\n":                          false,
+		"id: 2\nid: 3\ndata: c\n\n":                            false,
+	} {
+		var e stream.Events
+		got, id, err := e.Push([]byte("id: 1\ndata: a\n\n" + text + "id: 9\n\n"))
+		if wellFormed {
+			require.NoError(t, err, "%q", text)
+			require.Equal(t, "9", id)
+			continue
+		}
+		require.ErrorIs(t, err, stream.ErrMalformed, "%q", text)
+		require.Equal(t, "id: 1\ndata: a\n\n", string(got))
+		require.Equal(t, "1", id)
+	}
+}
