stream: only events that follow the last one resume a stream

Cause: the events of each attempt were checked on their own. The first id of a resumed run was not compared with the last one that the caller has, so an engine that ignores Last-Event-Id started over, and events without an id were forwarded although nothing showed that they belong after that id. Within a run, an event that came again was buffered and then forwarded with the next new one.

Fix: stream.After seeds the events of an attempt with the last id. A known id, an event without an id before the first new one and, if all ids so far were consecutive numbers, an id that skips one fail the attempt. Engines whose ids skip numbers are resumed as before. A caller that itself resumes at an id is protected in the same way.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -30,6 +30,9 @@
 	// LastEventID is the id of the last event received of a relayed stream; the stream
 	// resumes after it.
 	LastEventID string
+	// ConsecutiveIDs is whether the ids of the events up to LastEventID are consecutive
+	// numbers, so that the next one must be the number after it.
+	ConsecutiveIDs bool
 	// WeightsVersion is the version of weights that the endpoint must have loaded; 0 for
 	// any.
 	WeightsVersion int64
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -34,6 +34,8 @@
 	lastReceived time.Time
 	// lastEvent is the id of the last event that the caller received.
 	lastEvent string
+	// skipsIDs is whether the ids of the events are not consecutive numbers.
+	skipsIDs bool
 	// notRun counts the attempts that certainly did not execute the request.
 	notRun int
 }
@@ -87,6 +89,7 @@
 		CacheSalt:      c.salt,
 		Priority:       x.request.CombinedPriority(),
 		LastEventID:    x.lastEvent,
+		ConsecutiveIDs: x.headWritten && !x.skipsIDs,
 		WeightsVersion: c.weights,
 		KVSource:       c.source,
 		KVTarget:       c.target,
@@ -132,6 +135,7 @@
 		}
 		if c.Event != "" {
 			x.lastEvent = c.Event
+			x.skipsIDs = x.skipsIDs || c.SkipsIDs
 		}
 		if err := x.writer.Write(c); err != nil {
 			return callerDisconnectedError(err)
--- a/pkg/chain/request.go
+++ b/pkg/chain/request.go
@@ -232,6 +232,9 @@
 	Next Resume
 	// Event is the id of the last event in Data in a relayed stream.
 	Event string
+	// SkipsIDs is whether the ids of a relayed stream's events, from the start of the
+	// attempt to this chunk, are not consecutive numbers.
+	SkipsIDs bool
 }
 
 // Result describes how a request was handled.
--- a/pkg/stream/event.go
+++ b/pkg/stream/event.go
@@ -16,6 +16,8 @@
 	ErrNoEvent = errors.ConstError("64 KB came without a new event: check the endpoint")
 	// ErrMalformed means that a stream contained bytes that are no event.
 	ErrMalformed = errors.ConstError("the stream holds bytes that are no event: check the endpoint")
+	// ErrOrder means that an event came again, is missing or can't be placed.
+	ErrOrder = errors.ConstError("an event came again, is missing or has no id: check the endpoint")
 	// ErrCut means that a stream ended inside an event.
 	ErrCut = errors.ConstError("the stream ended inside an event: check the endpoint")
 )
@@ -33,8 +35,31 @@
 	scanned int
 	// lastID is the newest id.
 	lastID string
+	// resumed is whether the next event with a new id is the first one of a resumed
+	// stream, and consecutive whether that id must be the number after lastID.
+	resumed     bool
+	consecutive bool
+	// repeated is whether buffer holds an event with an id that is not new.
+	repeated bool
+	// skips is whether the ids are not consecutive numbers.
+	skips bool
 }
 
+// After returns the Events of a stream that resumes after the event with the given id.
+// Bytes of another run must not be joined to the stream, so an id that is not new is an
+// error, and so is an event without an id before the first new one. With consecutive, the
+// ids before were consecutive numbers, and an id that skips numbers is an error as well.
+func After(id string, consecutive bool) Events {
+	return Events{
+		lastID:      id,
+		resumed:     id != "",
+		consecutive: consecutive,
+	}
+}
+
+// Skips reports whether the ids so far are not consecutive numbers.
+func (e *Events) Skips() bool { return e.skips }
+
 // Push appends data and returns all complete events up to the last one with a new id,
 // unchanged, and that id. The returned bytes are valid until the next call.
 func (e *Events) Push(data []byte) ([]byte, string, error) {
@@ -45,13 +70,17 @@
 		if n == 0 {
 			break
 		}
-		newID, wellFormed := eventID(e.buffer[e.scanned : e.scanned+n])
+		ev, wellFormed := parse(e.buffer[e.scanned : e.scanned+n])
 		if !wellFormed {
 			return e.take(end), id, ErrMalformed
 		}
+		isNew := isNewer(ev.id, e.lastID)
+		if !e.place(ev, isNew) {
+			return e.take(end), id, ErrOrder
+		}
 		e.scanned += n
-		if isNewer(newID, e.lastID) {
-			end, id, e.lastID = e.scanned, newID, newID
+		if isNew {
+			end, id, e.lastID = e.scanned, ev.id, ev.id
 		}
 	}
 	complete := e.take(end)
@@ -61,6 +90,26 @@
 	return complete, id, nil
 }
 
+// place records the next event. It returns false if the event can't follow those before.
+func (e *Events) place(ev event, isNew bool) bool {
+	switch {
+	case isNew:
+		last, _ := strconv.ParseInt(e.lastID, 10, 64)
+		n, err := strconv.ParseInt(ev.id, 10, 64)
+		skips := err != nil || n != last+1
+		if e.repeated || e.resumed && e.consecutive && skips {
+			return false
+		}
+		e.skips = e.skips || skips
+		e.resumed = false
+	case ev.id != "":
+		e.repeated = true
+	case e.resumed:
+		return !ev.content
+	}
+	return true
+}
+
 // take removes the first n bytes, which were scanned, from the buffer and returns them.
 func (e *Events) take(n int) []byte {
 	taken := e.buffer[:n]
@@ -80,6 +129,9 @@
 	if len(bytes.Trim(e.buffer[e.scanned:], "\r\n")) > 0 {
 		return nil, ErrCut
 	}
+	if e.repeated {
+		return nil, ErrOrder
+	}
 	return e.buffer, nil
 }
 
@@ -112,28 +164,41 @@
 	return id != "" && id != lastID
 }
 
-// eventID returns the id of an event, or an empty string if it has none, and whether the
-// event is well-formed. Only an event with an id may have extension fields.
-func eventID(event []byte) (string, bool) {
-	id, ids, extended := "", 0, false
-	for len(event) > 0 {
+// event is an event of a stream.
+type event struct {
+	// id is empty if the event has none.
+	id string
+	// content is whether the event is not just a comment.
+	content bool
+}
+
+// parse returns an event and whether it is well-formed. Only an event with an id may have
+// extension fields.
+func parse(text []byte) (event, bool) {
+	var ev event
+	ids, extended := 0, false
+	for len(text) > 0 {
 		var line []byte
-		line, event, _ = bytes.Cut(event, []byte("\n"))
+		line, text, _ = bytes.Cut(text, []byte("\n"))
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		name, value, hasColon := bytes.Cut(line, []byte(":"))
 		switch string(name) {
+		case "":
+			// A comment or the end of the event.
+			continue
 		case "id":
-			id = string(bytes.TrimSpace(value))
+			ev.id = string(bytes.TrimSpace(value))
 			ids++
-		case "", "data", "event", "retry":
+		case "data", "event", "retry":
 		default:
 			extended = true
 			if !hasColon || !isExtension(name) {
-				return "", false
+				return event{}, false
 			}
 		}
+		ev.content = true
 	}
-	return id, ids <= 1 && (id != "" || !extended)
+	return ev, ids <= 1 && (ev.id != "" || !extended)
 }
 
 // isExtension reports whether name is that of an extension field, which is the name of a
