platform: a response of another type does not resume a stream

What callers saw: the body of a response that is no event stream as the continuation of their stream (MIXED), if its bytes passed for events.

Cause: any response with status 200 to a request on a stream route was read as events, whatever type it states.

Evidence: TestOnlyFollowingEventsResumeAStream, case "events as HTML", before: the caller got "id: 1\ndata: t1\n\n[...]id: 6\ndata: t6\n\n", error <nil>

Fix: an attempt tells whether the caller has a part of the stream.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -30,6 +30,9 @@
 	// LastEventID is the id of the last event received of a relayed stream; the stream
 	// resumes after it.
 	LastEventID string
+	// Begun is whether the caller has received a part of a relayed stream, so that only
+	// events can follow.
+	Begun bool
 	// ConsecutiveIDs is whether the ids of the events up to LastEventID are consecutive
 	// numbers, so that the next one must be the number after it.
 	ConsecutiveIDs bool
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -89,6 +89,7 @@
 		CacheSalt:      c.salt,
 		Priority:       x.request.CombinedPriority(),
 		LastEventID:    x.lastEvent,
+		Begun:          x.headWritten,
 		ConsecutiveIDs: x.headWritten && !x.skipsIDs,
 		WeightsVersion: c.weights,
 		KVSource:       c.source,
