platform: an unframed stream that is closed before its first event is broken off

Cause: a stream without a length or chunks ends with its connection. When an engine ends right after the head of its response, the connection is closed at this point, and the empty body was taken for the whole stream.

Evidence: TestUnframedStreamWithoutEventsIsBroken, before: expected: "id: 1\ndata: t1\n\n[...]id: 6\ndata: t6\n\n" actual : "" and the cases "nothing unframed" and "comment unframed" of TestOnlyFollowingEventsResumeAStream.

Fix: such a stream needs at least one event. A stream that states its length or ends its chunks may be empty, since the engine has said that it is complete.

--- a/pkg/stream/event.go
+++ b/pkg/stream/event.go
@@ -43,6 +43,8 @@
 	repeated bool
 	// skips is whether the ids are not consecutive numbers.
 	skips bool
+	// begun is whether an event with a new id was returned.
+	begun bool
 }
 
 // After returns the Events of a stream that resumes after the event with the given id.
@@ -57,6 +59,9 @@
 	}
 }
 
+// Begun reports whether an event with a new id was returned.
+func (e *Events) Begun() bool { return e.begun }
+
 // Skips reports whether the ids so far are not consecutive numbers.
 func (e *Events) Skips() bool { return e.skips }
 
@@ -102,6 +107,7 @@
 		}
 		e.skips = e.skips || skips
 		e.resumed = false
+		e.begun = true
 	case ev.id != "":
 		e.repeated = true
 	case e.resumed:
