client: a refusal of another attempt is not believed

What callers saw: "run":"not_run" for a generation that an engine was running.

Cause: the status of a response was looked at before its X-Request-Id. An engine that repeats a refusal of an earlier request on a reused connection was believed to have refused the current one.

Fix: the id is compared first. Of the responses without an id, a refusal still counts as one on a new connection, on which no other response can be due; on a reused one the request may have run. The stand-in engine repeats the id in all its responses to completions, as the client asks for.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -114,7 +114,9 @@
 type exchange struct {
 	// sent is set once the request has a connection, because bytes may be sent
 	// from then on.
-	sent     *atomic.Bool
+	sent *atomic.Bool
+	// reused is set if that connection has served another request before.
+	reused   *atomic.Bool
 	cancel   context.CancelFunc
 	watchdog *time.Timer
 	// timedOut is set when the watchdog cancelled the request.
@@ -127,6 +129,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	x := exchange{
 		sent:     &atomic.Bool{},
+		reused:   &atomic.Bool{},
 		cancel:   cancel,
 		timedOut: &atomic.Bool{},
 	}
@@ -135,7 +138,10 @@
 		cancel()
 	})
 	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { x.sent.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			x.sent.Store(true)
+			x.reused.Store(info.Reused)
+		},
 	}
 	return httptrace.WithClientTrace(ctx, trace), x
 }
--- a/internal/client/stream.go
+++ b/internal/client/stream.go
@@ -74,13 +74,14 @@
 		x.close(nil)
 		return nil, f
 	}
-	if f, bad := statusFailure(resp, x); bad {
+	got := resp.Header.Get(headerRequestID)
+	if got != a.ID && (got != "" || resp.StatusCode == http.StatusOK) {
 		x.close(resp.Body)
-		return nil, f
+		return nil, wrongAttempt(got, a.ID)
 	}
-	if got := resp.Header.Get(headerRequestID); got != a.ID {
+	if f, bad := statusFailure(resp, x); bad {
 		x.close(resp.Body)
-		return nil, wrongAttempt(got, a.ID)
+		return nil, f
 	}
 	next, stop := iter.Pull2(sse.Read(resp.Body, &sse.ReadConfig{
 		MaxEventSize: maxEventBytes,
@@ -106,9 +107,10 @@
 	switch resp.StatusCode {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		// Engines return these statuses before they execute any part of the
-		// request, so it counts as not sent.
+		// request, so it counts as not sent, unless the response may be a late
+		// one to another request.
 		f.Cause = call.Refused
-		f.MaybeSent = false
+		f.MaybeSent = x.reused.Load() && resp.Header.Get(headerRequestID) == ""
 	case http.StatusNotFound, http.StatusGone:
 		f.Cause = call.UnknownStream
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -232,6 +232,8 @@
 }
 
 func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", id)
 	var c completionRequest
 	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
 		http.Error(w, "malformed call", http.StatusBadRequest)
@@ -244,7 +246,6 @@
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 		return
 	}
-	id := r.Header.Get("X-Request-Id")
 	out := newStream(id, strings.HasSuffix(r.URL.Path, "/chat/completions"))
 	e.mu.Lock()
 	e.streams[id] = out
