client: each order is sent on a connection of its own

What operators saw: nothing yet; found by a test. Draining an engine could have been reported as done although the engine had refused the order.

Cause: orders and cancellations went over pooled connections, and their responses carry no id. A response to an earlier call that the engine sends once more was taken for theirs.

Evidence: TestOrderIgnoresLateResponse, before: An error is expected but got nil.

Fix: calls with an effect open a connection of their own, as resumes do.

--- a/internal/client/poll.go
+++ b/internal/client/poll.go
@@ -122,7 +122,13 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	resp, err := c.pooled.Do(req)
+	client := c.pooled
+	if method != http.MethodGet {
+		// The responses of calls with an effect have no id either, but on a new
+		// connection no other response can be due.
+		client = c.unpooled
+	}
+	resp, err := client.Do(req)
 	if err != nil {
 		return errors.Annotatef(err, "endpoint %s does not answer", n.Name)
 	}
--- a/internal/client/refusal_test.go
+++ b/internal/client/refusal_test.go
@@ -131,3 +131,28 @@
 		})
 	}
 }
+
+// The response to an order must not be that of an earlier call on a reused connection.
+func TestOrderIgnoresLateResponse(t *testing.T) {
+	addr := serveRaw(t, func(nc net.Conn, r *http.Request, n int) {
+		response := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+		switch {
+		case r.Method == http.MethodPost && n > 1:
+			response += "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+		case r.Method == http.MethodPost:
+			response = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+		}
+		_, _ = fmt.Fprint(nc, response)
+	})
+	cl := client.New()
+	defer cl.Close()
+	n := member.Node{
+		Name: "e1",
+		Addr: addr,
+	}
+	_, _, err := cl.Load(t.Context(), n)
+	require.NoError(t, err)
+	require.ErrorContains(t, cl.Order(t.Context(), n, client.Order{
+		Depart: true,
+	}), "409")
+}
