stream: an event without an id shows that an unframed stream has begun

An unframed stream whose events have no ids was taken for one that was closed before its first event. TestUnframedStreamWithoutEventsIsBroken now has it as a case.

--- a/pkg/stream/event.go
+++ b/pkg/stream/event.go
@@ -24,8 +24,8 @@
 
 // Events splits a byte stream of server-sent events into complete events. Event ids must
 // increase. Lines must be comments or fields of events; extension fields must have the
-// name of a header in lowercase. Bytes without a new id, such as a comment, are buffered until an event with
-// a new id follows them. The zero value is ready to use.
+// name of a header in lowercase. Bytes without a new id, such as a comment, are buffered
+// until an event with a new id follows them. The zero value is ready to use.
 type Events struct {
 	// buffer holds the bytes that were not returned yet. Invariant: at most
 	// MaxEventBytes plus the bytes of one Push.
@@ -43,7 +43,7 @@
 	repeated bool
 	// skips is whether the ids are not consecutive numbers.
 	skips bool
-	// begun is whether an event with a new id was returned.
+	// begun is whether an event came. Comments are none.
 	begun bool
 }
 
@@ -59,7 +59,7 @@
 	}
 }
 
-// Begun reports whether an event with a new id was returned.
+// Begun reports whether an event came.
 func (e *Events) Begun() bool { return e.begun }
 
 // Skips reports whether the ids so far are not consecutive numbers.
@@ -97,6 +97,7 @@
 
 // place records the next event. It returns false if the event can't follow those before.
 func (e *Events) place(ev event, isNew bool) bool {
+	e.begun = e.begun || ev.content
 	switch {
 	case isNew:
 		last, _ := strconv.ParseInt(e.lastID, 10, 64)
@@ -107,7 +108,6 @@
 		}
 		e.skips = e.skips || skips
 		e.resumed = false
-		e.begun = true
 	case ev.id != "":
 		e.repeated = true
 	case e.resumed:
