filter: a service call that an attempt may have run is not reported as not run

What callers saw: "run":"not_run" for a call to a plain service that an endpoint may have run, if it may be repeated and its last attempt could not be sent.

Cause: whether a call has run was taken from the last failed attempt alone, and as "not run" where no endpoint was left to choose.

Evidence: TestUnsentLastAttemptDoesNotMeanNotRun, before: expected: 0x0 (unknown) actual : 0x1 (not run) Messages: unavailable: 5 endpoints failed, the last with broken: none

Fix: once an attempt may have been sent, every error of the call leaves open whether it has run.

--- a/internal/filter/service.go
+++ b/internal/filter/service.go
@@ -24,7 +24,7 @@
 	for n := 1; ; n++ {
 		choice, err := f.choose(r, failedEndpoints)
 		if err != nil {
-			return chain.Result{}, err
+			return chain.Result{}, withRunState(err, sentAttempts)
 		}
 		invar.Check(r.Idempotent || sentAttempts == 0, invar.Once, "non-idempotent request %s is sent more than once", r.ID)
 		head, chunks, err := f.readAll(ctx, f.newAttempt(r, choice.Endpoint))
@@ -43,11 +43,20 @@
 		}
 		failedEndpoints = append(failedEndpoints, choice.Endpoint.Node.Name)
 		if err := f.backOff(ctx, n, err); err != nil {
-			return chain.Result{}, err
+			return chain.Result{}, withRunState(err, sentAttempts)
 		}
 	}
 }
 
+// withRunState returns err. It marks whether the request was executed as unknown if an
+// attempt may have been sent.
+func withRunState(err error, sentAttempts int) error {
+	if sentAttempts == 0 {
+		return err
+	}
+	return fault.From(err).WithRun(fault.Unknown)
+}
+
 // readAll reads the complete response to a, so that a truncated one is never
 // forwarded.
 func (f Dispatch) readAll(ctx context.Context, a call.Attempt) (chain.Head, []chain.Chunk, error) {
--- /dev/null
+++ b/internal/filter/service_test.go
@@ -0,0 +1,76 @@
+package filter_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabtally/baobabtally/internal/call"
+	"github.com/baobabtally/baobabtally/internal/filter"
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/chain"
+	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/load"
+	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/policy"
+)
+
+// fixedControl is a control thread whose state does not change.
+type fixedControl struct {
+	state state.State
+}
+
+func (c fixedControl) View() *state.State { return &c.state }
+
+func (fixedControl) Post(state.Event) bool { return true }
+
+// failingEndpoints fail every attempt. Only the first one may have been sent.
+type failingEndpoints struct {
+	attempts int
+}
+
+func (e *failingEndpoints) Open(context.Context, call.Attempt) (call.Reply, error) {
+	e.attempts++
+	return nil, call.Failure{
+		Cause:     call.Broken,
+		MaybeSent: e.attempts == 1,
+		Detail:    "none",
+	}
+}
+
+// A request that an earlier attempt may have run must not be reported as not run because
+// the last attempt was not sent.
+func TestUnsentLastAttemptDoesNotMeanNotRun(t *testing.T) {
+	t.Parallel()
+	for _, endpoints := range []int{1, 5} {
+		var s state.State
+		var nodes []member.Node
+		for n := range endpoints {
+			nodes = append(nodes, member.Node{
+				Name:   fmt.Sprint("s", n),
+				Role:   member.Service,
+				Addr:   fmt.Sprint("s", n, ":1"),
+				Models: []string{"desk"},
+			})
+		}
+		s.Members = s.Members.WithRegistry(nodes)
+		e := &failingEndpoints{}
+		d := filter.NewDispatch(fixedControl{
+			state: s,
+		}, e, &load.Gauge{}, func() string { return "id" })
+		_, err := d.Handle(t.Context(), chain.Request{
+			ID:         "r",
+			Kind:       chain.Service,
+			Model:      "desk",
+			Idempotent: true,
+			Policy: policy.Policy{
+				Name: "p",
+			},
+		}, nil)
+		require.Error(t, err)
+		require.Greater(t, e.attempts, 1, "%v", err)
+		require.Equal(t, fault.Unknown, fault.From(err).Run, "%v", err)
+	}
+}
