--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -64,6 +64,8 @@
 	readErr error
 	// served is true once the handler has the current request.
 	served bool
+	// chunks is true if the caller of the current request understands chunks.
+	chunks bool
 	// logged is true once the current request was logged as cut.
 	logged bool
 	// id identifies the current request, if it is known.
@@ -229,11 +231,24 @@
 	}
 }
 
-// markServed records that the handler has the current request.
-func (c *conn) markServed() {
+// markServed records that the handler has the current request, and whether the
+// caller's version of the protocol has chunks.
+func (c *conn) markServed(chunks bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.served = true
+	c.chunks = chunks
+}
+
+// markIncomplete makes the connection end with a reset if the caller could take the
+// end of the connection for that of the response.
+func (c *conn) markIncomplete() {
+	c.mu.Lock()
+	chunks := c.chunks
+	c.mu.Unlock()
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok && !chunks {
+		_ = l.SetLinger(0)
+	}
 }
 
 // cut logs the current request as cut, once.
--- a/internal/httpd/cut.go
+++ b/internal/httpd/cut.go
@@ -88,7 +88,7 @@
 		s.handler.ServeHTTP(w, r)
 		return
 	}
-	c.markServed()
+	c.markServed(r.ProtoAtLeast(1, 1))
 	out := &responseWriter{
 		ResponseWriter: w,
 		server:         s,
@@ -106,12 +106,14 @@
 	if err, ok := p.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 		cause := context.Cause(ctx)
 		c.cut(abortReason(cause), cause)
+		c.markIncomplete()
 		panic(http.ErrAbortHandler)
 	}
 	s.log.Error().Str("event", "panic").Str("request", c.requestID()).Str("detail", fmt.Sprint(p)).
 		Str("at", site).Bool("begun", w.begun).Send()
 	if w.begun {
 		c.cut(handlerPanicked, nil)
+		c.markIncomplete()
 		panic(http.ErrAbortHandler)
 	}
 	s.meter.Cut(handlerPanicked.String())
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -234,6 +234,7 @@
 		if c.inRequest() {
 			err = errStopped
 			c.cut(graceEnded, err)
+			c.markIncomplete()
 		}
 	}
 	return err
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -30,12 +30,31 @@
 	headWritten bool
 	status      int
 	firstByteAt time.Time
-	// lastEvent is the id of the last event that the caller received.
-	lastEvent string
+	// received is how much of a stream the caller has received.
+	received position
 	// notRun counts the attempts that certainly did not execute the request.
 	notRun int
 }
 
+// position is how much of a stream the caller has received. It is immutable.
+type position struct {
+	// event is the id of the last event; empty if there was none.
+	event string
+	// skipsIDs is whether the ids of the events are not consecutive numbers.
+	skipsIDs bool
+}
+
+// WithChunk returns the position after c.
+func (p position) WithChunk(c chain.Chunk) position {
+	if c.Event == "" {
+		return p
+	}
+	return position{
+		event:    c.Event,
+		skipsIDs: p.skipsIDs || c.SkipsIDs,
+	}
+}
+
 // run makes attempts until one succeeds or no further attempt is allowed.
 func (x *exchange) run(ctx context.Context) error {
 	var next *attempt
@@ -118,9 +137,9 @@
 	}
 }
 
-// open sends a and waits for the head of the response. The caller has received a
-// stream up to lastEvent.
-func (x *exchange) open(a *attempt, lastEvent string) error {
+// open sends a and waits for the head of the response. Received is what the caller
+// has of a stream.
+func (x *exchange) open(a *attempt, received position) error {
 	c := a.choice
 	reply, err := x.endpoints.Open(a.ctx, call.Attempt{
 		ID:             x.request.ID,
@@ -128,7 +147,9 @@
 		Request:        x.request,
 		CacheSalt:      c.salt,
 		Priority:       x.request.CombinedPriority(),
-		LastEventID:    lastEvent,
+		LastEventID:    received.event,
+		Begun:          x.headWritten,
+		ConsecutiveIDs: x.headWritten && !received.skipsIDs,
 		WeightsVersion: c.weights,
 		KVSource:       c.source,
 		KVTarget:       c.target,
@@ -163,7 +184,7 @@
 // forward sends a, unless its response has begun, and forwards the response.
 func (x *exchange) forward(a *attempt, s *silence) error {
 	if a.reply == nil {
-		if err := x.open(a, x.lastEvent); err != nil {
+		if err := x.open(a, x.received); err != nil {
 			return err
 		}
 	}
@@ -197,16 +218,15 @@
 		a.stale.stop()
 		a.counter.EndPrefill()
 		a.lastReceived = x.now()
-		if !s.reset(c.Event, true) {
+		received := x.received.WithChunk(c)
+		if !s.reset(received, true) {
 			// The attempt that replaces this one repeats the event.
 			return errIdleTimeout
 		}
 		if err := x.writeHead(a.reply.Head()); err != nil {
 			return err
 		}
-		if c.Event != "" {
-			x.lastEvent = c.Event
-		}
+		x.received = received
 		if err := x.writer.Write(c); err != nil {
 			return callerDisconnectedError(err)
 		}
@@ -251,7 +271,7 @@
 		if size > maxResponseBytes {
 			return errResponseTooLong
 		}
-		s.reset("", size > maxBufferedBytes)
+		s.reset(x.received, size > maxBufferedBytes)
 		if !c.End && size <= maxBufferedBytes {
 			continue
 		}
@@ -383,16 +403,16 @@
 
 // retryable reports whether another endpoint may serve the request after an
 // attempt that may have executed it.
-func (x *exchange) retryable() bool { return x.retryableAfter(x.headWritten, x.lastEvent) }
+func (x *exchange) retryable() bool { return x.retryableAfter(x.headWritten, x.received) }
 
 // retryableAfter is retryable for a response that has or hasn't begun and of which
-// the caller received the events up to lastEvent.
-func (x *exchange) retryableAfter(begun bool, lastEvent string) bool {
+// the caller has received the given part.
+func (x *exchange) retryableAfter(begun bool, received position) bool {
 	switch x.request.Route.Kind {
 	case site.Idempotent:
 		return !begun
 	case site.Stream:
-		return x.request.Route.Resumable && (!begun || lastEvent != "")
+		return x.request.Route.Resumable && (!begun || received.event != "")
 	default:
 		return false
 	}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -78,7 +78,9 @@
 		forwarder: f,
 		request:   r,
 		writer:    w,
-		lastEvent: r.LastEventID,
+		received: position{
+			event: r.LastEventID,
+		},
 	}
 	if r.Route.Kind == site.NonIdempotent {
 		// The call continues after its caller disconnects: its effect can't be
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -28,10 +28,10 @@
 	mu sync.Mutex
 	// events counts how often data was received.
 	events int
-	// begun is true if the caller has received a part of the response, the last
-	// event of which was lastEvent.
-	begun     bool
-	lastEvent string
+	// begun is true if the caller has received a part of the response, and
+	// received is how much it is of a stream.
+	begun    bool
+	received position
 	// asked is true once the endpoint was asked whether it has the request.
 	asked bool
 	// ended is true once the attempt has ended.
@@ -46,9 +46,9 @@
 type search struct {
 	ctx    context.Context
 	cancel context.CancelFunc
-	// events and lastEvent are those of the silent attempt when the search began.
-	events    int
-	lastEvent string
+	// events and received are those of the silent attempt when the search began.
+	events   int
+	received position
 	// found is the attempt that replaces the silent one; nil if there is none.
 	found *attempt
 	// done is closed when the search has ended.
@@ -58,12 +58,12 @@
 // watchSilence watches a until settle is called.
 func (x *exchange) watchSilence(ctx context.Context, a *attempt) *silence {
 	s := &silence{
-		exchange:  x,
-		attempt:   a,
-		ctx:       ctx,
-		limit:     x.idleTimeout(),
-		begun:     x.headWritten,
-		lastEvent: x.lastEvent,
+		exchange: x,
+		attempt:  a,
+		ctx:      ctx,
+		limit:    x.idleTimeout(),
+		begun:    x.headWritten,
+		received: x.received,
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -71,9 +71,9 @@
 	return s
 }
 
-// reset records that data was received, of which event was the last event, and
-// whether the caller receives it. It returns false if the attempt was replaced.
-func (s *silence) reset(event string, begun bool) bool {
+// reset records that data arrived, with which the caller has the given part, and
+// whether its response has begun. It returns false if the attempt was replaced.
+func (s *silence) reset(received position, begun bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.search != nil {
@@ -84,9 +84,7 @@
 	}
 	s.events++
 	s.begun = begun
-	if event != "" {
-		s.lastEvent = event
-	}
+	s.received = received
 	s.timer.Reset(s.limit)
 	return true
 }
@@ -138,7 +136,7 @@
 		// The timer was stopped or restarted.
 	case held || s.search != nil:
 		s.timer.Reset(s.limit)
-	case !x.retryableAfter(s.begun, s.lastEvent) || !x.attemptsLeft():
+	case !x.retryableAfter(s.begun, s.received) || !x.attemptsLeft():
 		if x.request.EffectiveDeadline().IsZero() {
 			s.attempt.cancel(errIdleTimeout)
 			return nil
@@ -152,11 +150,11 @@
 	default:
 		ctx, cancel := context.WithCancel(s.ctx)
 		s.search = &search{
-			ctx:       ctx,
-			cancel:    cancel,
-			events:    s.events,
-			lastEvent: s.lastEvent,
-			done:      make(chan struct{}),
+			ctx:      ctx,
+			cancel:   cancel,
+			events:   s.events,
+			received: s.received,
+			done:     make(chan struct{}),
 		}
 		return s.search
 	}
@@ -194,7 +192,7 @@
 			break
 		}
 		a := x.newAttempt(q.ctx, c)
-		err = s.openInTime(a, q.lastEvent)
+		err = s.openInTime(a, q.received)
 		if err == nil && s.replace(q, a) {
 			return
 		}
@@ -217,11 +215,11 @@
 	}
 }
 
-// openInTime sends a, which has to begin to continue a stream after lastEvent
-// within the limit.
-func (s *silence) openInTime(a *attempt, lastEvent string) error {
+// openInTime sends a, which has to begin to continue a stream after what the caller
+// has received within the limit.
+func (s *silence) openInTime(a *attempt, received position) error {
 	timer := time.AfterFunc(s.limit, func() { a.cancel(errIdleTimeout) })
-	err := s.exchange.open(a, lastEvent)
+	err := s.exchange.open(a, received)
 	switch {
 	case !timer.Stop() && err == nil:
 		return errIdleTimeout
--- a/internal/relay/timeout_test.go
+++ b/internal/relay/timeout_test.go
@@ -41,7 +41,7 @@
 			defer a.close()
 			s := x.watchSilence(t.Context(), a)
 			<-e.asked
-			require.True(t, s.reset("", false))
+			require.True(t, s.reset(position{}, false))
 			e.answer <- inFlight
 			time.Sleep(s.limit - time.Millisecond)
 			synctest.Wait()
