relay: failed attempts name the parts of their prompts

The line now carries hashes of the parts without the last one, which no other request shares. TestLogNamesPartsOfFailedAttempt failed before: no parts= in the line.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/baobabtally/baobabtally/pkg/fault"
 	"github.com/baobabtally/baobabtally/pkg/invar"
 	"github.com/baobabtally/baobabtally/pkg/load"
+	"github.com/baobabtally/baobabtally/pkg/poison"
 	"github.com/baobabtally/baobabtally/pkg/site"
 )
 
@@ -239,7 +240,8 @@
 	x.meter.Failed(f.Cause.String())
 	x.log.Warn().Str("event", "fail").Str("request", x.request.ID).Str("endpoint", name).
 		Str("cause", f.Cause.String()).Bool("sent", f.MaybeSent).Bool("begun", x.headWritten).Int("attempt", x.attempts).
-		Stringer("quiet", x.now().Sub(x.lastReceived).Round(time.Millisecond)).Str("detail", f.Detail).Send()
+		Stringer("quiet", x.now().Sub(x.lastReceived).Round(time.Millisecond)).Str("detail", f.Detail).
+		Str("parts", poison.Text(poison.Shared(x.request.Service, x.request.Model, x.request.Parts))).Send()
 	if f.WeightsVersion > 0 {
 		x.control.Post(state.WeightsSeen{
 			Engine:  name,
