relay: a part of a prompt that crashes engines is found and refused

Cause: a broken attempt said nothing about what the engine had been working on. Each request with the part was sent like any other, and repeated at a second engine within milliseconds: pairs of crashes have one request id. The traces also show that a part which never got an answer is in all of these crashes and that the parts beside it had been served before or are served elsewhere.

Fix: a crash (the connection broke before the answer began, and the engine's address refuses another one) makes the parts suspects that nobody has served. Instances exchange crashes and clearances in heartbeats, as an optional field; a crash goes to all of them at once. What three crashes of two engines or more have in common, and nobody has served, is refused with 503, which promises that nothing ran. A request that may have crashed its engine is not repeated, and those with a suspect go to one engine until it is cleared or refused. Planned ends, cuts, lost machines, several losses at one moment and broken answers are no evidence; parts that were served are never refused; the evidence is bounded and lapses.

--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -177,6 +177,7 @@
 		r.Peers = s.Routing.Peers
 	}
 	r.DesiredVersions = desiredVersions(s)
+	r.Poison = s.Routing.Poison.Evidence(s.At)
 	r.Weights = s.Routing.PendingWeights
 	r.DepartureVersions = make(map[string]int64, len(drained))
 	for _, name := range drained {
--- a/internal/ctrl/step.go
+++ b/internal/ctrl/step.go
@@ -45,6 +45,7 @@
 		},
 		Sites{},
 		Follow{},
+		Poison{},
 		Leases{},
 		Orders{},
 	}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -223,3 +223,21 @@
 	require.EqualValues(t, 2, p.Dialed(), "the connection must not be reused")
 	p.Drop(next)
 }
+
+// Only an address at which nothing listens refuses connections. An endpoint that
+// breaks them, or does not answer, is not down.
+func TestRefused(t *testing.T) {
+	t.Parallel()
+	p := link.New()
+	defer p.Close()
+	breaks := serve(t, func(_ int, c net.Conn, _ *bufio.Reader) { _ = c.Close() })
+	require.False(t, p.Refused(t.Context(), breaks))
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.False(t, p.Refused(t.Context(), l.Addr().String()), "it listens and does not answer")
+	require.NoError(t, l.Close())
+	require.True(t, p.Refused(t.Context(), l.Addr().String()))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.False(t, p.Refused(ended, l.Addr().String()), "unknown")
+}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -16,6 +16,9 @@
 	// dialTimeout limits opening a connection. It allows for one lost packet,
 	// which is sent again after a second.
 	dialTimeout = 1200 * time.Millisecond
+	// refusalTimeout limits the wait for a host to refuse a connection. A refusal
+	// takes one round trip, also between regions.
+	refusalTimeout = 250 * time.Millisecond
 	// userTimeout is how long sent bytes may stay unacknowledged
 	// (TCP_USER_TIMEOUT), so that connections across a network partition fail.
 	userTimeout = 2 * time.Second
@@ -91,6 +94,18 @@
 	return newConn(addr, nc), nil
 }
 
+// Refused reports whether addr refuses connections.
+func (p *Pool) Refused(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = nc.Close()
+	return false
+}
+
 // takeIdle returns an idle connection that can be reused, or nil.
 func (p *Pool) takeIdle(addr string, allowLongIdle bool) *Conn {
 	for {
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -58,6 +58,7 @@
 			Domain: n.Domain,
 		})
 	}
+	m.Poison = encodePoison(r.Poison)
 	return m
 }
 
@@ -105,6 +106,7 @@
 			Domain: n.GetDomain(),
 		})
 	}
+	r.Poison = decodePoison(m.GetPoison())
 	return r
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -35,6 +35,8 @@
 	lastReceived time.Time
 	// lastEvent is the id of the last event that the caller received.
 	lastEvent string
+	// parts are the parts of the prompt that other requests may share.
+	parts []poison.Part
 	// notRun counts the attempts that certainly did not execute the request.
 	notRun int
 }
@@ -50,6 +52,7 @@
 		x.endpoint = c.endpoint.Node.Name
 		err = x.attempt(ctx, c)
 		if err == nil {
+			x.countServed()
 			return nil
 		}
 		if err := x.handleFailure(ctx, c, err); err != nil {
@@ -241,7 +244,7 @@
 	x.log.Warn().Str("event", "fail").Str("request", x.request.ID).Str("endpoint", name).
 		Str("cause", f.Cause.String()).Bool("sent", f.MaybeSent).Bool("begun", x.headWritten).Int("attempt", x.attempts).
 		Stringer("quiet", x.now().Sub(x.lastReceived).Round(time.Millisecond)).Str("detail", f.Detail).
-		Str("parts", poison.Text(poison.Shared(x.request.Service, x.request.Model, x.request.Parts))).Send()
+		Str("parts", poison.Text(x.parts)).Send()
 	if f.WeightsVersion > 0 {
 		x.control.Post(state.WeightsSeen{
 			Engine:  name,
@@ -257,6 +260,9 @@
 	if !f.MaybeSent {
 		x.notRun++
 	}
+	if x.crashed(ctx, c.endpoint.Node, f) {
+		return fault.New(fault.Lost, "%s ended while the request waited there, which may be the cause: look at the engine's log before you send it again", name).WithRun(fault.Unknown)
+	}
 	if f.MaybeSent && !x.retryable() {
 		return fault.New(fault.Lost, "the answer of %s was lost (%s): look the result up before you send it again", name, f.Detail).WithRun(fault.Unknown)
 	}
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -8,6 +8,7 @@
 	"github.com/baobabtally/baobabtally/internal/logs"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/load"
+	"github.com/baobabtally/baobabtally/pkg/poison"
 )
 
 // executor carries out the actions of the controllers.
@@ -16,6 +17,8 @@
 	loop  *ctrl.Loop
 	gauge *load.Gauge
 	tally *filter.Tally
+	// served remembers the parts of prompts that endpoints have served.
+	served *poison.Served
 }
 
 // Execute carries out a and returns the resulting event, or nil if there is none.
@@ -35,6 +38,8 @@
 		return x.pollLoad(ctx, a)
 	case state.PollCacheEvents:
 		return x.pollCacheEvents(ctx, a)
+	case state.CheckServed:
+		return x.checkServed(a)
 	case state.SendOrder:
 		return x.sendOrder(ctx, a)
 	case state.Announce:
@@ -57,6 +62,17 @@
 	}
 }
 
+func (x *executor) checkServed(a state.CheckServed) state.Event {
+	served := x.served.Of(a.Parts)
+	if len(served) == 0 {
+		return nil
+	}
+	return state.PartsServed{
+		Parts:    served,
+		LookedUp: true,
+	}
+}
+
 func (x *executor) sendHeartbeat(ctx context.Context, a state.SendHeartbeat) state.Event {
 	sent := x.parts.Now()
 	p, err := x.parts.Peers.SendHeartbeat(ctx, a.To, a.Heartbeat)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -11,6 +11,7 @@
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
 	"github.com/baobabtally/baobabtally/pkg/load"
+	"github.com/baobabtally/baobabtally/pkg/poison"
 	"github.com/baobabtally/baobabtally/pkg/site"
 )
 
@@ -53,6 +54,7 @@
 	log       zerolog.Logger
 	bounds    Bounds
 	budgets   *retryBudgets
+	served    *poison.Served
 	links     *storeLinks
 	meter     meter
 }
@@ -66,6 +68,7 @@
 		log:       p.Log,
 		bounds:    p.Bounds,
 		budgets:   newRetryBudgets(p.Bounds),
+		served:    x.served,
 		links:     newStoreLinks(),
 		meter:     p.Meter,
 	}
@@ -79,6 +82,7 @@
 		request:   r,
 		writer:    w,
 		lastEvent: r.LastEventID,
+		parts:     promptParts(r),
 	}
 	if r.Route.Kind == site.NonIdempotent {
 		// The call continues after its caller disconnects: its effect can't be
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -95,6 +95,9 @@
 		state:    s,
 		now:      x.now(),
 	}
+	if v, ok := s.Routing.Poison.Verdict(x.parts); ok {
+		return choice{}, poisonError(v, p.now)
+	}
 	c, ok := p.best()
 	if !ok {
 		return c, fault.New(fault.Unavailable, "no endpoint of %q takes work: come back later", x.request.Service).WithRetry(busyRetryAfter)
@@ -122,6 +125,11 @@
 	if len(pool) == 0 {
 		return choice{}, false
 	}
+	if trial := p.trialPool(pool); len(trial) > 0 {
+		if c, ok := p.newPrompt(trial).best(trial); ok {
+			return c, true
+		}
+	}
 	if !p.request.Route.Prompts || len(p.request.Parts) == 0 {
 		return p.chooseByLoad(pool), true
 	}
--- /dev/null
+++ b/internal/relay/poison.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/baobabtally/baobabtally/internal/call"
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/chain"
+	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/poison"
+)
+
+// poisonFilter refuses requests whose prompts hold a part that crashes engines.
+// While a verdict is pending it asks their callers to come back.
+type poisonFilter struct {
+	view stateViewer
+	now  func() time.Time
+}
+
+// Filter refuses r if there is a verdict on its parts.
+func (f poisonFilter) Filter(ctx context.Context, r chain.Request, w chain.Writer, next chain.Handler) (chain.Result, error) {
+	tracker := f.view.View().Routing.Poison
+	if tracker.Judging() {
+		if v, ok := tracker.Verdict(promptParts(r)); ok {
+			return chain.Result{}, poisonError(v, f.now())
+		}
+	}
+	return next.Handle(ctx, r, w)
+}
+
+// poisonError returns the error for a request under verdict v.
+func poisonError(v poison.Verdict, now time.Time) fault.Error {
+	return fault.New(fault.Unavailable, "prompts with part %s crashed %d engines: leave the part out, or come back when the engines are repaired",
+		poison.Text(v.Parts), len(v.Engines)).WithRetry(max(v.Expires().Sub(now), busyRetryAfter))
+}
+
+// promptParts returns the parts of r's prompt that other requests may share.
+func promptParts(r chain.Request) []poison.Part {
+	if !r.Route.Prompts {
+		return nil
+	}
+	return poison.Shared(r.Service, r.Model, r.Parts)
+}
+
+// countServed records that the request was served to its end.
+func (x *exchange) countServed() {
+	if len(x.parts) == 0 || x.status != streamStatus || x.request.Stream && x.lastEvent == x.request.LastEventID {
+		return
+	}
+	x.served.Add(x.parts)
+	if suspects := x.control.View().Routing.Poison.SuspectsOf(x.parts); len(suspects) > 0 {
+		x.control.Post(state.PartsServed{
+			Parts: suspects,
+		})
+	}
+}
+
+// crashed reports whether a failed attempt may have crashed its endpoint: the
+// endpoint ended while the request waited there, and some of the prompt's parts
+// were never served. Where the endpoint still accepts connections, only this one
+// connection broke.
+func (x *exchange) crashed(ctx context.Context, n member.Node, f call.Failure) bool {
+	if f.Cause != call.Broken || !f.MaybeSent || x.headWritten {
+		return false
+	}
+	unserved := x.served.Without(x.parts)
+	if len(unserved) == 0 || !x.endpoints.Down(ctx, n) {
+		return false
+	}
+	x.control.Post(state.EngineCrashed{
+		Node:  n,
+		Parts: unserved,
+	})
+	return true
+}
+
+// trialPool returns the only endpoint of pool that requests with a suspect part
+// are sent to, or none for other requests. All instances choose the same, so that
+// a part which crashes endpoints takes them one by one, while one that was
+// suspected wrongly is cleared there.
+func (p picker) trialPool(pool []member.Endpoint) []member.Endpoint {
+	if p.state.Routing.Poison.Empty() {
+		return nil
+	}
+	suspects := p.state.Routing.Poison.SuspectsOf(p.parts)
+	if len(suspects) == 0 {
+		return nil
+	}
+	name := preferredEngine(uint64(suspects[0]), pool)
+	return slices.DeleteFunc(slices.Clone(pool), func(e member.Endpoint) bool { return e.Node.Name != name })
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/baobabtally/baobabtally/pkg/lease"
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/poison"
 	"github.com/baobabtally/baobabtally/pkg/site"
 	"github.com/baobabtally/baobabtally/pkg/store"
 	"github.com/baobabtally/baobabtally/pkg/weight"
@@ -84,6 +85,9 @@
 	// InFlight reports whether an engine says that request id is in flight, or
 	// that it has queued requests, of which id may be one.
 	InFlight(ctx context.Context, n member.Node, id string) (bool, error)
+	// Down reports whether an endpoint refuses connections, as one does whose
+	// process has ended. An endpoint that can't be reached is not known to be down.
+	Down(ctx context.Context, n member.Node) bool
 	// Events returns what an endpoint stored and evicted after event number
 	// after.
 	Events(ctx context.Context, n member.Node, after int64) (state.CacheEvents, error)
@@ -165,9 +169,10 @@
 // New returns an instance that is started by Run.
 func New(p Parts) *Relay {
 	exec := executor{
-		parts: p,
-		gauge: &load.Gauge{},
-		tally: &filter.Tally{},
+		parts:  p,
+		gauge:  &load.Gauge{},
+		tally:  &filter.Tally{},
+		served: &poison.Served{},
 	}
 	orderLease := lease.New(leaseKey, p.Self.Incarnation(),
 		lease.WithLength(leaseTTL, leaseRenewInterval),
@@ -220,6 +225,10 @@
 		x.logRefusals(teamFilter{
 			view: x.loop,
 		}),
+		x.logRefusals(poisonFilter{
+			view: x.loop,
+			now:  p.Now,
+		}),
 		policyFilter{
 			view: x.loop,
 		},
--- a/internal/state/action.go
+++ b/internal/state/action.go
@@ -4,6 +4,7 @@
 	"github.com/baobabtally/baobabtally/pkg/alarm"
 	"github.com/baobabtally/baobabtally/pkg/lease"
 	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/poison"
 	"github.com/baobabtally/baobabtally/pkg/weight"
 )
 
@@ -69,6 +70,13 @@
 	Op lease.Op
 }
 
+// CheckServed looks up which of the given parts this instance has seen served. It
+// results in a [PartsServed] event.
+type CheckServed struct {
+	// Parts are the parts to look up.
+	Parts []poison.Part
+}
+
 // CancelStream tells an engine to end a stream that is no longer read. It
 // results in no event.
 type CancelStream struct {
@@ -156,6 +164,9 @@
 // Key implements Action.
 func (a Announce) Key() string { return "announce/" + a.Alarm.Objective }
 
+// Key implements Action. It is empty, since each check has other parts.
+func (CheckServed) Key() string { return "" }
+
 // Key implements Action.
 func (a CancelStream) Key() string { return "cancel/" + a.Attempt }
 
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -7,6 +7,7 @@
 	"github.com/baobabtally/baobabtally/pkg/lease"
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/poison"
 	"github.com/baobabtally/baobabtally/pkg/policy"
 	"github.com/baobabtally/baobabtally/pkg/site"
 	"github.com/baobabtally/baobabtally/pkg/store"
@@ -134,6 +135,8 @@
 	Weights []EngineWeights
 	// Peers holds the other instances that the sender knows.
 	Peers []member.Node
+	// Poison is the sender's evidence on parts of prompts that crash engines.
+	Poison poison.Evidence
 }
 
 // EngineWeights is the state of one model's weights on one engine.
@@ -314,6 +317,24 @@
 	Attempt string
 }
 
+// EngineCrashed reports that an engine ended while a prompt waited for its first
+// token there.
+type EngineCrashed struct {
+	// Node is the engine as it was when the prompt was sent.
+	Node member.Node
+	// Parts are the prompt's parts that this instance has not seen served.
+	Parts []poison.Part
+}
+
+// PartsServed reports parts of prompts that engines have served.
+type PartsServed struct {
+	// Parts are the parts.
+	Parts []poison.Part
+	// LookedUp is set if the parts were served earlier and looked up, rather than
+	// served just now.
+	LookedUp bool
+}
+
 // Stopping marks the beginning of a planned stop.
 type Stopping struct{}
 
@@ -353,6 +374,12 @@
 // Event implements Event.
 func (Stopping) Event() string { return "stopping" }
 
+// Event implements Event.
+func (EngineCrashed) Event() string { return "crash" }
+
+// Event implements Event.
+func (PartsServed) Event() string { return "served" }
+
 // Event implements Event.
 func (Abandoned) Event() string { return "abandoned" }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -12,6 +12,7 @@
 	"github.com/baobabtally/baobabtally/pkg/lease"
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/poison"
 	"github.com/baobabtally/baobabtally/pkg/prefix"
 	"github.com/baobabtally/baobabtally/pkg/site"
 	"github.com/baobabtally/baobabtally/pkg/weight"
@@ -137,6 +138,8 @@
 	// Peers holds the other instances. Invariant: the slice is never written in
 	// place.
 	Peers []member.Node
+	// Poison is the evidence on parts of prompts that crash engines.
+	Poison poison.Tracker
 }
 
 // NewerSite is a newer configuration that a peer has.
--- a/pkg/poison/doc.go
+++ b/pkg/poison/doc.go
@@ -5,4 +5,18 @@
 // other request that shares the part of the prompt which causes the crash. This
 // package decides which part that is. It works on hashes of parts and never
 // sees a prompt.
+//
+// A [Crash] is an incarnation of an engine that ended while prompts waited for
+// their first token. Their parts are its suspects, except those that an engine
+// has served before: [Served] remembers these on each instance. A suspect that
+// is served later is cleared. A [Verdict] names the parts that several crashes
+// of different engines have in common and that nobody has ever served.
+//
+// A [Tracker] holds the evidence. Instances exchange it as [Evidence], which
+// merges in any order:
+//
+//	t = t.WithCrash(c, now)
+//	t = t.WithEvidence(heartbeat.Poison, now)
+//	t = t.WithVerdicts(now)
+//	if v, ok := t.Verdict(parts); ok { ... }
 package poison
--- /dev/null
+++ b/pkg/poison/tracker_test.go
@@ -0,0 +1,277 @@
+package poison
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/baobabtally/baobabtally/pkg/prefix"
+)
+
+// begin is the time of the first crash in tests.
+var begin = time.Unix(1_000_000, 0)
+
+// crashOf returns the crash of an engine a number of seconds after begin.
+func crashOf(engine string, seconds float64, parts ...Part) Crash {
+	return Crash{
+		Engine: engine,
+		Start:  "1",
+		At:     begin.Add(time.Duration(seconds * float64(time.Second))),
+		Parts:  parts,
+	}
+}
+
+// judged returns a tracker with the given crashes and its verdicts long after
+// the last of them.
+func judged(crashes ...Crash) Tracker {
+	var t Tracker
+	for _, c := range crashes {
+		t = t.WithCrash(c, c.At)
+	}
+	return t.WithVerdicts(begin.Add(time.Minute))
+}
+
+func partsOf(verdicts []Verdict) [][]Part {
+	var out [][]Part
+	for _, v := range verdicts {
+		out = append(out, v.Parts)
+	}
+	return out
+}
+
+func TestVerdicts(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		crashes []Crash
+		want    [][]Part
+	}{
+		"three crashes with one part in common": {
+			crashes: []Crash{crashOf("a", 0, 1, 7), crashOf("b", 1, 2, 7), crashOf("c", 2, 3, 7)},
+			want:    [][]Part{{7}},
+		},
+		"two crashes": {
+			crashes: []Crash{crashOf("a", 0, 7), crashOf("b", 1, 7)},
+		},
+		"one engine that crashes again and again": {
+			crashes: []Crash{crashOf("a", 0, 7), {Engine: "a", Start: "2", At: begin.Add(time.Second), Parts: []Part{7}}, {Engine: "a", Start: "3", At: begin.Add(2 * time.Second), Parts: []Part{7}}},
+		},
+		"two engines that crash in turn": {
+			crashes: []Crash{crashOf("a", 0, 7), crashOf("b", 1, 7), {Engine: "a", Start: "2", At: begin.Add(2 * time.Second), Parts: []Part{7}}},
+			want:    [][]Part{{7}},
+		},
+		"a failure domain that loses power": {
+			crashes: []Crash{crashOf("a", 0, 7), crashOf("b", 0.01, 7), crashOf("c", 0.02, 7), crashOf("d", 0.2, 7), crashOf("e", 0.24, 7)},
+		},
+		"two such losses": {
+			crashes: []Crash{crashOf("a", 0, 7), crashOf("b", 0.01, 7), crashOf("c", 5, 7), crashOf("d", 5.1, 7)},
+		},
+		"a part that came along only": {
+			crashes: []Crash{crashOf("a", 0, 5, 7), crashOf("b", 1, 5, 7), crashOf("c", 2, 5, 7), crashOf("d", 3, 7)},
+			want:    [][]Part{{7}},
+		},
+		"two parts that always come together": {
+			crashes: []Crash{crashOf("a", 0, 5, 7), crashOf("b", 1, 5, 7), crashOf("c", 2, 5, 7)},
+			want:    [][]Part{{5, 7}},
+		},
+		"two parts that each crash engines": {
+			crashes: []Crash{
+				crashOf("a", 0, 1, 7), crashOf("b", 1, 9), crashOf("c", 2, 1, 7, 9), crashOf("d", 3, 7),
+				crashOf("e", 4, 9), crashOf("f", 5, 2, 7), crashOf("g", 6, 9),
+			},
+			want: [][]Part{{9}, {7}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			require.ElementsMatch(t, c.want, partsOf(judged(c.crashes...).Verdicts()))
+		})
+	}
+}
+
+// A verdict before the other instances could report what they have served would
+// refuse a part that all requests of a route share.
+func TestVerdictWaitsForClearances(t *testing.T) {
+	t.Parallel()
+	var r Tracker
+	for i, engine := range []string{"a", "b", "c"} {
+		r = r.WithCrash(crashOf(engine, float64(i), 7), begin.Add(time.Duration(i)*time.Second))
+	}
+	last := begin.Add(2 * time.Second)
+	early := r.WithVerdicts(last.Add(settleTime - time.Millisecond))
+	require.Empty(t, early.Verdicts())
+	v, ok := early.Verdict([]Part{7})
+	require.True(t, ok, "no more engines are risked meanwhile")
+	require.True(t, v.Pending)
+	r = r.WithVerdicts(last.Add(settleTime))
+	require.NotEmpty(t, r.Verdicts())
+	v, ok = r.Verdict([]Part{7})
+	require.True(t, ok)
+	require.False(t, v.Pending)
+	require.Empty(t, r.WithEvidence(Evidence{
+		Cleared: []Part{7},
+	}, last).WithVerdicts(last.Add(settleTime)).Verdicts())
+}
+
+// A prompt that holds only some of the parts of a verdict must still be served:
+// it shows which of them is the cause.
+func TestVerdictCoversOnlyAllItsParts(t *testing.T) {
+	t.Parallel()
+	r := judged(crashOf("a", 0, 5, 7), crashOf("b", 1, 5, 7), crashOf("c", 2, 5, 7))
+	_, ok := r.Verdict([]Part{1, 5, 2})
+	require.False(t, ok)
+	_, ok = r.Verdict([]Part{1, 7, 2, 5})
+	require.True(t, ok)
+	r = r.WithServed([]Part{1, 5, 2}, begin.Add(time.Minute)).WithVerdicts(begin.Add(time.Minute))
+	require.Equal(t, [][]Part{{7}}, partsOf(r.Verdicts()))
+	_, ok = r.Verdict([]Part{7})
+	require.True(t, ok)
+}
+
+// A verdict that never ends would refuse a part long after the engines were
+// repaired; one that ends for good would cost as many engines again.
+func TestVerdictLapsesAndOneCrashRenewsIt(t *testing.T) {
+	t.Parallel()
+	r := judged(crashOf("a", 0, 7), crashOf("b", 1, 7), crashOf("c", 2, 7))
+	lapsed := begin.Add(crashTTL + time.Millisecond)
+	r = r.WithVerdicts(lapsed)
+	require.Empty(t, r.Verdicts())
+	r = r.WithCrash(Crash{
+		Engine: "d",
+		At:     lapsed,
+		Parts:  []Part{7},
+	}, lapsed).WithVerdicts(lapsed.Add(settleTime))
+	require.Equal(t, [][]Part{{7}}, partsOf(r.Verdicts()))
+}
+
+// drawEvidence returns the reports of several instances, within the limits.
+func drawEvidence(t *rapid.T) []Evidence {
+	var out []Evidence
+	parts := rapid.SliceOfN(rapid.Map(rapid.Uint64Range(1, 8), func(v uint64) Part { return Part(v) }), 0, 4)
+	for range rapid.IntRange(1, 6).Draw(t, "instances") {
+		var e Evidence
+		for range rapid.IntRange(0, 4).Draw(t, "crashes") {
+			e.Crashes = append(e.Crashes, Report{
+				Engine: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "engine"),
+				Start:  rapid.SampledFrom([]string{"1", "2"}).Draw(t, "start"),
+				Age:    time.Duration(rapid.IntRange(0, 20_000).Draw(t, "age")) * time.Millisecond,
+				Parts:  parts.Draw(t, "parts"),
+			})
+		}
+		e.Cleared = parts.Draw(t, "cleared")
+		out = append(out, e)
+	}
+	return out
+}
+
+// normal returns what t knows, in an order that does not depend on how it came.
+func normal(t Tracker) Evidence {
+	e := t.Evidence(begin)
+	e.Cleared = sortedParts(e.Cleared)
+	return e
+}
+
+// Instances that hear the same reports in another order, or twice, must come to
+// the same verdicts.
+func TestEvidenceMergesInAnyOrder(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		reports := drawEvidence(t)
+		var one, other Tracker
+		for _, e := range reports {
+			one = one.WithEvidence(e, begin)
+		}
+		shuffled := rapid.Permutation(slices.Concat(reports, reports)).Draw(t, "order")
+		for _, e := range shuffled {
+			other = other.WithEvidence(e, begin)
+		}
+		require.Equal(t, normal(one), normal(other))
+		require.Equal(t, normal(one), normal(one.WithEvidence(other.Evidence(begin), begin)))
+		later := begin.Add(settleTime)
+		require.Equal(t, one.WithVerdicts(later).Verdicts(), other.WithVerdicts(later).Verdicts())
+	})
+}
+
+// Callers choose the parts of prompts, and engines that crash choose when: neither
+// may fill the memory or the heartbeats of instances.
+func TestEvidenceIsBounded(t *testing.T) {
+	t.Parallel()
+	var r Tracker
+	next := Part(0)
+	fresh := func(n int) []Part {
+		var out []Part
+		for range n {
+			next++
+			out = append(out, next)
+		}
+		return out
+	}
+	for i := range 200 {
+		now := begin.Add(time.Duration(i) * time.Second / 10)
+		c := crashOf(fmt.Sprint("e", i), 0, append(fresh(300), 1<<60)...)
+		c.At = now
+		r = r.WithCrash(c, now).WithEvidence(Evidence{
+			Cleared: fresh(300),
+		}, now)
+		r = r.WithServed(r.Suspects()[:10], now)
+		require.LessOrEqual(t, len(r.crashes), maxCrashes)
+		require.LessOrEqual(t, len(r.cleared), maxCleared)
+		for _, c := range r.crashes {
+			require.LessOrEqual(t, len(c.Parts), maxSuspects)
+		}
+		e := r.Evidence(now)
+		require.LessOrEqual(t, len(e.Crashes), maxCrashes)
+	}
+	r = r.WithVerdicts(begin.Add(time.Minute))
+	_, ok := r.Verdict([]Part{1 << 60})
+	require.True(t, ok, "other suspects must not hide the part that all crashes share")
+	r = r.WithVerdicts(begin.Add(time.Hour))
+	require.True(t, r.Empty())
+	require.Empty(t, r.cleared)
+}
+
+// A caller that sends ever new parts must neither fill the memory nor make an
+// instance forget the parts that all others use.
+func TestServedKeepsPartsInUse(t *testing.T) {
+	t.Parallel()
+	var s Served
+	used := []Part{1, 2, 3}
+	for i := range 1_000_000 {
+		if i%100 == 0 {
+			s.Add(used)
+		}
+		s.Add([]Part{Part(prefix.PartKey("x", uint64(i)))})
+	}
+	require.Empty(t, s.Without(used))
+	require.Equal(t, used, s.Of(used))
+	n := 0
+	for i := range s.shards {
+		n += len(s.shards[i].recent) + len(s.shards[i].older)
+	}
+	require.LessOrEqual(t, n, 2*shards*maxGeneration)
+}
+
+func TestSharedLeavesOutLastPart(t *testing.T) {
+	t.Parallel()
+	parts := []prefix.Part{{ID: 1}, {ID: 2}, {ID: 3}}
+	shared := Shared("llm", "m", parts)
+	require.Len(t, shared, 2)
+	require.Equal(t, shared, Shared("llm", "m", append(parts[:2:2], prefix.Part{ID: 9})))
+	require.NotEqual(t, shared, Shared("llm", "other", parts))
+	require.Empty(t, Shared("llm", "m", parts[:1]))
+	require.Empty(t, Shared("llm", "m", nil))
+	require.Len(t, Shared("llm", "m", make([]prefix.Part, 5000)), maxParts)
+}
+
+func BenchmarkServed(b *testing.B) {
+	var s Served
+	parts := []Part{1, 2, 3}
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			s.Add(parts)
+		}
+	})
+}
