poison: a verdict lapses after a minute, and each further crash doubles it

A verdict held for ten minutes from the crashes that speak for it, whatever came of it: a wrong one would refuse a part that a route shares for as long, since nobody may show that the part is harmless. A shorter time for all would cost an engine each time.

A verdict now holds for a minute from its last crash and twice as long for each crash beyond the three that it requires, up to eight minutes; crashes count for an hour. When it lapses the part is a suspect again, whose requests go to one engine: an answer clears it, a crash brings the verdict back at once.

TestVerdictLapsesAndOneCrashDoublesIt replaces the test of the fixed time and is stricter: it follows ten lapses and asserts that one engine is risked at each.

--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -69,20 +69,27 @@
 	// Engines are the engines whose crashes speak for the verdict, in the order
 	// of the crashes.
 	Engines []string
-	// Last is when the last of these crashes was noticed.
-	Last time.Time
+	// Crashes is how many separate crashes these were, and Last is when the last
+	// of them was noticed.
+	Crashes int
+	Last    time.Time
 	// Pending is set while other instances may still report that they have served
 	// the parts.
 	Pending bool
 }
 
 // Expires returns when v lapses unless another crash speaks for it, or when it is
-// no longer pending.
+// no longer pending. Each crash beyond those that a verdict requires doubles the
+// time.
 func (v Verdict) Expires() time.Time {
 	if v.Pending {
 		return v.Last.Add(settleTime)
 	}
-	return v.Last.Add(crashTTL)
+	hold := firstHold
+	for n := minCrashes; n < v.Crashes && hold < maxHold; n++ {
+		hold *= 2
+	}
+	return v.Last.Add(min(hold, maxHold))
 }
 
 // covers reports whether a prompt with the given parts falls under v.
--- a/pkg/poison/tracker.go
+++ b/pkg/poison/tracker.go
@@ -11,10 +11,8 @@
 )
 
 const (
-	// crashTTL is how long a crash counts. A verdict lapses with its crashes. One
-	// more crash renews it, so that a part that still crashes engines costs about
-	// one engine per crashTTL.
-	crashTTL = 10 * time.Minute
+	// crashTTL is how long a crash counts: several times as long as a verdict holds.
+	crashTTL = 1 * time.Hour
 	// maxCrashes limits the crashes that are kept, maxSuspects the suspects of each
 	// of them and maxCleared the cleared parts. The limits bound the evidence in a
 	// heartbeat to about 20 KB.
--- a/pkg/poison/tracker_test.go
+++ b/pkg/poison/tracker_test.go
@@ -32,7 +32,7 @@
 	for _, c := range crashes {
 		t = t.WithCrash(c, c.At)
 	}
-	return t.WithVerdicts(begin.Add(time.Minute))
+	return t.WithVerdicts(begin.Add(30 * time.Second))
 }
 
 func partsOf(verdicts []Verdict) [][]Part {
@@ -132,19 +132,29 @@
 }
 
 // A verdict that never ends would refuse a part long after the engines were
-// repaired; one that ends for good would cost as many engines again.
-func TestVerdictLapsesAndOneCrashRenewsIt(t *testing.T) {
+// repaired, or a harmless one; one that ends for good would cost as many engines
+// again.
+func TestVerdictLapsesAndOneCrashDoublesIt(t *testing.T) {
 	t.Parallel()
 	r := judged(crashOf("a", 0, 7), crashOf("b", 1, 7), crashOf("c", 2, 7))
-	lapsed := begin.Add(crashTTL + time.Millisecond)
-	r = r.WithVerdicts(lapsed)
-	require.Empty(t, r.Verdicts())
-	r = r.WithCrash(Crash{
-		Engine: "d",
-		At:     lapsed,
-		Parts:  []Part{7},
-	}, lapsed).WithVerdicts(lapsed.Add(settleTime))
-	require.Equal(t, [][]Part{{7}}, partsOf(r.Verdicts()))
+	last := begin.Add(2 * time.Second)
+	for n, hold := range []time.Duration{1, 2, 4, 8, 8, 8, 8, 8, 8, 8} {
+		hold *= time.Minute
+		require.Equal(t, [][]Part{{7}}, partsOf(r.WithVerdicts(last.Add(hold-time.Millisecond)).Verdicts()), hold)
+		last = last.Add(hold)
+		r = r.WithVerdicts(last)
+		require.False(t, r.Judging(), hold)
+		require.Equal(t, []Part{7}, r.SuspectsOf([]Part{7}), "one engine is risked")
+		r = r.WithCrash(Crash{
+			Engine: fmt.Sprint("x", n),
+			At:     last,
+			Parts:  []Part{7},
+		}, last).WithVerdicts(last)
+		v, ok := r.Verdict([]Part{7})
+		require.True(t, ok, "no second one")
+		require.True(t, v.Pending)
+		require.Equal(t, [][]Part{{7}}, partsOf(r.WithVerdicts(last.Add(settleTime)).Verdicts()))
+	}
 }
 
 // drawEvidence returns the reports of several instances, within the limits.
@@ -228,7 +238,7 @@
 	r = r.WithVerdicts(begin.Add(time.Minute))
 	_, ok := r.Verdict([]Part{1 << 60})
 	require.True(t, ok, "other suspects must not hide the part that all crashes share")
-	r = r.WithVerdicts(begin.Add(time.Hour))
+	r = r.WithVerdicts(begin.Add(2 * crashTTL))
 	require.True(t, r.Empty())
 	require.Empty(t, r.cleared)
 }
--- a/pkg/poison/verdict.go
+++ b/pkg/poison/verdict.go
@@ -19,17 +19,23 @@
 	// instances learn of its suspects and report those that they know to have been
 	// served, which takes four ticks of 200 ms.
 	settleTime = 800 * time.Millisecond
+	// firstHold is how long the first verdict on parts holds. Then requests with
+	// them may show on one engine whether they are harmless. If they crash it, the
+	// verdict returns for twice the time, up to maxHold.
+	firstHold = 1 * time.Minute
+	maxHold   = 8 * time.Minute
 )
 
 // WithVerdicts returns a copy of t with the verdicts for its evidence at now.
 func (t Tracker) WithVerdicts(now time.Time) Tracker {
 	t = t.WithoutExpired(now)
-	t.verdicts, t.pending = judge(t.settled(now)), nil
-	for _, v := range judge(t.crashes) {
-		if !slices.ContainsFunc(t.verdicts, func(o Verdict) bool { return slices.Equal(o.Parts, v.Parts) }) {
-			v.Pending = true
-			t.pending = append(t.pending, v)
-		}
+	lapsed := func(v Verdict) bool { return !now.Before(v.Expires()) }
+	t.verdicts = slices.DeleteFunc(judge(t.settled(now)), lapsed)
+	t.pending = slices.DeleteFunc(judge(t.crashes), func(v Verdict) bool {
+		return slices.ContainsFunc(t.verdicts, func(o Verdict) bool { return slices.Equal(o.Parts, v.Parts) }) || lapsed(v)
+	})
+	for i := range t.pending {
+		t.pending[i].Pending = true
 	}
 	return t
 }
@@ -91,6 +97,7 @@
 	}
 	v := Verdict{
 		Engines: engines(best),
+		Crashes: most,
 		Last:    best[len(best)-1].At,
 	}
 	for _, p := range best[0].Parts {
