relay: a stream that broke off right after its first event is not resumed on another engine

An engine that crashes as it begins to answer may have sent the first event already. Such a request was taken for one that had begun well: its parts were no suspects, and the stream was resumed at the next engine, which crashed too.

The end of an engine within 0.3 s after the first event now counts like one before it. Requests whose parts were all served before are resumed as ever.

--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -13,6 +13,11 @@
 	"github.com/baobabtally/baobabtally/pkg/poison"
 )
 
+// startTime is for how long after the first event of an answer the crash of its
+// endpoint may have been caused by the request: an endpoint that crashes as it
+// begins to answer may have sent that event already.
+const startTime = 300 * time.Millisecond
+
 // poisonFilter refuses requests whose prompts hold a part that crashes engines.
 // While a verdict is pending it asks their callers to come back.
 type poisonFilter struct {
@@ -59,11 +64,11 @@
 }
 
 // crashed reports whether a failed attempt may have crashed its endpoint: the
-// endpoint ended while the request waited there, and some of the prompt's parts
+// endpoint ended before the answer began or soon after, and some of the prompt's parts
 // were never served. Where the endpoint still accepts connections, only this one
 // connection broke.
 func (x *exchange) crashed(ctx context.Context, n member.Node, f call.Failure) bool {
-	if f.Cause != call.Broken || !f.MaybeSent || x.headWritten {
+	if f.Cause != call.Broken || !f.MaybeSent || x.headWritten && x.now().Sub(x.firstByteAt) > startTime {
 		return false
 	}
 	unserved := x.served.Without(x.parts)
