poison: a judgment of many suspects does not hold up the control thread

A caller whose prompts have many parts of their own can fill the evidence, which is bounded. One judgment of full evidence took 38.7 ms (BenchmarkVerdicts: 32 crashes with 64 suspects each, all different), since each suspect was looked up in each crash, and it was made with each heartbeat: a fifth of the core of a front machine.

Only suspects of three crashes or more are candidates now, counted in one pass: 1.28 ms. A heartbeat that brings no news is not followed by a judgment.

--- a/internal/ctrl/poison.go
+++ b/internal/ctrl/poison.go
@@ -33,7 +33,11 @@
 		if e.Relay.Poison.Empty() {
 			return s, nil
 		}
+		before := s.Routing.Poison.Size()
 		s, check := c.handleHeartbeat(s, e, now)
+		if s.Routing.Poison.Size() == before {
+			return s, check
+		}
 		s, judged := c.judge(s, now)
 		return s, append(check, judged...)
 	}
--- a/pkg/poison/tracker.go
+++ b/pkg/poison/tracker.go
@@ -192,6 +192,15 @@
 	return !slices.ContainsFunc(t.crashes, func(c Crash) bool { return len(c.Parts) > 0 })
 }
 
+// Size returns the number of suspects, counted for each crash.
+func (t Tracker) Size() int {
+	n := 0
+	for _, c := range t.crashes {
+		n += len(c.Parts)
+	}
+	return n
+}
+
 // Suspects returns all suspects, sorted.
 func (t Tracker) Suspects() []Part {
 	var all []Part
--- a/pkg/poison/tracker_test.go
+++ b/pkg/poison/tracker_test.go
@@ -285,3 +285,36 @@
 		}
 	})
 }
+
+// BenchmarkVerdicts judges as many different suspects as there can be.
+func BenchmarkVerdicts(b *testing.B) {
+	var r Tracker
+	for i := range maxCrashes {
+		var parts []Part
+		for j := range maxSuspects {
+			parts = append(parts, Part(prefix.PartKey("x", uint64(i*maxSuspects+j))))
+		}
+		c := crashOf(fmt.Sprint("e", i), float64(i), parts...)
+		r = r.WithCrash(c, c.At)
+	}
+	for b.Loop() {
+		r = r.WithVerdicts(begin.Add(time.Minute))
+	}
+}
+
+// BenchmarkEvidence hears the same evidence again.
+func BenchmarkEvidence(b *testing.B) {
+	var r Tracker
+	for i := range maxCrashes {
+		var parts []Part
+		for j := range maxSuspects {
+			parts = append(parts, Part(prefix.PartKey("x", uint64(i*maxSuspects+j))))
+		}
+		c := crashOf(fmt.Sprint("e", i), float64(i), parts...)
+		r = r.WithCrash(c, c.At)
+	}
+	e := r.Evidence(begin.Add(time.Minute))
+	for b.Loop() {
+		r = r.WithEvidence(e, begin.Add(time.Minute))
+	}
+}
--- a/pkg/poison/verdict.go
+++ b/pkg/poison/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -86,7 +87,7 @@
 func strongest(crashes []Crash) (Verdict, bool) {
 	var best []Crash
 	most := 0
-	for _, p := range suspectsOf(crashes) {
+	for _, p := range commonSuspects(crashes) {
 		with := slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool { return !c.holds(p) })
 		if n := separateCrashes(with); n >= minCrashes && cmp.Or(cmp.Compare(n, most), cmp.Compare(len(with), len(best))) > 0 && len(engines(with)) >= minEngines {
 			best, most = with, n
@@ -133,8 +134,14 @@
 	return out
 }
 
-func suspectsOf(crashes []Crash) []Part {
-	return Tracker{
-		crashes: crashes,
-	}.Suspects()
+// commonSuspects returns the suspects of at least minCrashes crashes, sorted.
+func commonSuspects(crashes []Crash) []Part {
+	counts := map[Part]int{}
+	for _, c := range crashes {
+		for _, p := range c.Parts {
+			counts[p]++
+		}
+	}
+	maps.DeleteFunc(counts, func(_ Part, n int) bool { return n < minCrashes })
+	return slices.Sorted(maps.Keys(counts))
 }
