relay: an unframed stream that ends before its first event is evidence of a crash

A stream may come with neither a length nor chunks and end with its connection. An engine that crashed after such a head and before its first event looked like one that had answered: the crash left no evidence. (A part was not taken for served, since that asks for an event.)

Such an end is now checked like a broken connection: if the engine refuses connections, it crashed.

TestUnframedStreamWithoutEventsIsEvidence failed before: no line event=crash in 8 s. What the caller of such a stream gets is not changed here.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -52,7 +52,7 @@
 		x.endpoint = c.endpoint.Node.Name
 		err = x.attempt(ctx, c)
 		if err == nil {
-			x.countServed()
+			x.countServed(ctx, c)
 			return nil
 		}
 		if err := x.handleFailure(ctx, c, err); err != nil {
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -50,9 +50,17 @@
 	return poison.Shared(r.Service, r.Model, r.Parts)
 }
 
-// countServed records that the request was served to its end.
-func (x *exchange) countServed() {
-	if len(x.parts) == 0 || x.status != streamStatus || x.request.Stream && x.lastEvent == x.request.LastEventID {
+// countServed records that the request was served to its end. A stream without a
+// length that ends before its first event may be that of an endpoint that crashed.
+func (x *exchange) countServed(ctx context.Context, c choice) {
+	switch {
+	case len(x.parts) == 0 || x.status != streamStatus:
+		return
+	case x.request.Stream && x.lastEvent == x.request.LastEventID:
+		x.crashed(ctx, c.endpoint.Node, call.Failure{
+			Cause:     call.Broken,
+			MaybeSent: true,
+		})
 		return
 	}
 	x.served.Add(x.parts)
