poison: the loss of many engines at once does not end a verdict

Cause: 28 engines crashed at 9.0 s for another reason; with those before there were more than the 32 crashes that are kept, and the oldest were dropped, which spoke for the verdict.

Crashes that have no suspect in common with another one are dropped first now. TestLossOfManyEnginesKeepsVerdict failed before: no verdict on part 7 once 32 other crashes had come.

--- a/pkg/poison/tracker.go
+++ b/pkg/poison/tracker.go
@@ -99,15 +99,32 @@
 	return sortedParts(drawn[:maxSuspects])
 }
 
-// limitCrashes returns the newest of crashes. Those without suspects go first.
+// limitCrashes returns maxCrashes of crashes. The oldest go first of those that
+// have no suspect in common with another one, so that the loss of many engines at
+// once does not end a verdict.
 func limitCrashes(crashes []Crash) []Crash {
 	for len(crashes) > maxCrashes {
-		i := max(slices.IndexFunc(crashes, func(c Crash) bool { return len(c.Parts) == 0 }), 0)
+		counts := countSuspects(crashes)
+		alone := func(c Crash) bool {
+			return !slices.ContainsFunc(c.Parts, func(p Part) bool { return counts[p] > 1 })
+		}
+		i := max(slices.IndexFunc(crashes, alone), 0)
 		crashes = slices.Delete(crashes, i, i+1)
 	}
 	return crashes
 }
 
+// countSuspects returns in how many of crashes each part is a suspect.
+func countSuspects(crashes []Crash) map[Part]int {
+	counts := map[Part]int{}
+	for _, c := range crashes {
+		for _, p := range c.Parts {
+			counts[p]++
+		}
+	}
+	return counts
+}
+
 // WithServed returns a copy of t in which parts are cleared if they are
 // suspects.
 func (t Tracker) WithServed(parts []Part, now time.Time) Tracker {
--- a/pkg/poison/tracker_test.go
+++ b/pkg/poison/tracker_test.go
@@ -205,6 +205,23 @@
 	})
 }
 
+// A verdict that ends because many engines are lost for another reason costs as many
+// engines again.
+func TestLossOfManyEnginesKeepsVerdict(t *testing.T) {
+	t.Parallel()
+	r := judged(crashOf("a", 0, 7), crashOf("b", 1, 7), crashOf("c", 2, 7))
+	for i := range 3 * maxCrashes {
+		c := crashOf(fmt.Sprint("e", i), 10, Part(1000+i))
+		r = r.WithCrash(c, c.At).WithVerdicts(c.At)
+		require.Equal(t, [][]Part{{7}}, partsOf(r.Verdicts()))
+	}
+	for i, engine := range []string{"x", "y", "z"} {
+		c := crashOf(engine, 20+float64(i), 9)
+		r = r.WithCrash(c, c.At)
+	}
+	require.ElementsMatch(t, [][]Part{{7}, {9}}, partsOf(r.WithVerdicts(begin.Add(30*time.Second)).Verdicts()))
+}
+
 // Callers choose the parts of prompts, and engines that crash choose when: neither
 // may fill the memory or the heartbeats of instances.
 func TestEvidenceIsBounded(t *testing.T) {
--- a/pkg/poison/verdict.go
+++ b/pkg/poison/verdict.go
@@ -136,12 +136,7 @@
 
 // commonSuspects returns the suspects of at least minCrashes crashes, sorted.
 func commonSuspects(crashes []Crash) []Part {
-	counts := map[Part]int{}
-	for _, c := range crashes {
-		for _, p := range c.Parts {
-			counts[p]++
-		}
-	}
+	counts := countSuspects(crashes)
 	maps.DeleteFunc(counts, func(_ Part, n int) bool { return n < minCrashes })
 	return slices.Sorted(maps.Keys(counts))
 }
