--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -62,6 +62,7 @@
 			Domain: n.Domain,
 		})
 	}
+	m.Poison = encodePoison(r.Poison)
 	return m
 }
 
@@ -115,6 +116,7 @@
 			Domain: n.GetDomain(),
 		})
 	}
+	r.Poison = decodePoison(m.GetPoison())
 	return r
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/baobabtally/baobabtally/pkg/fault"
 	"github.com/baobabtally/baobabtally/pkg/invar"
 	"github.com/baobabtally/baobabtally/pkg/load"
+	"github.com/baobabtally/baobabtally/pkg/poison"
 	"github.com/baobabtally/baobabtally/pkg/site"
 )
 
@@ -32,6 +33,8 @@
 	firstByteAt time.Time
 	// received is how much of a stream the caller has received.
 	received position
+	// parts are the parts of the prompt that other requests may share.
+	parts []poison.Part
 	// notRun counts the attempts that certainly did not execute the request.
 	notRun int
 }
@@ -71,6 +74,7 @@
 		var err error
 		next, err = x.serve(ctx, a)
 		if err == nil {
+			x.countServed(ctx, a.choice)
 			return nil
 		}
 		if next != nil {
@@ -328,6 +332,9 @@
 	}
 	name := a.choice.endpoint.Node.Name
 	x.reportFailure(name, f)
+	if x.crashed(ctx, a.choice.endpoint.Node, f) {
+		return fault.New(fault.Lost, "%s ended while the request waited there, which may be the cause: look at the engine's log before you send it again", name).WithRun(fault.Unknown)
+	}
 	if f.MaybeSent && !x.retryable() {
 		return fault.New(fault.Lost, "the answer of %s was lost (%s): look the result up before you send it again", name, f.Detail).WithRun(fault.Unknown)
 	}
@@ -361,7 +368,8 @@
 	x.meter.Failed(f.Cause.String())
 	x.log.Warn().Str("event", "fail").Str("request", x.request.ID).Str("endpoint", name).
 		Str("cause", f.Cause.String()).Bool("sent", f.MaybeSent).Bool("begun", x.headWritten).Int("attempt", a.number).
-		Stringer("quiet", x.now().Sub(a.lastReceived).Round(time.Millisecond)).Str("detail", f.Detail).Send()
+		Stringer("quiet", x.now().Sub(a.lastReceived).Round(time.Millisecond)).Str("detail", f.Detail).
+		Str("parts", poison.Text(x.parts)).Send()
 	if f.WeightsVersion > 0 {
 		x.control.Post(state.WeightsSeen{
 			Engine:  name,
