link: the test of unexpected bytes waits until they were sent

It failed once beside other builds: expected "one", actual "two". The endpoint sent the second response after a sleep of 20 ms and the test looked after 60 ms; where the endpoint was late, the second request was sent first. With a sleep of 100 ms in the endpoint the old test fails in the same way each time. The order of the two is now enforced; what is checked is the same.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -117,11 +117,13 @@
 func TestUnexpectedBytesCloseConnection(t *testing.T) {
 	p := link.New()
 	defer p.Close()
+	answered, sent := make(chan struct{}), make(chan struct{})
 	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		if readRequest(r) {
 			_, _ = io.WriteString(c, response("a", "one"))
-			time.Sleep(20 * time.Millisecond)
+			<-answered
 			_, _ = io.WriteString(c, response("a", "two"))
+			sent <- struct{}{}
 		}
 		readRequest(r)
 	})
@@ -129,6 +131,9 @@
 		got, err := sendRequest(t.Context(), p, addr)
 		require.NoError(t, err)
 		require.Equal(t, "one", got)
+		answered <- struct{}{}
+		<-sent
+		// The bytes are on their way through the loopback interface.
 		time.Sleep(60 * time.Millisecond)
 	}
 	require.EqualValues(t, 2, p.Dialed())
