ctrl: an engine's announced departure counts from its answer on

Callers were sent to engines that had said in every answer that they were leaving: the code did not read Server-Leaving. An engine took requests until the registry listed it as draining and an instance had read that.

The client of the endpoints now reads the header from the head of every answer (requests, streams, failures, reports, orders, event polls; not of 421, which another engine at the same address may have sent) and hands the product's own call.Signal to the relay. The control thread applies it as one event; the answer is passed on when the resulting state is published, for 0.4 s at most, so that no choice made after it can miss it.

member.Set keeps the announcement by incarnation (name and start), apart from the entries of the registry, which may lag behind, lose an entry and regain it. A new incarnation is free at once, and a late answer of the old one does not mark it. Peers are told the incarnation in a new field (Relay.announced, 13) for a minute. The existing list of drained endpoints would not do: it counts by the registry's version, so that peers at the same version ignore it; builds from before skip the new field.

A request that was chosen before and waited for its connection, or in a frozen process, asks the state again just before it is sent. If the endpoint wants no calls any more, the attempt is withheld: it costs neither an attempt nor the retry budget, and the next choice follows.

The header itself is forwarded to callers like all other headers: no rule speaks against it.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -42,6 +42,17 @@
 	// MaxConnections is the maximum number of open connections to the endpoint; 0 for
 	// unlimited.
 	MaxConnections int
+	// Allowed is called right before the request is sent, which is not sent if it
+	// returns false; nil allows it.
+	Allowed func() bool
+}
+
+// Signal is what an endpoint says in an answer about new work.
+type Signal struct {
+	// Departing reports whether the endpoint announces its departure.
+	Departing bool
+	// Answer describes the answer, for logs.
+	Answer string
 }
 
 // Usage holds the token counts that an endpoint reports for an attempt.
@@ -94,11 +105,14 @@
 	// StaleWeights is an attempt that had not started when the weights of its endpoint
 	// became too old to start on.
 	StaleWeights
+	// Withheld is an attempt that was not sent, since its endpoint wants no calls any
+	// more.
+	Withheld
 )
 
 // String returns the name of the cause that logs use.
 func (c Cause) String() string {
-	return [...]string{"broken", "silent", "crossed", "refused", "rejected", "gone", "full", "moved", "stale"}[c%9]
+	return [...]string{"broken", "silent", "crossed", "refused", "rejected", "gone", "full", "moved", "stale", "withheld"}[c%10]
 }
 
 // Failure is the error of an attempt.
--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -178,6 +178,7 @@
 	}
 	r.DesiredVersions = desiredVersions(s)
 	r.Weights = s.Routing.PendingWeights
+	r.Announcements = recentAnnouncements(s)
 	r.DepartureVersions = make(map[string]int64, len(drained))
 	for _, name := range drained {
 		if v, ok := s.Routing.DepartureVersions[name]; ok {
--- /dev/null
+++ b/internal/ctrl/signals.go
@@ -0,0 +1,120 @@
+package ctrl
+
+import (
+	"time"
+
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/member"
+)
+
+// announceTime is for how long heartbeats include the departure that an endpoint
+// announced. Until then the registry lists it as departing, or the endpoint has told
+// the other instances itself.
+const announceTime = 1 * time.Minute
+
+// Signals tracks what endpoints say in their answers about new work: that they are
+// departing, which peers are told.
+type Signals struct{}
+
+// Step implements Controller.
+func (c Signals) Step(s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
+	switch e := e.(type) {
+	case state.Tick:
+		return s.WithMembers(s.Members.WithoutPastSignals(now)), nil
+	case state.Signaled:
+		return c.handleSignal(s, e, now)
+	case state.Heartbeat:
+		return c.handleHeartbeat(s, e, now)
+	case state.RegistrySnapshot:
+		return s, c.noteReplaced(s, e)
+	}
+	return s, nil
+}
+
+// handleSignal applies what an endpoint said. It logs only what changes, since each
+// answer may repeat it.
+func (c Signals) handleSignal(s state.State, e state.Signaled, now time.Time) (state.State, []state.Action) {
+	if !e.Departing {
+		return s, nil
+	}
+	s, actions := c.announce(s, member.Announcement{
+		Endpoint: e.Endpoint,
+		Start:    e.Start,
+		Since:    now,
+	}, s.Self.Name, e.Answer)
+	if len(actions) > 0 {
+		actions = append(actions, broadcastHeartbeats(s)...)
+	}
+	return s, actions
+}
+
+// announce records the departure that an endpoint announced. The result has a log line
+// if the endpoint is in use.
+func (Signals) announce(s state.State, a member.Announcement, source, answer string) (state.State, []state.Action) {
+	before, _ := s.Members.Find(a.Endpoint)
+	s = s.WithMembers(s.Members.WithDeparture(a))
+	after, _ := s.Members.Find(a.Endpoint)
+	if before.Announced || !after.Announced {
+		return s, nil
+	}
+	return s, []state.Action{
+		signalNote(a.Endpoint, "leaving", "source", source, "reason", answer),
+	}
+}
+
+// handleHeartbeat applies the departures that a peer reports. They name incarnations,
+// so that it doesn't matter how old the peer's registry is.
+func (c Signals) handleHeartbeat(s state.State, e state.Heartbeat, now time.Time) (state.State, []state.Action) {
+	var actions []state.Action
+	for _, a := range e.Relay.Announcements {
+		if a.Age > announceTime {
+			continue
+		}
+		next, noted := c.announce(s, member.Announcement{
+			Endpoint: a.Endpoint,
+			Start:    a.Start,
+			Since:    now.Add(-a.Age),
+		}, e.Name, "the peer knows that the endpoint announced its departure")
+		s = next
+		actions = append(actions, noted...)
+	}
+	return s, actions
+}
+
+// noteReplaced logs the endpoints that are no longer departing since a new incarnation
+// of them has registered.
+func (Signals) noteReplaced(s state.State, e state.RegistrySnapshot) []state.Action {
+	if e.Version < s.Routing.RegistryVersion {
+		return nil
+	}
+	var actions []state.Action
+	for _, entry := range e.Put {
+		old, ok := s.Members.Find(entry.Node.Name)
+		if ok && old.Node.Start != entry.Node.Start && old.Announced {
+			actions = append(actions, signalNote(entry.Node.Name, "back", "reason", "a new incarnation has registered"))
+		}
+	}
+	return actions
+}
+
+// recentAnnouncements returns the departures that peers are told.
+func recentAnnouncements(s state.State) []state.Announcement {
+	var out []state.Announcement
+	for _, a := range s.Members.Announcements(s.At.Add(-announceTime)) {
+		out = append(out, state.Announcement{
+			Endpoint: a.Endpoint,
+			Start:    a.Start,
+			Age:      s.At.Sub(a.Since),
+		})
+	}
+	return out
+}
+
+// signalNote returns the log line for the beginning or the end of what an endpoint
+// said.
+func signalNote(name, status string, pairs ...string) state.Note {
+	return state.Note{
+		Event: "endpoint",
+		Pairs: append([]string{"endpoint", name, "state", status}, pairs...),
+	}
+}
--- a/internal/ctrl/step.go
+++ b/internal/ctrl/step.go
@@ -39,6 +39,8 @@
 func Forwarding() []Controller {
 	return []Controller{
 		Alarms{},
+		// Before Registry, which replaces incarnations.
+		Signals{},
 		Registry{},
 		Mesh{
 			Every: heartbeatTicks,
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -35,6 +36,29 @@
 	require.Equal(t, p, peer.DecodeHeartbeat(peer.EncodeHeartbeat(p)))
 }
 
+// Builds from before the announcements skip them: the field must keep a number that they
+// don't know, and a message without it must decode to none.
+func TestAnnouncementsAreOptionalInHeartbeats(t *testing.T) {
+	h := state.Heartbeat{
+		Name: "i1",
+		Relay: state.Relay{
+			Addr: "10.0.0.1:1",
+			Announcements: []state.Announcement{
+				{
+					Endpoint: "e1",
+					Start:    "1700000000000",
+					Age:      1500 * time.Millisecond,
+				},
+			},
+		},
+	}
+	m := peer.EncodeHeartbeat(h)
+	require.Equal(t, h.Relay.Announcements, peer.DecodeHeartbeat(m).Relay.Announcements)
+	require.EqualValues(t, 13, m.GetRelay().ProtoReflect().Descriptor().Fields().ByName("announced").Number())
+	m.Relay.Announced = nil
+	require.Empty(t, peer.DecodeHeartbeat(m).Relay.Announcements)
+}
+
 func FuzzUnmarshalDocument(f *testing.F) {
 	doc, _ := policy.Decode(3, "c", "a", "[[policy]]\nname = \"x\"\n")
 	data, err := peer.MarshalDocument(peer.EncodeDocument(doc))
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -43,6 +43,13 @@
 			Listing: r.DepartureVersions[name],
 		})
 	}
+	for _, a := range r.Announcements {
+		m.Announced = append(m.Announced, &rpcapi.Announced{
+			Name:  a.Endpoint,
+			Start: a.Start,
+			Age:   a.Age.Milliseconds(),
+		})
+	}
 	for _, n := range r.DesiredVersions {
 		m.Names = append(m.Names, &rpcapi.Name{
 			Model:   n.Model,
@@ -89,6 +96,13 @@
 		}
 		r.DepartureVersions[l.GetName()] = l.GetListing()
 	}
+	for _, a := range m.GetAnnounced() {
+		r.Announcements = append(r.Announcements, state.Announcement{
+			Endpoint: a.GetName(),
+			Start:    a.GetStart(),
+			Age:      time.Duration(a.GetAge()) * time.Millisecond,
+		})
+	}
 	for _, n := range m.GetNames() {
 		r.DesiredVersions = append(r.DesiredVersions, state.DesiredVersion{
 			Model:   n.GetModel(),
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -69,7 +69,7 @@
 // attempt makes one attempt at the endpoint of c.
 func (x *exchange) attempt(ctx context.Context, c choice) error {
 	invar.Check(x.request.Route.Kind != site.NonIdempotent || !x.maybeSent, invar.Once, "%s is sent again", x.request.ID)
-	invar.Check(!c.endpoint.Report.Departing, invar.Drain, "%s was chosen for %s and is departing", c.endpoint.Node.Name, x.request.ID)
+	invar.Check(!c.endpoint.Departing(), invar.Drain, "%s was chosen for %s and is departing", c.endpoint.Node.Name, x.request.ID)
 	counter := x.gauge.Start(c.endpoint.Node.Name, c.uncached)
 	defer counter.End()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -91,6 +91,7 @@
 		KVSource:       c.source,
 		KVTarget:       c.target,
 		MaxConnections: c.limit,
+		Allowed:        func() bool { return callable(x.control.View(), c.endpoint.Node) },
 	})
 	if err != nil {
 		return attemptError(ctx, err)
@@ -250,6 +251,11 @@
 	if ctx.Err() != nil {
 		return x.contextError(ctx)
 	}
+	if f.Cause == call.Withheld {
+		// The next choice knows what the endpoint has said.
+		x.attempts--
+		return nil
+	}
 	x.reportFailure(name, f)
 	x.tried = append(x.tried, name)
 	if !f.MaybeSent {
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -60,6 +60,7 @@
 func (discardMeter) Chosen(string, string, int)                  {}
 func (discardMeter) Failed(string)                               {}
 func (discardMeter) Refused(string)                              {}
+func (discardMeter) Signaled(string)                             {}
 func (discardMeter) Waited(time.Duration, bool)                  {}
 
 func promptRequest(team string, rank policy.Rank) chain.Request {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -105,6 +105,8 @@
 	Failed(cause string)
 	// Refused counts a request that was refused before any endpoint was called.
 	Refused(reason string)
+	// Signaled counts an answer in which an endpoint said that it is departing.
+	Signaled(kind string)
 	// Waited records the time that a request waited in the queue, and whether
 	// it was admitted.
 	Waited(wait time.Duration, served bool)
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -48,6 +48,28 @@
 	Failed bool
 }
 
+// Signaled is what an endpoint said in an answer about new work.
+type Signaled struct {
+	// Endpoint and Start identify the incarnation of the endpoint to which the call was
+	// sent.
+	Endpoint string
+	Start    string
+	// Departing is set if the endpoint announced its departure.
+	Departing bool
+	// Answer describes the answer.
+	Answer string
+	// Done is closed once the state that results from the event is published; nil if
+	// no goroutine waits for it.
+	Done chan struct{}
+}
+
+// Published signals that the state that results from e is published.
+func (e Signaled) Published() {
+	if e.Done != nil {
+		close(e.Done)
+	}
+}
+
 // CacheObserved is what an answer revealed about an endpoint's prompt cache.
 type CacheObserved struct {
 	// Endpoint is the name of the endpoint.
@@ -132,10 +154,21 @@
 	DepartureVersions map[string]int64
 	// Weights is set by the instance that sends orders.
 	Weights []EngineWeights
+	// Announcements holds the departures that endpoints announced a short while ago.
+	Announcements []Announcement
 	// Peers holds the other instances that the sender knows.
 	Peers []member.Node
 }
 
+// Announcement is the departure that an endpoint announced in an answer.
+type Announcement struct {
+	// Endpoint and Start identify the incarnation of the endpoint.
+	Endpoint string
+	Start    string
+	// Age is how long ago the endpoint announced it.
+	Age time.Duration
+}
+
 // EngineWeights is the state of one model's weights on one engine.
 type EngineWeights struct {
 	// Engine and Model identify the engine and the model.
@@ -329,6 +362,9 @@
 // Event implements Event.
 func (Called) Event() string { return "called" }
 
+// Event implements Event.
+func (Signaled) Event() string { return "signaled" }
+
 // Event implements Event.
 func (CacheObserved) Event() string { return "learned" }
 
--- a/pkg/member/node.go
+++ b/pkg/member/node.go
@@ -98,11 +98,17 @@
 	// SuspectUntil is the time until which no calls are sent to the node after failures;
 	// zero if it is not suspected.
 	SuspectUntil time.Time
+	// Announced reports whether this incarnation of the node said in an answer that it
+	// is departing.
+	Announced bool
 	// reportedDeparting reports whether a peer or the registry says that the node is
 	// departing.
 	reportedDeparting bool
 }
 
+// Departing reports whether the node itself says that it accepts no new work.
+func (e Endpoint) Departing() bool { return e.Report.Departing || e.Announced }
+
 // Weight returns the endpoint's weight for key in rendezvous hashing. The endpoint with
 // the greatest weight is preferred.
 func (e Endpoint) Weight(key uint64) uint64 { return mix(key ^ e.Hash) }
--- a/pkg/member/set.go
+++ b/pkg/member/set.go
@@ -42,6 +42,10 @@
 	// answer and is separate from entries, so that an answer that changes nothing else
 	// is cheap.
 	answeredAt *immutable.Map[string, time.Time]
+	// signals holds what incarnations of endpoints said in their answers. It is separate
+	// from entries, since the registry may lose an entry and regain it. Invariant: never
+	// modified once published.
+	signals map[incarnation]signal
 	// unpolled reports whether the instance does not poll nodes. Nodes then answer only
 	// calls, and the time without an answer says nothing about a node.
 	unpolled bool
@@ -191,7 +195,7 @@
 // Find returns the node called name.
 func (s Set) Find(name string) (Endpoint, bool) {
 	e, ok := s.entries[name]
-	return e.endpoint(), ok
+	return s.endpoint(e), ok
 }
 
 // Nodes returns all nodes of role r, sorted by name. The slice must not be modified.
@@ -223,6 +227,7 @@
 }
 
 // Departing returns the sorted names of the endpoints that reported their own departure.
+// Those that only announced it in an answer are listed by Announcements.
 func (s Set) Departing() []string {
 	var out []string
 	for name, e := range s.entries {
@@ -244,7 +249,7 @@
 	at, _ := slices.BinarySearchFunc(es, name, func(e Endpoint, name string) int {
 		return strings.Compare(e.Node.Name, name)
 	})
-	es[at] = e.endpoint()
+	es[at] = s.endpoint(e)
 	s.roles[e.node.Role] = es
 	if e.node.Role == Instance {
 		return s
@@ -276,12 +281,17 @@
 	return e
 }
 
-func (e entry) endpoint() Endpoint {
+func (s Set) endpoint(e entry) Endpoint {
+	said := s.signals[incarnation{
+		name:  e.node.Name,
+		start: e.node.Start,
+	}]
 	return Endpoint{
 		Node:              e.node,
 		Report:            e.report,
 		Hash:              xxhash.Sum64String(e.node.Name),
 		SuspectUntil:      e.suspectUntil,
+		Announced:         !said.departingSince.IsZero(),
 		reportedDeparting: e.node.Departing || e.reportedDeparting,
 	}
 }
@@ -289,7 +299,7 @@
 // build returns a copy of s with the given entries and the values derived from them.
 func (s Set) build(entries map[string]entry) Set {
 	s.entries = entries
-	s.roles = byRole(entries)
+	s.roles = s.byRole()
 	s.pools = map[string][]Endpoint{}
 	s.versions = map[string]string{}
 	for _, r := range [...]Role{Engine, Service} {
@@ -312,7 +322,7 @@
 	reported := 0
 	for _, r := range [...]Role{Engine, Service} {
 		for _, e := range s.roles[r] {
-			if e.Report.Departing || !slices.Contains(e.Node.Models, model) {
+			if e.Departing() || !slices.Contains(e.Node.Models, model) {
 				continue
 			}
 			all = append(all, e)
@@ -328,10 +338,10 @@
 }
 
 // byRole returns all nodes by role, sorted by name.
-func byRole(entries map[string]entry) [roles][]Endpoint {
+func (s Set) byRole() [roles][]Endpoint {
 	var out [roles][]Endpoint
-	for _, e := range entries {
-		out[e.node.Role] = append(out[e.node.Role], e.endpoint())
+	for _, e := range s.entries {
+		out[e.node.Role] = append(out[e.node.Role], s.endpoint(e))
 	}
 	for _, es := range out {
 		sortByName(es)
