ctrl: an engine that asks for quiet gets no calls until its time has passed

An engine that sheds load answers 503 with Retry-After. The code ignored the time: the engine stayed a candidate for the next request, and was polled and ordered as before.

The control thread applies it like an announced departure: for that incarnation, in time since boot, before the answer is passed on. A process that thaws finds a time that began before the freeze still in force, and asks again just before it sends.

Nothing goes to the engine meanwhile: no request, no repeat, no report, no poll of cache events, no order. For orders of weights this means that the engine is ordered when its time is over, and that an order which it carries out is not followed until then; it does not count as an engine that may load now. The others are ordered as before. Handing the lease to another instance would cost the quiet period of the lease and gain nothing if that one is turned away, too.

If all endpoints of a service ask for quiet, requests are refused at once with 503 and the shortest time that is left, as not run; the gate lets go of those that wait for their turn, which are refused in the same way. Peers are not told: the engine spoke of this instance alone.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -1,6 +1,8 @@
 package call
 
 import (
+	"time"
+
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/member"
 )
@@ -51,6 +53,9 @@
 type Signal struct {
 	// Departing reports whether the endpoint announces its departure.
 	Departing bool
+	// Quiet is for how long the endpoint wants no calls of this instance; 0 if it asks
+	// for no quiet.
+	Quiet time.Duration
 	// Answer describes the answer, for logs.
 	Answer string
 }
--- a/internal/ctrl/orders.go
+++ b/internal/ctrl/orders.go
@@ -270,7 +270,7 @@
 
 // enginesOf returns the engines of model with their current work. It includes
 // suspect engines: other instances may not suspect them, and an engine that is only
-// overloaded does not answer either.
+// overloaded does not answer either. An engine that wants no calls is ordered later.
 func (Orders) enginesOf(s state.State, model string, now time.Time) []weight.Engine {
 	var out []weight.Engine
 	for _, v := range s.Routing.Site.Serves(model) {
@@ -278,6 +278,9 @@
 			if e.Node.Role != member.Engine {
 				continue
 			}
+			if _, ordered := s.Routing.Weights.OrderInFlight(e.Node.Name, now); !ordered && e.QuietUntil.After(now) {
+				continue
+			}
 			out = append(out, weight.Engine{
 				Name:    e.Node.Name,
 				Suspect: e.SuspectUntil.After(now),
--- a/internal/ctrl/signals.go
+++ b/internal/ctrl/signals.go
@@ -13,14 +13,15 @@
 const announceTime = 1 * time.Minute
 
 // Signals tracks what endpoints say in their answers about new work: that they are
-// departing, which peers are told.
+// departing, which peers are told, or that they want no calls of this instance for a
+// while, which concerns no other instance.
 type Signals struct{}
 
 // Step implements Controller.
 func (c Signals) Step(s state.State, e state.Event, now time.Time) (state.State, []state.Action) {
 	switch e := e.(type) {
 	case state.Tick:
-		return s.WithMembers(s.Members.WithoutPastSignals(now)), nil
+		return c.expire(s, now)
 	case state.Signaled:
 		return c.handleSignal(s, e, now)
 	case state.Heartbeat:
@@ -31,19 +32,38 @@
 	return s, nil
 }
 
+// expire forgets past signals and logs the endpoints whose quiet has ended.
+func (Signals) expire(s state.State, now time.Time) (state.State, []state.Action) {
+	members, ended := s.Members.WithoutPastSignals(now)
+	var actions []state.Action
+	for _, name := range ended {
+		actions = append(actions, signalNote(name, "back", "reason", "the time for which it wanted no calls is over"))
+	}
+	return s.WithMembers(members), actions
+}
+
 // handleSignal applies what an endpoint said. It logs only what changes, since each
 // answer may repeat it.
 func (c Signals) handleSignal(s state.State, e state.Signaled, now time.Time) (state.State, []state.Action) {
+	before, _ := s.Members.Find(e.Endpoint)
+	var actions []state.Action
+	if !e.QuietUntil.IsZero() {
+		s = s.WithMembers(s.Members.WithQuiet(e.Endpoint, e.Start, e.QuietUntil))
+		if !before.QuietUntil.After(now) && isQuiet(s, e.Endpoint, now) {
+			actions = append(actions, signalNote(e.Endpoint, "quiet",
+				"for", e.QuietUntil.Sub(now).Round(time.Millisecond).String(), "reason", e.Answer))
+		}
+	}
 	if !e.Departing {
-		return s, nil
+		return s, actions
 	}
-	s, actions := c.announce(s, member.Announcement{
+	s, noted := c.announce(s, member.Announcement{
 		Endpoint: e.Endpoint,
 		Start:    e.Start,
 		Since:    now,
 	}, s.Self.Name, e.Answer)
-	if len(actions) > 0 {
-		actions = append(actions, broadcastHeartbeats(s)...)
+	if len(noted) > 0 {
+		actions = append(append(actions, noted...), broadcastHeartbeats(s)...)
 	}
 	return s, actions
 }
@@ -81,8 +101,8 @@
 	return s, actions
 }
 
-// noteReplaced logs the endpoints that are no longer departing since a new incarnation
-// of them has registered.
+// noteReplaced logs the endpoints whose signals end since a new incarnation of them has
+// registered.
 func (Signals) noteReplaced(s state.State, e state.RegistrySnapshot) []state.Action {
 	if e.Version < s.Routing.RegistryVersion {
 		return nil
@@ -90,13 +110,19 @@
 	var actions []state.Action
 	for _, entry := range e.Put {
 		old, ok := s.Members.Find(entry.Node.Name)
-		if ok && old.Node.Start != entry.Node.Start && old.Announced {
+		if ok && old.Node.Start != entry.Node.Start && (old.Announced || old.QuietUntil.After(s.At)) {
 			actions = append(actions, signalNote(entry.Node.Name, "back", "reason", "a new incarnation has registered"))
 		}
 	}
 	return actions
 }
 
+// isQuiet reports whether the endpoint name wants no calls of this instance at now.
+func isQuiet(s state.State, name string, now time.Time) bool {
+	e, _ := s.Members.Find(name)
+	return e.QuietUntil.After(now)
+}
+
 // recentAnnouncements returns the departures that peers are told.
 func recentAnnouncements(s state.State) []state.Announcement {
 	var out []state.Announcement
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -97,7 +97,7 @@
 	m.expectedPrefill = counter("expected_read_tokens", "tokens of prompts that endpoints were expected to read")
 	m.failedAttempts = counter("failed_attempts", "attempts that failed, by cause")
 	m.refusals = counter("refusals", "requests that were refused before an endpoint was asked, by reason")
-	m.signals = counter("endpoint_signals", "answers in which endpoints said that they are departing, by kind")
+	m.signals = counter("endpoint_signals", "answers in which endpoints said that they are departing or want no calls for a while, by kind")
 	m.violations = counter("invariant_breaches", "promises that did not hold, by rule")
 	firstToken, err := p.Float64Histogram("first_token_seconds",
 		metric.WithDescription("time to first token by rank"),
@@ -171,7 +171,8 @@
 	m.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
 
-// Signaled counts an answer in which an endpoint said that it is departing, by kind.
+// Signaled counts an answer in which an endpoint said that it is departing or wants no
+// calls for a while, by kind.
 func (m *Meter) Signaled(kind string) {
 	m.signals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -91,7 +91,7 @@
 		KVSource:       c.source,
 		KVTarget:       c.target,
 		MaxConnections: c.limit,
-		Allowed:        func() bool { return callable(x.control.View(), c.endpoint.Node) },
+		Allowed:        func() bool { return callable(x.control.View(), c.endpoint.Node, x.now()) },
 	})
 	if err != nil {
 		return attemptError(ctx, err)
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -32,9 +32,13 @@
 	case state.RunLeaseOp:
 		return x.runLeaseOp(ctx, a)
 	case state.PollLoad:
-		return x.pollLoad(ctx, a)
+		if !x.quiet(a.Endpoint.Node) {
+			return x.pollLoad(ctx, a)
+		}
 	case state.PollCacheEvents:
-		return x.pollCacheEvents(ctx, a)
+		if !x.quiet(a.Endpoint.Node) {
+			return x.pollCacheEvents(ctx, a)
+		}
 	case state.SendOrder:
 		return x.sendOrder(ctx, a)
 	case state.Announce:
@@ -140,6 +144,10 @@
 		Order:   a.Order,
 		Outcome: state.Unsent,
 	}
+	if x.quiet(a.Endpoint.Node) {
+		e.Detail = "the engine wants no calls"
+		return e
+	}
 	report, _, err := x.parts.Endpoints.Load(ctx, a.Endpoint.Node)
 	if err != nil {
 		e.Detail = err.Error()
@@ -153,7 +161,7 @@
 	e.Outcome, err = x.parts.Endpoints.Order(ctx, a.Endpoint.Node, a.Order, a.FencingToken, report.Orders, func() bool {
 		now := x.parts.Now()
 		l := x.loop.View().Lease
-		return l.FencingToken() == a.FencingToken && l.Valid(now, now.Add(ctrl.OrderTimeout/2))
+		return !x.quiet(a.Endpoint.Node) && l.FencingToken() == a.FencingToken && l.Valid(now, now.Add(ctrl.OrderTimeout/2))
 	})
 	if err != nil {
 		e.Detail = err.Error()
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -104,7 +105,7 @@
 	g.mu.Lock()
 	q := g.serviceQueue(r.Service)
 	if q.waiting.Len(policy.Normal) == 0 && q.running+cost <= capacity {
-		q.admit(cost, g.now())
+		q.admit(cost, capacity, g.now())
 		g.mu.Unlock()
 		return nil
 	}
@@ -169,6 +170,15 @@
 	g.admitWaiting(q, capacity)
 }
 
+// update admits waiting requests after the capacity has changed.
+func (g *gate) update() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for service, q := range g.queues {
+		g.admitWaiting(q, g.capacity(service))
+	}
+}
+
 // withdraw removes an item from the queue, or returns false if it was admitted.
 func (g *gate) withdraw(q *workQueue, place queue.Place, id uint64) bool {
 	g.mu.Lock()
@@ -190,14 +200,15 @@
 			return
 		}
 		q.waiting = next
-		q.admit(item.Cost, g.now())
+		q.admit(item.Cost, capacity, g.now())
 		close(q.admitted[item.ID])
 		delete(q.admitted, item.ID)
 	}
 }
 
 // capacity is how many tokens of non-urgent work this instance may have at the
-// engines of a service.
+// engines of a service. It has no bound while all engines want no calls, since the
+// forwarder refuses every request then: none has to wait for that.
 func (g *gate) capacity(service string) float64 {
 	s := g.view.View()
 	v, ok := s.Routing.Site.Service(service)
@@ -205,9 +216,12 @@
 		return 0
 	}
 	now := g.now()
+	if _, quiet := s.Members.QuietUntil(service, now); quiet {
+		return math.Inf(1)
+	}
 	engines := 0
 	for _, e := range s.Members.Pool(service) {
-		if e.Node.Role == member.Engine && !e.SuspectUntil.After(now) {
+		if e.Node.Role == member.Engine && !e.SuspectUntil.After(now) && !e.QuietUntil.After(now) {
 			engines++
 		}
 	}
@@ -225,10 +239,13 @@
 	return q
 }
 
-// admit counts work of the given tokens as running.
-func (q *workQueue) admit(tokens float64, now time.Time) {
+// admit counts work of the given tokens as running. Work without a bound is refused and
+// says nothing about the throughput.
+func (q *workQueue) admit(tokens, capacity float64, now time.Time) {
 	q.running += tokens
-	q.throughput.record(tokens, now)
+	if !math.IsInf(capacity, 1) {
+		q.throughput.record(tokens, now)
+	}
 }
 
 // expectedWait estimates how long item would wait in the queue.
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -97,7 +97,7 @@
 	}
 	c, ok := p.best()
 	if !ok {
-		return c, fault.New(fault.Unavailable, "no endpoint of %q takes work: come back later", x.request.Service).WithRetry(busyRetryAfter)
+		return c, p.unavailable()
 	}
 	c.limit = int(connectionShare * float64(service.Connections) / float64(x.instanceCount()))
 	x.meter.Chosen(c.reason, c.sourceKind(), c.uncached)
@@ -109,6 +109,19 @@
 	return c, nil
 }
 
+// unavailable returns the error of a request for which no endpoint is left.
+func (p picker) unavailable() error {
+	until, quiet := p.state.Members.QuietUntil(p.request.Service, p.now)
+	if !quiet {
+		return fault.New(fault.Unavailable, "no endpoint of %q takes work: come back later", p.request.Service).WithRetry(busyRetryAfter)
+	}
+	if p.attempts == 0 {
+		p.meter.Refused("quiet")
+	}
+	left := until.Sub(p.now)
+	return fault.New(fault.Unavailable, "all endpoints of %q asked for quiet: come back in %s", p.request.Service, left.Round(time.Millisecond)).WithRetry(left)
+}
+
 // picker chooses among the endpoints of a service, based on one state.
 type picker struct {
 	*exchange
@@ -129,18 +142,28 @@
 }
 
 // candidates returns the endpoints that may be called: those that were not
-// tried and are trusted or, if there are none, all that were not tried.
+// tried and are trusted or, if there are none, all that were not tried. None of
+// them wants no calls.
 func (p picker) candidates() []member.Endpoint {
-	all := slices.DeleteFunc(slices.Clone(p.state.Members.Pool(p.request.Service)), func(e member.Endpoint) bool {
-		return slices.Contains(p.tried, e.Node.Name)
-	})
-	trusted := slices.DeleteFunc(slices.Clone(all), func(e member.Endpoint) bool {
-		return e.SuspectUntil.After(p.now)
-	})
-	if len(trusted) == 0 {
-		return all
+	pool := p.state.Members.Pool(p.request.Service)
+	if trusted := p.untried(pool, false); len(trusted) > 0 {
+		return trusted
+	}
+	return p.untried(pool, true)
+}
+
+// untried returns the endpoints of pool that want calls and were not tried, with those
+// that are suspected or without them.
+func (p picker) untried(pool []member.Endpoint, suspected bool) []member.Endpoint {
+	out := make([]member.Endpoint, 0, len(pool))
+	for i := range pool {
+		e := &pool[i]
+		if !suspected && e.SuspectUntil.After(p.now) || e.QuietUntil.After(p.now) || slices.Contains(p.tried, e.Node.Name) {
+			continue
+		}
+		out = append(out, *e)
 	}
-	return trusted
+	return out
 }
 
 // chooseByLoad chooses for a request without a prompt. It prefers near
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -105,7 +105,8 @@
 	Failed(cause string)
 	// Refused counts a request that was refused before any endpoint was called.
 	Refused(reason string)
-	// Signaled counts an answer in which an endpoint said that it is departing.
+	// Signaled counts an answer in which an endpoint said that it is departing or
+	// wants no calls for a while.
 	Signaled(kind string)
 	// Waited records the time that a request waited in the queue, and whether
 	// it was admitted.
@@ -159,6 +160,7 @@
 	Peer peer.Server
 
 	parts     Parts
+	gate      *gate
 	operators *watch.Table
 	registry  *watch.Table
 	done      chan struct{}
@@ -179,6 +181,7 @@
 		ctrl.WithInterval(ctrl.ForwardInterval),
 		ctrl.WithControllers(ctrl.Forwarding()...))
 	exec.loop = loop
+	gate := newGate(loop, p.Now, p.Log, p.Meter)
 	operators, registry := p.Decoder.Tables()
 	storeSink := controlSink{
 		loop:    loop,
@@ -187,9 +190,10 @@
 	}
 	return &Relay{
 		Loop:    loop,
-		Handler: exec.chain(),
+		Handler: exec.chain(gate),
 		Peer:    peer.NewServer(loop),
 		parts:   p,
+		gate:    gate,
 		operators: watch.New(p.Store, operators, operatorSink{
 			controlSink: storeSink,
 		}, watch.WithLongPoll(operatorLongPoll)),
@@ -211,7 +215,7 @@
 }
 
 // chain builds the filter chain.
-func (x *executor) chain() chain.Handler {
+func (x *executor) chain(g *gate) chain.Handler {
 	p := x.parts
 	return chain.Build(
 		newForwarder(x, p),
@@ -226,7 +230,7 @@
 			view: x.loop,
 		},
 		filter.NewAccount(x.tally, p.Meter),
-		newGate(x.loop, p.Now, p.Log, p.Meter),
+		g,
 	)
 }
 
--- a/internal/relay/signal.go
+++ b/internal/relay/signal.go
@@ -22,9 +22,16 @@
 	Tell(ctx context.Context, e state.Event) error
 }
 
+// capacityUpdater is told that the endpoints' capacity may have changed.
+type capacityUpdater interface {
+	update()
+}
+
 // signalHandler passes what endpoints say in their answers to the control thread.
 type signalHandler struct {
 	control signalControl
+	gate    capacityUpdater
+	now     func() time.Time
 	log     zerolog.Logger
 	meter   meter
 }
@@ -35,6 +42,8 @@
 func (i *Relay) HandleSignal(n member.Node, s call.Signal) {
 	signalHandler{
 		control: i.Loop,
+		gate:    i.gate,
+		now:     i.parts.Now,
 		log:     i.parts.Log,
 		meter:   i.parts.Meter,
 	}.handle(n, s)
@@ -55,6 +64,10 @@
 	if s.Departing {
 		h.meter.Signaled("departing")
 	}
+	if s.Quiet > 0 {
+		h.meter.Signaled("quiet")
+		e.QuietUntil = h.now().Add(s.Quiet)
+	}
 	if h.known(e) {
 		return
 	}
@@ -68,6 +81,7 @@
 	}
 	select {
 	case <-e.Done:
+		h.gate.update()
 	case <-ctx.Done():
 	}
 }
@@ -75,10 +89,17 @@
 // known reports whether e would change nothing.
 func (h signalHandler) known(e state.Signaled) bool {
 	members := h.control.View().Members
-	return !e.Departing || !members.Departure(e.Endpoint, e.Start).IsZero()
+	return (!e.Departing || !members.Departure(e.Endpoint, e.Start).IsZero()) &&
+		!e.QuietUntil.After(members.Quiet(e.Endpoint, e.Start))
+}
+
+// callable reports whether the incarnation n of an endpoint accepts calls at now.
+func callable(s *state.State, n member.Node, now time.Time) bool {
+	return s.Members.Departure(n.Name, n.Start).IsZero() && !s.Members.Quiet(n.Name, n.Start).After(now)
 }
 
-// callable reports whether the incarnation n of an endpoint accepts calls.
-func callable(s *state.State, n member.Node) bool {
-	return s.Members.Departure(n.Name, n.Start).IsZero()
+// quiet reports whether the endpoint n wants no calls of this instance. Its departure
+// does not matter to calls that are not made for callers.
+func (x *executor) quiet(n member.Node) bool {
+	return x.loop.View().Members.Quiet(n.Name, n.Start).After(x.parts.Now())
 }
--- a/internal/relay/timeout.go
+++ b/internal/relay/timeout.go
@@ -55,6 +55,10 @@
 	if !x.request.Stream || !x.request.Route.Resumable {
 		return false
 	}
+	if !callable(x.control.View(), c.endpoint.Node, x.now()) {
+		// The endpoint can't be asked.
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	ok, err := x.endpoints.InFlight(ctx, c.endpoint.Node, x.request.ID)
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -56,6 +56,8 @@
 	Start    string
 	// Departing is set if the endpoint announced its departure.
 	Departing bool
+	// QuietUntil is the time until which it wants no calls; zero if it did not say.
+	QuietUntil time.Time
 	// Answer describes the answer.
 	Answer string
 	// Done is closed once the state that results from the event is published; nil if
--- a/pkg/member/doc.go
+++ b/pkg/member/doc.go
@@ -7,8 +7,8 @@
 // reports it, the node is left out as long as at least half of its pool remains, so
 // that wrong reports can't empty a pool.
 //
-// In its answers a node may announce its departure. That holds for one incarnation of the
-// node, and no other source takes it back.
+// In its answers a node may announce its departure, or ask for quiet until a time. Both
+// hold for one incarnation of the node, and no other source takes them back.
 //
 //	set = set.WithRegistry(nodes)
 //	set = set.WithReport("e1", report, now)
--- a/pkg/member/node.go
+++ b/pkg/member/node.go
@@ -98,6 +98,9 @@
 	// SuspectUntil is the time until which no calls are sent to the node after failures;
 	// zero if it is not suspected.
 	SuspectUntil time.Time
+	// QuietUntil is the time until which the node wants no calls of this instance, as it
+	// said in an answer; zero if it never did.
+	QuietUntil time.Time
 	// Announced reports whether this incarnation of the node said in an answer that it
 	// is departing.
 	Announced bool
--- a/pkg/member/set.go
+++ b/pkg/member/set.go
@@ -291,6 +291,7 @@
 		Report:            e.report,
 		Hash:              xxhash.Sum64String(e.node.Name),
 		SuspectUntil:      e.suspectUntil,
+		QuietUntil:        said.quietUntil,
 		Announced:         !said.departingSince.IsZero(),
 		reportedDeparting: e.node.Departing || e.reportedDeparting,
 	}
--- a/pkg/member/signal.go
+++ b/pkg/member/signal.go
@@ -22,6 +22,9 @@
 type signal struct {
 	// departingSince is when the endpoint announced its departure; zero if it did not.
 	departingSince time.Time
+	// quietUntil is the time until which the endpoint wants no calls of this instance;
+	// zero if it asked for no quiet.
+	quietUntil time.Time
 }
 
 // Announcement is the departure that an incarnation of an endpoint announced.
@@ -42,6 +45,15 @@
 	}].departingSince
 }
 
+// Quiet returns the time until which the incarnation start of the node name wants no
+// calls, or the zero time.
+func (s Set) Quiet(name, start string) time.Time {
+	return s.signals[incarnation{
+		name:  name,
+		start: start,
+	}].quietUntil
+}
+
 // WithDeparture returns a copy of s after an incarnation of an endpoint announced its
 // departure. Nothing but another incarnation takes it back. The earliest time counts.
 func (s Set) WithDeparture(a Announcement) Set {
@@ -57,12 +69,35 @@
 	return s.withSignal(id, v)
 }
 
-// WithoutPastSignals returns a copy of s without what no longer matters at now.
-func (s Set) WithoutPastSignals(now time.Time) Set {
+// WithQuiet returns a copy of s after an incarnation of an endpoint said that it wants
+// no calls until the given time. The latest time counts.
+func (s Set) WithQuiet(name, start string, until time.Time) Set {
+	id := incarnation{
+		name:  name,
+		start: start,
+	}
+	v := s.signals[id]
+	if !until.After(v.quietUntil) {
+		return s
+	}
+	v.quietUntil = until
+	return s.withSignal(id, v)
+}
+
+// WithoutPastSignals returns a copy of s without what no longer matters at now, and the
+// sorted names of the endpoints whose quiet has ended.
+func (s Set) WithoutPastSignals(now time.Time) (Set, []string) {
+	var ended []string
 	for id, v := range s.signals {
 		next := v
 		current, listed := s.entries[id.name]
 		listed = listed && current.node.Start == id.start
+		if !v.quietUntil.IsZero() && !v.quietUntil.After(now) {
+			next.quietUntil = time.Time{}
+			if listed {
+				ended = append(ended, id.name)
+			}
+		}
 		if !listed && (id.start == "" || now.Sub(v.departingSince) > departureMemory) {
 			// Without a start, a new incarnation can only be told by its new entry.
 			next.departingSince = time.Time{}
@@ -71,7 +106,8 @@
 			s = s.withSignal(id, next)
 		}
 	}
-	return s
+	slices.Sort(ended)
+	return s, ended
 }
 
 // Announcements returns the departures that endpoints announced after the given time,
@@ -93,6 +129,22 @@
 	return out
 }
 
+// QuietUntil returns the earliest time at which an endpoint of model wants calls again,
+// if all endpoints that accept new work want none at now.
+func (s Set) QuietUntil(model string, now time.Time) (time.Time, bool) {
+	var earliest time.Time
+	for i := range s.pools[model] {
+		until := s.pools[model][i].QuietUntil
+		if !until.After(now) {
+			return time.Time{}, false
+		}
+		if earliest.IsZero() || until.Before(earliest) {
+			earliest = until
+		}
+	}
+	return earliest, !earliest.IsZero()
+}
+
 // withSignal returns a copy of s in which v is what the incarnation id said.
 func (s Set) withSignal(id incarnation, v signal) Set {
 	next := maps.Clone(s.signals)
--- a/pkg/member/signal_test.go
+++ b/pkg/member/signal_test.go
@@ -64,10 +64,10 @@
 	set := member.Set{}.WithRegistry(started("7", engines("e1", "e2"))).WithDeparture(announced("e1"))
 	require.Len(t, set.Announcements(start.Add(-time.Second)), 1)
 	require.Empty(t, set.Announcements(start))
-	set = set.WithoutPastSignals(start.Add(time.Hour))
+	set, _ = set.WithoutPastSignals(start.Add(time.Hour))
 	require.False(t, set.Departure("e1", "7").IsZero(), "the node is still listed")
-	set = set.WithRegistry(started("7", engines("e2"))).WithoutPastSignals(start.Add(time.Minute))
+	set, _ = set.WithRegistry(started("7", engines("e2"))).WithoutPastSignals(start.Add(time.Minute))
 	require.False(t, set.Departure("e1", "7").IsZero(), "the registry may have lost the entry")
-	set = set.WithoutPastSignals(start.Add(time.Hour))
+	set, _ = set.WithoutPastSignals(start.Add(time.Hour))
 	require.True(t, set.Departure("e1", "7").IsZero())
 }
