relay: a request that joins the queue as the last engine asks for quiet does not wait

A request computed its service's capacity before it took the lock of the gate. If the last engine asked for quiet in between, the request queued under the old capacity after the gate had let go of the others, and waited for the next arrival or its limit.

TestWaitingRequestsAreRefusedWhenAllEndpointsAreQuiet failed twice in nine runs beside other load ("Condition never satisfied": two of four requests went on). The loop over the engines copies none of them any more.

--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -100,9 +100,10 @@
 
 // acquire returns nil when r is admitted; its cost then counts as running.
 func (g *gate) acquire(ctx context.Context, r chain.Request, cost float64) error {
-	capacity := g.capacity(r.Service)
 	limit := queueTimeout(r)
 	g.mu.Lock()
+	// A capacity from before the lock might miss a change whose update came first.
+	capacity := g.capacity(r.Service)
 	q := g.serviceQueue(r.Service)
 	if q.waiting.Len(policy.Normal) == 0 && q.running+cost <= capacity {
 		q.admit(cost, capacity, g.now())
@@ -220,7 +221,9 @@
 		return math.Inf(1)
 	}
 	engines := 0
-	for _, e := range s.Members.Pool(service) {
+	pool := s.Members.Pool(service)
+	for i := range pool {
+		e := &pool[i]
 		if e.Node.Role == member.Engine && !e.SuspectUntil.After(now) && !e.QuietUntil.After(now) {
 			engines++
 		}
