soak: endpoints announce departures and ask for quiet

The soak's endpoints said neither. Two steps are new: an endpoint announces its departure in all its answers while the registry lists it as ready, and starts anew later; or it rejects all requests with 503 and Retry-After of 0.7 to 3 s.

Two checks follow the platform's rules. DRAIN: no request that a caller sent later than 2 s after an instance had passed on such an answer reaches that incarnation from it, whatever else is faulty; a restart or pause of the instance excuses it. BUDGET: at most two requests reach an endpoint from an instance between 0.5 s after it asked it for quiet and the end of that time; a fault of the instance, a link fault, crash or departure of the endpoint excuses it. An endpoint that announces its departure serves as usual, so that the period does not count as a fault in the other checks.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -17,6 +17,10 @@
 	// Drain is how long after its departure was acknowledged requests may reach
 	// an endpoint.
 	Drain time.Duration
+	// QuietIn is how long after it asked for quiet requests may reach an endpoint, and
+	// QuietRequests how many may later.
+	QuietIn       time.Duration
+	QuietRequests int
 	// WeightsIn is how long after newer weights were set as desired requests may
 	// begin on older ones.
 	WeightsIn time.Duration
@@ -108,6 +112,8 @@
 	c.checkWasted()
 	c.checkTimeouts()
 	c.checkDrain()
+	c.checkAnnounced()
+	c.checkQuiet()
 	c.checkOrders()
 	return c.violations
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -25,6 +25,8 @@
 	SettleTime:       3 * time.Second,
 	Apply:            2 * time.Second,
 	Drain:            2 * time.Second,
+	QuietIn:          500 * time.Millisecond,
+	QuietRequests:    2,
 	WeightsIn:        8 * time.Second,
 	HolderGap:        3 * time.Second,
 	ResumeGrace:      300 * time.Millisecond,
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -59,9 +59,20 @@
 	kinds
 )
 
+// The kinds below are drawn from a random source of their own, so that the other steps
+// of a seed stay the same.
+const (
+	// EndpointAnnounce makes an endpoint announce its departure in its responses. It is
+	// restarted later.
+	EndpointAnnounce Kind = kinds + iota
+	// EndpointQuiet makes an endpoint reject requests and ask for quiet.
+	EndpointQuiet
+)
+
 var kindNames = [...]string{
 	"stop", "kill", "pause", "reload", "link", "store-slow", "store-away", "store-part", "store-lose", "store-forget",
 	"end-crash", "end-cut", "end-late", "end-mute", "end-full", "end-fail", "end-stray", "end-leave", "end-vanish", "weights", "change",
+	"end-announce", "end-quiet",
 }
 
 // String returns the name of k.
@@ -149,6 +160,7 @@
 		d.addSeries(at)
 		at += d.milliseconds(200, 2500)
 	}
+	d.addSignals(seed, length)
 	p := Plan{
 		Seed: seed,
 	}
@@ -218,6 +230,14 @@
 	}
 }
 
+// addSignals adds steps in which endpoints say that they are departing or ask for quiet.
+func (d *generator) addSignals(seed uint64, length time.Duration) {
+	d.rand = rand.New(rand.NewPCG(seed, 2))
+	for at := firstStep; at < length; at += d.milliseconds(1000, 5000) {
+		d.add(at, EndpointAnnounce+Kind(d.rand.IntN(2)))
+	}
+}
+
 func (d *generator) add(at time.Duration, kind Kind) *Step {
 	d.steps = append(d.steps, Step{
 		Kind:     kind,
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -90,6 +90,15 @@
 	At           time.Time `json:"At"`
 }
 
+// Rejection is a request that an endpoint rejected, asking for quiet.
+type Rejection struct {
+	Endpoint string `json:"End"`
+	ID       string `json:"ID"`
+	// Quiet is for how long the endpoint wants no calls of the instance.
+	Quiet time.Duration `json:"Quiet"`
+	At    time.Time     `json:"At"`
+}
+
 // Config is a configuration: the service of each route and the team of each API
 // key. It is never written after it is published.
 type Config struct {
@@ -128,8 +137,13 @@
 	mu       sync.Mutex
 	attempts []Attempt
 	runs     []Run
-	orders   []Order
-	configs  []Config
+	// rejections holds the requests that endpoints rejected while they asked for quiet.
+	rejections []Rejection
+	// announced holds the periods in which endpoints announced their departure. They
+	// are no faults, since the endpoints serve as usual.
+	announced []FaultSpan
+	orders    []Order
+	configs   []Config
 	// events holds, by kind, when the desired weights were set, when the departure
 	// (value 0) and the return (value 1) of an endpoint were acknowledged, and when
 	// an instance was told to stop or to reload its settings.
@@ -154,6 +168,11 @@
 // RecordRun records a run.
 func (rec *Recorder) RecordRun(r Run) { rec.update(func() { rec.runs = append(rec.runs, r) }) }
 
+// RecordRejection records a rejection.
+func (rec *Recorder) RecordRejection(r Rejection) {
+	rec.update(func() { rec.rejections = append(rec.rejections, r) })
+}
+
 // RecordOrder records an order.
 func (rec *Recorder) RecordOrder(o Order) { rec.update(func() { rec.orders = append(rec.orders, o) }) }
 
@@ -190,17 +209,28 @@
 // RecordFault records that a fault affects subject since from. The returned function
 // records its end.
 func (rec *Recorder) RecordFault(subject, what string, from time.Time) func(to time.Time) {
+	return rec.recordSpan(&rec.faults, subject, what, from)
+}
+
+// RecordAnnounced records that an endpoint announces its departure since from. The
+// returned function records its end.
+func (rec *Recorder) RecordAnnounced(endpoint string, from time.Time) func(to time.Time) {
+	return rec.recordSpan(&rec.announced, endpoint, EndpointAnnounce.String(), from)
+}
+
+// recordSpan adds a period to spans and returns the function that records its end.
+func (rec *Recorder) recordSpan(spans *[]FaultSpan, subject, what string, from time.Time) func(to time.Time) {
 	i := 0
 	rec.update(func() {
-		i = len(rec.faults)
-		rec.faults = append(rec.faults, FaultSpan{
+		i = len(*spans)
+		*spans = append(*spans, FaultSpan{
 			Subject: subject,
 			What:    what,
 			From:    from,
 		})
 	})
 	return func(to time.Time) {
-		rec.update(func() { rec.faults[i].To = to })
+		rec.update(func() { (*spans)[i].To = to })
 	}
 }
 
@@ -258,15 +288,17 @@
 	defer rec.mu.Unlock()
 	out := json.NewEncoder(w)
 	for kind, list := range map[string]any{
-		"attempts": rec.attempts,
-		"runs":     rec.runs,
-		"orders":   rec.orders,
-		"configs":  rec.configs,
-		"weights":  rec.events[Weights],
-		"leavings": rec.events[EndpointDepart],
-		"stops":    rec.events[Stop],
-		"reloads":  rec.events[Reload],
-		"spans":    rec.faults,
+		"attempts":  rec.attempts,
+		"runs":      rec.runs,
+		"rejected":  rec.rejections,
+		"orders":    rec.orders,
+		"configs":   rec.configs,
+		"weights":   rec.events[Weights],
+		"leavings":  rec.events[EndpointDepart],
+		"stops":     rec.events[Stop],
+		"reloads":   rec.events[Reload],
+		"spans":     rec.faults,
+		"announced": rec.announced,
 	} {
 		items := reflect.ValueOf(list)
 		for i := range items.Len() {
