ctrl: the departure of an endpoint that only peers know is told to them

In a large fleet an instance reads the registry every 8 s and tells its peers what it finds. It told nothing of the removal of an endpoint that it had never known: one that registered and left between two of its reads. Instances that had read in between went on using that endpoint until their own next read.

The instance now records such a departure and tells its peers like any other, with the registry's version behind it, which each peer compares with its own. Where the store may have lost entries, nothing is told, as before.

TestDepartureOfEndpointThatOnlyPeersKnowIsReported fails on the code as it was: "Should not be: -1: peers are told at once".

--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -1,6 +1,7 @@
 package ctrl_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -226,6 +227,39 @@
 	require.Empty(t, ctrl.HeartbeatOf(c.state).Drained)
 }
 
+// An endpoint that registers and leaves between two reads of one instance is known to
+// peers that read in between, and is removed in none of their next reads for seconds.
+func TestDepartureOfEndpointThatOnlyPeersKnowIsReported(t *testing.T) {
+	c, peer := servingInstance(t, "e1", "e2"), servingInstance(t, "e1", "e2")
+	c.step(state.PeersFound{
+		Peers: []member.Node{
+			{
+				Name: "n1",
+				Role: member.Instance,
+				Addr: "10.0.0.2:1",
+			},
+		},
+	})
+	peer.step(state.RegistrySnapshot{
+		Put:     []member.RegistryEntry{registryEntry("e3")},
+		Version: 11,
+	})
+	require.Equal(t, []string{"e1", "e2", "e3"}, peer.pool())
+	c.step(state.RegistrySnapshot{
+		Removed: []string{"e3"},
+		Version: 12,
+	})
+	sent := slices.IndexFunc(c.actions, func(a state.Action) bool {
+		h, ok := a.(state.SendHeartbeat)
+		return ok && h.To.Name == "n1" && slices.Contains(h.Heartbeat.Drained, "e3")
+	})
+	require.NotEqual(t, -1, sent, "peers are told at once")
+	peer.step(ctrl.HeartbeatOf(c.state))
+	require.Equal(t, []string{"e1", "e2"}, peer.pool())
+	c.advance(time.Minute)
+	require.Empty(t, ctrl.HeartbeatOf(c.state).Drained)
+}
+
 func TestReregisteredEndpointIsNotReportedAsDeparted(t *testing.T) {
 	c := servingInstance(t, "e1", "e2")
 	c.step(state.RegistrySnapshot{
--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -69,24 +69,15 @@
 	if e.Complete {
 		removed = c.missingEndpoints(s, e.Put)
 	}
-	var actions []state.Action
 	nodes := c.knownEndpoints(s)
 	storeLoss := float64(len(removed)) > massRemovalShare*float64(len(nodes))
 	for _, entry := range e.Put {
 		nodes[entry.Node.Name] = entry.Node
 	}
-	for _, name := range removed {
-		if _, ok := nodes[name]; !ok {
-			continue
-		}
-		if r.StoreReachable && now.Sub(r.StoreSince) >= reregisterTimeout && !storeLoss {
-			delete(nodes, name)
-			s = c.markDeparted(s, name, now)
-			actions = append(actions, endpointNote(name, "gone", e))
-			continue
-		}
-		s = c.markDeparting(s, name, now.Add(reregisterTimeout))
-	}
+	departed := s.Routing.Departed
+	certain := r.StoreReachable && now.Sub(r.StoreSince) >= reregisterTimeout && !storeLoss
+	s, actions := c.removeEndpoints(s, nodes, removed, certain, e, now)
+	news := len(s.Routing.Departed) > len(departed)
 	s = c.clearDeparture(s, e.Put)
 	s = c.setNodes(s, nodes)
 	s = c.recordVersions(s, e, removed)
@@ -101,7 +92,7 @@
 			actions = append(actions, endpointNote(entry.Node.Name, "leaving", e))
 		}
 	}
-	if len(actions) > 0 {
+	if news || len(actions) > 0 {
 		// In a large fleet the other instances read the registry rarely. The
 		// heartbeats are repeated, since one that is already in flight may lack
 		// the change and keeps another one from being sent.
@@ -111,6 +102,28 @@
 	return s, actions
 }
 
+// removeEndpoints handles the entries that were removed. If it is certain that their
+// endpoints have departed, it deletes these from nodes.
+func (c Registry) removeEndpoints(s state.State, nodes map[string]member.Node, removed []string, certain bool, e state.RegistrySnapshot, now time.Time) (state.State, []state.Action) {
+	var actions []state.Action
+	for _, name := range removed {
+		_, known := nodes[name]
+		switch {
+		case certain && known:
+			delete(nodes, name)
+			s = c.markDeparted(s, name, now)
+			actions = append(actions, endpointNote(name, "gone", e))
+		case certain:
+			// It registered and left between two reads of this instance. Peers that
+			// read the registry in between use it.
+			s = c.markDeparted(s, name, now)
+		case known:
+			s = c.markDeparting(s, name, now.Add(reregisterTimeout))
+		}
+	}
+	return s, actions
+}
+
 // endpointNote returns the log line for a change of an endpoint's state.
 func endpointNote(name, status string, e state.RegistrySnapshot) state.Note {
 	return state.Note{
