--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -66,28 +66,25 @@
 	r.RegistryConfirmed = now
 	s = s.WithRouting(r)
 	e, actions := c.withoutInstances(s, e)
-	removed := e.Removed
-	if e.Complete {
-		removed = c.missingEndpoints(s, e.Put)
-	}
 	nodes := c.knownEndpoints(s)
-	vanished := slices.DeleteFunc(slices.Clone(removed), func(name string) bool {
+	unknown := func(name string) bool {
 		_, known := nodes[name]
 		return !known
-	})
+	}
+	removed := append(slices.DeleteFunc(slices.Clone(e.Unusable), unknown), e.Removed...)
+	if e.Complete {
+		removed = c.missingEndpoints(s, e.Put)
+	}
+	vanished := slices.DeleteFunc(slices.Clone(removed), unknown)
 	storeLoss := float64(len(vanished)) > massRemovalShare*float64(len(nodes))
 	for _, entry := range e.Put {
 		nodes[entry.Node.Name] = entry.Node
 	}
-	for _, name := range vanished {
-		if r.StoreReachable && now.Sub(r.StoreSince) >= reregisterTimeout && !storeLoss {
-			delete(nodes, name)
-			s = c.markDeparted(s, name, now)
-			actions = append(actions, endpointNote(name, "gone", e))
-			continue
-		}
-		s = c.markDeparting(s, name, now.Add(reregisterTimeout))
-	}
+	departed := s.Routing.Departed
+	certain := r.StoreReachable && now.Sub(r.StoreSince) >= reregisterTimeout && !storeLoss
+	s, removals := c.removeEndpoints(s, nodes, removed, certain, e, now)
+	actions = append(actions, removals...)
+	news := len(s.Routing.Departed) > len(departed)
 	s = c.clearDeparture(s, e.Put)
 	s = c.setNodes(s, nodes)
 	s = c.recordVersions(s, e, removed)
@@ -102,7 +99,7 @@
 			actions = append(actions, endpointNote(entry.Node.Name, "leaving", e))
 		}
 	}
-	if len(actions) > 0 {
+	if news || len(actions) > 0 {
 		// In a large fleet the other instances read the registry rarely. The
 		// heartbeats are repeated, since one that is already in flight may lack
 		// the change and keeps another one from being sent.
@@ -138,6 +135,28 @@
 	return e, actions
 }
 
+// removeEndpoints handles the entries that were removed. If it is certain that their
+// endpoints have departed, it deletes these from nodes.
+func (c Registry) removeEndpoints(s state.State, nodes map[string]member.Node, removed []string, certain bool, e state.RegistrySnapshot, now time.Time) (state.State, []state.Action) {
+	var actions []state.Action
+	for _, name := range removed {
+		_, known := nodes[name]
+		switch {
+		case certain && known:
+			delete(nodes, name)
+			s = c.markDeparted(s, name, now)
+			actions = append(actions, endpointNote(name, "gone", e))
+		case certain:
+			// It registered and left between two reads of this instance. Peers that
+			// read the registry in between use it.
+			s = c.markDeparted(s, name, now)
+		case known:
+			s = c.markDeparting(s, name, now.Add(reregisterTimeout))
+		}
+	}
+	return s, actions
+}
+
 // endpointNote returns the log line for a change of an endpoint's state.
 func endpointNote(name, status string, e state.RegistrySnapshot) state.Note {
 	return state.Note{
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -42,6 +42,7 @@
 	refusals        metric.Int64Counter
 	cuts            metric.Int64Counter
 	unreadableRows  metric.Int64Counter
+	signals         metric.Int64Counter
 	admissionWait   metric.Float64Histogram
 	// otelMeter creates the observable gauges, whose values are read at each scrape.
 	otelMeter metric.Meter
@@ -100,6 +101,7 @@
 	m.refusals = counter("refusals", "requests that were refused before an endpoint was asked, by reason")
 	m.cuts = counter("cut_requests", "requests that ended without a complete response of their handler, by reason")
 	m.unreadableRows = counter("unreadable_rows", "versions of rows of the store that can't be used, by table")
+	m.signals = counter("endpoint_signals", "answers in which endpoints said that they are departing or want no calls for a while, by kind")
 	m.violations = counter("invariant_breaches", "promises that did not hold, by rule")
 	firstToken, err := p.Float64Histogram("first_token_seconds",
 		metric.WithDescription("time to first token by rank"),
@@ -184,6 +186,12 @@
 	m.unreadableRows.Add(context.Background(), 1, metric.WithAttributes(attribute.String("table", table)))
 }
 
+// Signaled counts an answer in which an endpoint said that it is departing or wants no
+// calls for a while, by kind.
+func (m *Meter) Signaled(kind string) {
+	m.signals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
+}
+
 // Waited records how long non-urgent work waited for admission. served is false if
 // the wait ended without admission.
 func (m *Meter) Waited(wait time.Duration, served bool) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -127,7 +127,7 @@
 // newAttempt counts an attempt at the endpoint of c, which open sends.
 func (x *exchange) newAttempt(ctx context.Context, c choice) *attempt {
 	invar.Check(x.request.Route.Kind != site.NonIdempotent || !x.maybeSent, invar.Once, "%s is sent again", x.request.ID)
-	invar.Check(!c.endpoint.Report.Departing, invar.Drain, "%s was chosen for %s and is departing", c.endpoint.Node.Name, x.request.ID)
+	invar.Check(!c.endpoint.Departing(), invar.Drain, "%s was chosen for %s and is departing", c.endpoint.Node.Name, x.request.ID)
 	x.attempts++
 	ctx, cancel := context.WithCancelCause(ctx)
 	return &attempt{
@@ -158,6 +158,7 @@
 		KVSource:       c.source,
 		KVTarget:       c.target,
 		MaxConnections: c.limit,
+		Allowed:        func() bool { return callable(x.control.View(), c.endpoint.Node, x.now()) },
 	})
 	if err != nil {
 		return attemptError(a.ctx, err)
@@ -331,6 +332,9 @@
 		return x.contextError(ctx)
 	}
 	name := a.choice.endpoint.Node.Name
+	if f.Cause == call.Withheld {
+		return nil
+	}
 	x.reportFailure(name, f)
 	if x.crashed(ctx, a.choice.endpoint.Node, f) {
 		return fault.New(fault.Lost, "%s ended while the request waited there, which may be the cause: look at the engine's log before you send it again", name).WithRun(fault.Unknown)
@@ -377,6 +381,11 @@
 			Version: f.WeightsVersion,
 		})
 	}
+	if f.Cause == call.Withheld {
+		// Nothing was sent, and the next choice leaves the endpoint out.
+		x.attempts--
+		return
+	}
 	x.tried = append(x.tried, name)
 	if !f.MaybeSent {
 		x.notRun++
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -111,6 +111,9 @@
 	Refused(reason string)
 	// Unreadable counts a version of a row that can't be used.
 	Unreadable(table string)
+	// Signaled counts an answer in which an endpoint said that it is departing or
+	// wants no calls for a while.
+	Signaled(kind string)
 	// Waited records the time that a request waited in the queue, and whether
 	// it was admitted.
 	Waited(wait time.Duration, served bool)
@@ -163,6 +166,7 @@
 	Peer peer.Server
 
 	parts     Parts
+	gate      *gate
 	operators *watch.Table
 	registry  *watch.Table
 	done      chan struct{}
@@ -184,6 +188,7 @@
 		ctrl.WithInterval(ctrl.ForwardInterval),
 		ctrl.WithControllers(ctrl.Forwarding()...))
 	exec.loop = loop
+	gate := newGate(loop, p.Now, p.Log, p.Meter)
 	operators, registry := p.Decoder.Tables()
 	newSink := func(table string) controlSink {
 		return controlSink{
@@ -195,9 +200,10 @@
 	}
 	return &Relay{
 		Loop:    loop,
-		Handler: exec.chain(),
+		Handler: exec.chain(gate),
 		Peer:    peer.NewServer(loop),
 		parts:   p,
+		gate:    gate,
 		operators: watch.New(p.Store, operators, operatorSink{
 			controlSink: newSink("operators"),
 		}, watch.WithLongPoll(operatorLongPoll)),
@@ -219,7 +225,7 @@
 }
 
 // chain builds the filter chain.
-func (x *executor) chain() chain.Handler {
+func (x *executor) chain(g *gate) chain.Handler {
 	p := x.parts
 	return chain.Build(
 		newForwarder(x, p),
@@ -238,7 +244,7 @@
 			view: x.loop,
 		},
 		filter.NewAccount(x.tally, p.Meter),
-		newGate(x.loop, p.Now, p.Log, p.Meter),
+		g,
 	)
 }
 
--- a/internal/relay/timeout.go
+++ b/internal/relay/timeout.go
@@ -54,9 +54,13 @@
 	if !x.request.Stream || !x.request.Route.Resumable {
 		return false
 	}
+	node := a.choice.endpoint.Node
+	if !callable(x.control.View(), node, x.now()) {
+		// The endpoint can't be asked.
+		return true
+	}
 	ctx, cancel := context.WithTimeout(a.ctx, reportTimeout)
 	defer cancel()
-	node := a.choice.endpoint.Node
 	ok, err := x.endpoints.InFlight(ctx, node, x.request.ID)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		// The attempt ended in the meantime.
