daemon: requests that are read during a stop are answered

Callers got EOF for requests that they sent within some 100 ms of a stop. Under load callers connect, and the instance accepts, but the header comes after the linger time.

The daemon is served by httpd, as the platform's front end is. Drain is called together with the stop, so that callers learn to close their connections.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/baobabtally/baobabtally/internal/client"
 	"github.com/baobabtally/baobabtally/internal/core"
 	"github.com/baobabtally/baobabtally/internal/front"
+	"github.com/baobabtally/baobabtally/internal/httpd"
 	"github.com/baobabtally/baobabtally/internal/meter"
 	"github.com/baobabtally/baobabtally/internal/peer"
 	"github.com/baobabtally/baobabtally/internal/plat"
@@ -31,6 +32,8 @@
 	readHeaderTimeout = 5 * time.Second
 	// readTimeout bounds the time to read a complete request.
 	readTimeout = 30 * time.Second
+	// idleTimeout is how long a connection may stay without a request.
+	idleTimeout = 30 * time.Second
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
 	// drainTimeout is how long in-flight requests may continue when an instance
@@ -43,7 +46,7 @@
 	settings setup.Settings
 	log      zerolog.Logger
 	core     *core.Core
-	server   *http.Server
+	server   *httpd.Server
 	meter    *meter.Meter
 	// closers are the clients whose idle connections are closed when the
 	// instance stops.
@@ -117,8 +120,8 @@
 	group.Add(func() error {
 		err := i.server.Serve(l)
 		if errors.Is(err, http.ErrServerClosed) {
-			// Serve returns as soon as Shutdown starts. Wait until Shutdown
-			// has drained the in-flight requests.
+			// Serve returns as soon as Stop starts. Wait until Stop has drained
+			// the in-flight requests.
 			<-control.Done()
 			return nil
 		}
@@ -143,8 +146,9 @@
 	if err := i.core.Loop.Tell(ctx, state.Stopping{}); err != nil {
 		return nil
 	}
+	i.server.Drain()
 	time.Sleep(time.Duration(i.settings.Linger))
-	err := i.server.Shutdown(ctx)
+	err := i.server.Stop(ctx)
 	i.log.Info().Str("event", "drained").Stringer("took", time.Since(begin).Round(time.Millisecond)).AnErr("error", err).Send()
 	return errors.Annotatef(err, "in-flight requests were cut after the drain timeout of %s: stop earlier or raise the timeout", drainTimeout)
 }
@@ -163,16 +167,18 @@
 }
 
 // newServer returns the HTTP server for callers, peers and operators.
-func (i *Instance) newServer(secret []byte) *http.Server {
+func (i *Instance) newServer(secret []byte) *httpd.Server {
 	e := echo.New()
 	front.Mount(e, i.core.Handler, i.core.Loop, stream.NewSigner(secret))
 	e.GET("/metrics", echo.WrapHandler(i.meter.Handler()))
 	e.POST(rpcapi.PeerPathPrefix+"*", echo.WrapHandler(peer.RequireSecret(secret, rpcapi.NewPeerServer(i.core.Peer))))
 	e.POST(rpcapi.AdminPathPrefix+"*", echo.WrapHandler(peer.RequireSecret(secret, rpcapi.NewAdminServer(i.core.Admin))))
-	return &http.Server{
-		Handler:           e,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	return httpd.New(e,
+		httpd.WithLog(i.log),
+		httpd.WithMeter(i.meter),
+		httpd.WithFailure(front.WriteFailure),
+		httpd.WithIdleTimeout(func() time.Duration { return idleTimeout }),
+		httpd.WithHeaderTimeout(readHeaderTimeout),
+		httpd.WithReadTimeout(readTimeout),
+		httpd.WithMaxHeaderBytes(maxHeaderBytes))
 }
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -233,6 +233,12 @@
 func (f *fleet) checkStream(i int, prompt string) {
 	f.t.Helper()
 	status, body := f.post(i, "/v1/chat/completions", nil, chatBody(prompt))
+	f.requireStream(status, body, prompt)
+}
+
+// requireStream checks that a response is the complete stream for prompt.
+func (f *fleet) requireStream(status int, body, prompt string) {
+	f.t.Helper()
 	require.Equal(f.t, http.StatusOK, status, body)
 	text, _, ended := readStream(f.t, body)
 	require.True(f.t, ended, body)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
+	"github.com/baobabtally/baobabtally/internal/httpd"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
@@ -133,6 +134,7 @@
 		Type:    req.Header.Get("Content-Type"),
 		Arrived: time.Now(),
 	}
+	httpd.SetID(req.Context(), r.ID)
 	c.Response().Header().Set("X-Request-Id", r.ID)
 	labels, err := parseLabels(req.Header.Get(headerLabels))
 	if err != nil {
--- a/internal/front/write.go
+++ b/internal/front/write.go
@@ -75,6 +75,22 @@
 	return c.Blob(p.Status, "application/problem+json", data)
 }
 
+// WriteFailure responds to a request whose handler failed. Nothing is known of what
+// it did.
+func WriteFailure(w http.ResponseWriter, id string) {
+	p, _ := newProblem(id, fault.Error{
+		Kind:   fault.Lost,
+		Detail: "the instance failed to handle the request: look the result up before you send it again, and report this with the request's id",
+	})
+	data, err := json.Marshal(p)
+	if err != nil {
+		data = nil
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(p.Status)
+	_, _ = w.Write(data)
+}
+
 // streamWriter writes an answer as server-sent events.
 type streamWriter struct {
 	c       echo.Context
