--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -43,10 +43,12 @@
 	// closeRate the share of responses after which it closes the connection.
 	abortRate = 0.03
 	closeRate = 0.02
-	// maxThink bounds the time between two requests, so that callers reuse only
-	// connections that were idle for at most four fifths of the idle timeout of
-	// 5 s.
+	// maxThink bounds the time between two requests unless the caller idles.
 	maxThink = 4 * time.Second
+	// idleRate is the share of requests after which the caller idles for a random
+	// time, of at most maxIdleShare of the idle limit.
+	idleRate     = 0.03
+	maxIdleShare = 0.8
 )
 
 // Caller sends requests, one at a time, on persistent connections.
@@ -60,6 +62,11 @@
 	Source   Source
 	Recorder *Recorder
 	Rand     *rand.Rand
+	// IdleRand decides when the caller idles, and IdleLimit returns the idle limit of
+	// the newest configuration. The caller closes connections that were idle for
+	// longer than maxIdleShare of it.
+	IdleRand  *rand.Rand
+	IdleLimit func() time.Duration
 
 	sent int
 	// retry is the request to send again, if any; tried counts its attempts.
@@ -93,11 +100,15 @@
 		a, wait, open := c.send(ctx, conn, r, a)
 		c.Recorder.RecordAttempt(a)
 		c.scheduleRetry(a)
-		if !Sleep(ctx, max(wait, min(time.Duration(c.Rand.ExpFloat64()*float64(c.Think)), maxThink))) {
+		think := max(wait, min(time.Duration(c.Rand.ExpFloat64()*float64(c.Think)), maxThink))
+		if open && c.retry == nil && c.IdleRand.Float64() < idleRate {
+			think = max(think, time.Duration(c.IdleRand.Float64()*maxIdleShare*float64(c.IdleLimit())))
+		}
+		if !Sleep(ctx, think) {
 			return
 		}
 		// Retries use new connections.
-		if !open || c.retry != nil || c.Rand.Float64() < closeRate {
+		if !open || float64(time.Since(a.Done)) > maxIdleShare*float64(c.IdleLimit()) || c.retry != nil || c.Rand.Float64() < closeRate {
 			return
 		}
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -33,8 +33,15 @@
 	// Abandon is how long after its caller closed the connection a request may
 	// reach an endpoint.
 	Abandon time.Duration
-	// Timeout is the configured timeout of the routes.
+	// Timeout is the configured timeout of the routes whose configurations have no
+	// other.
 	Timeout time.Duration
+	// ConfigSlack is how long after the bound for a configuration cut requests still
+	// count as cut beside it, and CutRatio by how much their share must exceed that at
+	// other times. Requests that have used UsedShare of their time don't count.
+	ConfigSlack time.Duration
+	CutRatio    float64
+	UsedShare   float64
 	// TimeoutSlack is how long after the timeout a response may arrive.
 	TimeoutSlack time.Duration
 	// Attempts is how many endpoints one request may be sent to.
@@ -105,6 +112,7 @@
 		c.checkWeights(r)
 	}
 	c.checkLost()
+	c.checkLostBesideConfigs()
 	c.checkWasted()
 	c.checkTimeouts()
 	c.checkDrain()
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,8 @@
 package soak_test
 
 import (
+	"fmt"
+	"hash/fnv"
 	"strings"
 	"testing"
 	"time"
@@ -33,6 +35,9 @@
 	Abandon:          500 * time.Millisecond,
 	Timeout:          3 * time.Second,
 	TimeoutSlack:     500 * time.Millisecond,
+	ConfigSlack:      time.Second,
+	CutRatio:         3,
+	UsedShare:        0.7,
 	DeadlineSlack:    500 * time.Millisecond,
 	MaxLongDeadlines: 20,
 	Attempts:         2,
@@ -112,6 +117,20 @@
 	})
 }
 
+// recordSameConfig records a configuration just before success that allows the same as
+// the first.
+func recordSameConfig(rec *soak.Recorder) {
+	rec.RecordConfig(soak.Config{
+		Version: 2,
+		Routes: map[string]string{
+			"/r/": "s",
+		},
+		Keys: map[string]string{
+			"k": "t",
+		},
+	}, at(19500))(at(19600))
+}
+
 // cases maps "RULE: description" to a function that records a violation of the
 // rule, or "ok: description" to one that records none. The recorder already holds
 // a configuration that allows success.
@@ -169,6 +188,35 @@
 		recordAttempt(rec, cutConnection)
 	},
 	"ok: one connection cut": func(rec *soak.Recorder) { recordAttempt(rec, cutConnection, run) },
+	"LOST: connection cut beside a configuration": func(rec *soak.Recorder) {
+		recordSameConfig(rec)
+		recordAttempt(rec, cutConnection, run)
+	},
+	"LOST: connection of an endpoint that pauses cut beside a configuration": func(rec *soak.Recorder) {
+		recordSameConfig(rec)
+		rec.RecordEvent(soak.EndpointPause, "e", 1500, at(19900))
+		recordAttempt(rec, cutConnection, run)
+	},
+	"ok: cut as often at other times": func(rec *soak.Recorder) {
+		recordSameConfig(rec)
+		recordAttempt(rec, cutConnection, run)
+		recordAttempt(rec, func(a *soak.Attempt) {
+			cutConnection(a)
+			a.ID, a.Begun, a.Sent, a.Done = "b", at(30000), at(30000), at(30800)
+		}, runWith(func(r *soak.Run) { r.ID, r.At = "b", at(30050) }))
+	},
+	"ok: cut beside a configuration when most of the time was used": func(rec *soak.Recorder) {
+		recordSameConfig(rec)
+		recordAttempt(rec, func(a *soak.Attempt) {
+			cutConnection(a)
+			a.Done = at(21500)
+		}, run)
+	},
+	"ok: cut by a fault beside a configuration": func(rec *soak.Recorder) {
+		recordSameConfig(rec)
+		rec.RecordFault("e", soak.EndpointCut.String(), at(20500))(at(20700))
+		recordAttempt(rec, cutConnection, run)
+	},
 	"DRAIN: run after the departure": func(rec *soak.Recorder) {
 		rec.RecordEvent(soak.EndpointDepart, "e", 0, at(18000))
 		recordAttempt(rec, unchanged, run)
@@ -262,3 +310,33 @@
 	require.Equal(t, first, again)
 	require.NotEqual(t, soak.NewPlan(7, size, time.Minute).String(), soak.NewPlan(8, size, time.Minute).String())
 }
+
+// New kinds of steps must not change the steps of seeds that failed.
+func TestSeedsKeepTheirSteps(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		seed    uint64
+		seconds int
+		sum     uint64
+	}{
+		{seed: 428, seconds: 30, sum: 0xf19fac4047d0bf23},
+		{seed: 501, seconds: 30, sum: 0xf2905c75fc88cd3a},
+		{seed: 7, seconds: 60, sum: 0xa3ecaa7799b9c816},
+	} {
+		h := fnv.New64a()
+		kinds := map[soak.Kind]int{}
+		p := soak.NewPlan(c.seed, soak.Size{
+			Instances: 3,
+			Endpoints: 6,
+		}, time.Duration(c.seconds)*time.Second)
+		for _, s := range p.Steps {
+			kinds[s.Kind]++
+			if s.Kind != soak.EndpointPause && s.Kind != soak.Limits {
+				_, _ = fmt.Fprintln(h, s)
+			}
+		}
+		require.Equal(t, c.sum, h.Sum64(), "seed %d", c.seed)
+		require.Positive(t, kinds[soak.EndpointPause])
+		require.Positive(t, kinds[soak.Limits])
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -56,12 +56,20 @@
 	Weights
 	// Change writes a new configuration.
 	Change
-	kinds
+	// EndpointPause makes a sound endpoint send nothing for a while. It is no fault.
+	EndpointPause
+	// Limits writes a configuration with another idle limit and another timeout of a
+	// route.
+	Limits
 )
 
+// seriesKinds is how many kinds addSeries draws from. Later kinds are drawn from a
+// generator of their own, so that a seed that failed keeps its steps.
+const seriesKinds = int(Change) + 1
+
 var kindNames = [...]string{
 	"stop", "kill", "pause", "reload", "link", "store-slow", "store-away", "store-part", "store-lose", "store-forget",
-	"end-crash", "end-cut", "end-late", "end-mute", "end-full", "end-fail", "end-stray", "end-leave", "end-vanish", "weights", "change",
+	"end-crash", "end-cut", "end-late", "end-mute", "end-full", "end-fail", "end-stray", "end-leave", "end-vanish", "weights", "change", "end-pause", "limits",
 }
 
 // String returns the name of k.
@@ -152,7 +160,7 @@
 	p := Plan{
 		Seed: seed,
 	}
-	for _, s := range d.steps {
+	for _, s := range append(d.steps, plannedSteps(seed, size, length)...) {
 		if s.At < length {
 			p.Steps = append(p.Steps, s)
 		}
@@ -161,6 +169,24 @@
 	return p
 }
 
+// plannedSteps returns steps that are no faults: pauses of endpoints and changes of
+// limits.
+func plannedSteps(seed uint64, size Size, length time.Duration) []Step {
+	d := generator{
+		rand: rand.New(rand.NewPCG(seed, 3)),
+		size: size,
+	}
+	for at := firstStep; at < length; at += d.milliseconds(500, 4000) {
+		if d.rand.IntN(3) == 0 {
+			d.add(at, Limits)
+			continue
+		}
+		s := d.add(at, EndpointPause)
+		s.Duration = d.milliseconds(1000, 2000)
+	}
+	return d.steps
+}
+
 type generator struct {
 	rand  *rand.Rand
 	size  Size
@@ -210,7 +236,7 @@
 			// There are many links, which can fail in several ways.
 			kind := Link
 			if d.rand.IntN(4) > 0 {
-				kind = Kind(d.rand.IntN(int(kinds)))
+				kind = Kind(d.rand.IntN(seriesKinds))
 			}
 			d.add(at, kind)
 			at += d.milliseconds(0, 1500)
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -96,6 +96,8 @@
 	Version int64             `json:"Version"`
 	Routes  map[string]string `json:"Routes"`
 	Keys    map[string]string `json:"Keys"`
+	// Timeouts holds the timeouts of the routes that differ from Bounds.Timeout.
+	Timeouts map[string]time.Duration `json:"Timeouts"`
 	// Written is when it was sent to the store, and Acknowledged when the store
 	// acknowledged it.
 	Written      time.Time `json:"Written"`
@@ -132,7 +134,8 @@
 	configs  []Config
 	// events holds, by kind, when the desired weights were set, when the departure
 	// (value 0) and the return (value 1) of an endpoint were acknowledged, and when
-	// an instance was told to stop or to reload its settings.
+	// an instance was told to stop or to reload its settings. It also holds when a
+	// sound endpoint was told to pause (value: for how many milliseconds).
 	events map[Kind][]Event
 	faults []FaultSpan
 	// reported holds violations that were detected during the run.
@@ -171,7 +174,8 @@
 	}
 }
 
-// RecordEvent records an event. Kind is Weights, EndpointDepart, Stop or Reload.
+// RecordEvent records an event. Kind is Weights, EndpointDepart,
+// EndpointPause, Stop or Reload.
 func (rec *Recorder) RecordEvent(kind Kind, name string, value int64, at time.Time) {
 	rec.update(func() {
 		rec.events[kind] = append(rec.events[kind], Event{
@@ -266,6 +270,7 @@
 		"leavings": rec.events[EndpointDepart],
 		"stops":    rec.events[Stop],
 		"reloads":  rec.events[Reload],
+		"pauses":   rec.events[EndpointPause],
 		"spans":    rec.faults,
 	} {
 		items := reflect.ValueOf(list)
--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -143,20 +143,14 @@
 func (c *checker) checkLost() {
 	var reused []string
 	for _, a := range c.attempts {
-		if a.Complete || a.CallerClosed || a.Sent.IsZero() || a.Done.Sub(a.Begun) >= min(a.Limit, c.bounds.Timeout) {
+		if !c.cutEarly(a) {
 			continue
 		}
 		runs := c.runsByID[a.ID]
-		if !c.endpointsFaultFree(a) {
-			continue
-		}
 		if a.PriorRequests > 0 && len(runs) > 0 && c.boundsApply(a.Instance, a.Begun, a.Done) {
 			reused = append(reused, a.ID)
 		}
-		if len(runs) == 0 && a.Done.Sub(a.Sent) <= c.bounds.Slack {
-			continue
-		}
-		if c.duringPlannedWork(a, runs) {
+		if c.read(a) && c.duringPlannedWork(a, runs) {
 			c.report("LOST", "%s was cut around a planned stop or reload, %v after it was sent: %s; it ran %s", describe(a), a.Done.Sub(a.Sent), a.ConnError, listRuns(runs))
 		}
 	}
@@ -165,6 +159,93 @@
 	}
 }
 
+// cutEarly reports whether a got no complete response although its time was not over
+// and its endpoints had no faults.
+func (c *checker) cutEarly(a Attempt) bool {
+	if a.Complete || a.CallerClosed || a.Sent.IsZero() {
+		return false
+	}
+	least, _ := c.timeouts(a)
+	return a.Done.Sub(a.Begun) < min(a.Limit, least) && c.endpointsFaultFree(a)
+}
+
+// read reports whether its instance certainly has read a: an endpoint ran it, or it
+// was cut too late to be unread.
+func (c *checker) read(a Attempt) bool {
+	return len(c.runsByID[a.ID]) > 0 || a.Done.Sub(a.Sent) > c.bounds.Slack
+}
+
+// cutCount counts the requests of an instance and those that were cut.
+type cutCount struct {
+	all int
+	cut []string
+}
+
+// share returns the share of requests that were cut.
+func (n cutCount) share() float64 { return float64(len(n.cut)) / float64(max(n.all, 1)) }
+
+// checkLostBesideConfigs checks that an instance without a fault cuts no more requests
+// beside configuration changes than at other times.
+func (c *checker) checkLostBesideConfigs() {
+	beside, others := map[string]cutCount{}, map[string]cutCount{}
+	for _, a := range c.attempts {
+		if a.Sent.IsZero() || !c.boundsApply(a.Instance, a.Begun, a.Done) {
+			continue
+		}
+		counts := others
+		if c.besideConfig(a) {
+			counts = beside
+		}
+		n := counts[a.Instance]
+		n.all++
+		least, _ := c.timeouts(a)
+		used := float64(a.Done.Sub(a.Begun)) >= c.bounds.UsedShare*float64(min(a.Limit, least))
+		if !used && c.cutEarly(a) && c.read(a) {
+			n.cut = append(n.cut, a.ID)
+		}
+		counts[a.Instance] = n
+	}
+	for instance, n := range beside {
+		if other := others[instance]; n.share() > c.bounds.CutRatio*other.share() {
+			c.report("LOST", "%s cut %d of %d requests beside configuration changes and %d of %d at other times: %v", instance, len(n.cut), n.all, len(other.cut), other.all, n.cut)
+		}
+	}
+}
+
+// besideConfig reports whether a was in flight while a configuration was sent or could
+// become effective.
+func (c *checker) besideConfig(a Attempt) bool {
+	for _, f := range c.configs {
+		if f.Written.After(a.Done) {
+			break
+		}
+		if f.Acknowledged.IsZero() || a.Done.Before(f.Acknowledged.Add(c.bounds.Apply+c.bounds.ConfigSlack)) {
+			return true
+		}
+	}
+	return false
+}
+
+// timeouts returns the least and the greatest timeout that may apply to a.
+func (c *checker) timeouts(a Attempt) (time.Duration, time.Duration) {
+	least, greatest := time.Duration(0), time.Duration(0)
+	c.anyConfig(a, a.Done, func(f Config) bool {
+		t, ok := f.Timeouts[a.Route]
+		if !ok {
+			t = c.bounds.Timeout
+		}
+		if least == 0 || t < least {
+			least = t
+		}
+		greatest = max(greatest, t)
+		return false
+	})
+	if least == 0 {
+		return c.bounds.Timeout, c.bounds.Timeout
+	}
+	return least, greatest
+}
+
 // endpointsFaultFree reports whether the endpoints that ran a had no faults until
 // it ended.
 func (c *checker) endpointsFaultFree(a Attempt) bool {
@@ -233,11 +314,12 @@
 	over, late := 0, 0
 	for _, a := range c.attempts {
 		took := a.Done.Sub(a.Begun)
-		if a.Limit < c.bounds.Timeout+c.bounds.TimeoutSlack || took <= c.bounds.Timeout || !c.boundsApply(a.Instance, a.Begun, a.Done) {
+		_, timeout := c.timeouts(a)
+		if a.Limit < timeout+c.bounds.TimeoutSlack || took <= timeout || !c.boundsApply(a.Instance, a.Begun, a.Done) {
 			continue
 		}
 		over++
-		if took > c.bounds.Timeout+c.bounds.TimeoutSlack {
+		if took > timeout+c.bounds.TimeoutSlack {
 			late++
 		}
 	}
