--- a/internal/soak/signals_test.go
+++ b/internal/soak/signals_test.go
@@ -24,7 +24,7 @@
 	kinds := map[soak.Kind]int{}
 	for _, s := range p.Steps {
 		kinds[s.Kind]++
-		if s.Kind != soak.EndpointAnnounce && s.Kind != soak.EndpointQuiet {
+		if !drawnApart(s.Kind) {
 			others.WriteString(s.String() + "\n")
 		}
 	}
