relay: the search for a replacement does not race with the response head

The search that runs beside a silent stream read whether the response head was written, which the goroutine of the request writes after it has reset the watch. Nothing orders the two, so the search may send the attempt as one for a response that has not begun: the checks that keep another response from being joined to a begun stream are then off. The log line of a failed attempt had the same race.

Evidence: TestSilenceAfterFirstEvent failed under -race before (read in exchange.open called by silence.openInTime, previous write in exchange.writeHead called by forwardStream); the tests beside it failed with it in some runs.

A search is only ever for a begun stream, so it now says so itself and reads nothing of the exchange that the other goroutine still writes.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -75,7 +75,7 @@
 		}
 		if next != nil {
 			f := failureOf(err)
-			x.recordFailure(a, f)
+			x.recordFailure(a, f, x.headWritten)
 			if f.Cause != call.TimedOut {
 				// A silent endpoint was reported when the search began.
 				x.reportFailure(x.endpoint, f)
@@ -137,9 +137,9 @@
 	}
 }
 
-// open sends a and waits for the head of the response. Received is what the caller
-// has of a stream.
-func (x *exchange) open(a *attempt, received position) error {
+// open sends a and waits for the head of the response. Begun is whether the caller's
+// response has begun, and received is what the caller has of a stream.
+func (x *exchange) open(a *attempt, begun bool, received position) error {
 	c := a.choice
 	reply, err := x.endpoints.Open(a.ctx, call.Attempt{
 		ID:             x.request.ID,
@@ -148,8 +148,8 @@
 		CacheSalt:      c.salt,
 		Priority:       x.request.CombinedPriority(),
 		LastEventID:    received.event,
-		Begun:          x.headWritten,
-		ConsecutiveIDs: x.headWritten && !received.skipsIDs,
+		Begun:          begun,
+		ConsecutiveIDs: begun && !received.skipsIDs,
 		WeightsVersion: c.weights,
 		KVSource:       c.source,
 		KVTarget:       c.target,
@@ -184,7 +184,7 @@
 // forward sends a, unless its response has begun, and forwards the response.
 func (x *exchange) forward(a *attempt, s *silence) error {
 	if a.reply == nil {
-		if err := x.open(a, x.received); err != nil {
+		if err := x.open(a, x.headWritten, x.received); err != nil {
 			return err
 		}
 	}
@@ -322,7 +322,7 @@
 		return known
 	}
 	f := failureOf(err)
-	x.recordFailure(a, f)
+	x.recordFailure(a, f, x.headWritten)
 	if ctx.Err() != nil {
 		return x.contextError(ctx)
 	}
@@ -353,14 +353,14 @@
 	}
 }
 
-// recordFailure logs and counts a failed attempt. Its endpoint gets no further
-// attempt.
-func (x *exchange) recordFailure(a *attempt, f call.Failure) {
+// recordFailure logs and counts a failed attempt; begun is whether the caller's
+// response has begun. Its endpoint gets no further attempt.
+func (x *exchange) recordFailure(a *attempt, f call.Failure, begun bool) {
 	name := a.choice.endpoint.Node.Name
 	x.maybeSent = x.maybeSent || f.MaybeSent
 	x.meter.Failed(f.Cause.String())
 	x.log.Warn().Str("event", "fail").Str("request", x.request.ID).Str("endpoint", name).
-		Str("cause", f.Cause.String()).Bool("sent", f.MaybeSent).Bool("begun", x.headWritten).Int("attempt", a.number).
+		Str("cause", f.Cause.String()).Bool("sent", f.MaybeSent).Bool("begun", begun).Int("attempt", a.number).
 		Stringer("quiet", x.now().Sub(a.lastReceived).Round(time.Millisecond)).Str("detail", f.Detail).Send()
 	if f.WeightsVersion > 0 {
 		x.control.Post(state.WeightsSeen{
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -37,8 +37,9 @@
 	// ended is true once the attempt has ended.
 	ended bool
 	// search is the search in progress, or the one that found a replacement; nil
-	// if there is none. Invariant: while it is in progress, it alone uses the
-	// exchange's record of attempts.
+	// if there is none. Invariants: it is for a begun stream; while it is in
+	// progress, it alone uses the exchange's record of attempts and nothing else of
+	// the exchange that changes.
 	search *search
 }
 
@@ -202,7 +203,7 @@
 			break
 		}
 		f := failureOf(err)
-		x.recordFailure(a, f)
+		x.recordFailure(a, f, true)
 		x.reportFailure(c.endpoint.Node.Name, f)
 	}
 	q.cancel()
@@ -219,7 +220,7 @@
 // has received within the limit.
 func (s *silence) openInTime(a *attempt, received position) error {
 	timer := time.AfterFunc(s.limit, func() { a.cancel(errIdleTimeout) })
-	err := s.exchange.open(a, received)
+	err := s.exchange.open(a, true, received)
 	switch {
 	case !timer.Stop() && err == nil:
 		return errIdleTimeout
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -347,3 +347,23 @@
 		require.Equal(t, wholeStream, w.body.String())
 	})
 }
+
+// A search that begins after the first event of a stream must not race with the write
+// of the response head.
+func TestSilenceAfterFirstEvent(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		e := &scriptedEndpoints{
+			scripts: []script{
+				{
+					pauseAt: 2,
+					pause:   time.Minute,
+				},
+				{},
+			},
+		}
+		w, err := serveScripted(t, e, nil)
+		require.NoError(t, err)
+		require.Equal(t, wholeStream, w.body.String())
+	})
+}
