relay: a silent stream moves only on an event of another engine

Callers of streams saw their connection close in the middle of a response when their engine, which is sound, was silent for a while and another engine answered the attempt to continue the stream with a head alone: it then broke off, was silent itself, or sent events that do not continue the stream.

Cause: the silent attempt was canceled on the head of the other response. An engine may send a head as soon as it accepts a request, before it has read the prompt, so a head does not secure the replacement. Class of fault: a working attempt is given up before its replacement is secured.

The search now waits for the first events of the other engine, within the same limit, and hands them on with the attempt. That limit, added to the silence before it, is longer than callers wait, so no replacement that would have come in time is given up for it. A request starts to run with its first token, so the silent engine is still canceled as soon as another one has started.

Evidence: TestReplacementWithoutEventDoesNotEndSilentStream failed before in both cases: "e3 did not serve the request (broken) and no more attempts are left" and "the deadline passed", got "1 2 ".

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -116,6 +116,9 @@
 	stale   *staleTimer
 	// reply is the response; nil until its head has arrived.
 	reply call.Reply
+	// first is the first part of the response if it was received before the attempt
+	// was to serve; nil otherwise.
+	first *chain.Chunk
 	// lastReceived is when the attempt started or last received data.
 	lastReceived time.Time
 }
@@ -162,6 +165,16 @@
 	return nil
 }
 
+// next returns the next part of the response.
+func (a *attempt) next() (chain.Chunk, error) {
+	if c := a.first; c != nil {
+		a.first = nil
+		return *c, nil
+	}
+	c, _, err := a.reply.Next()
+	return c, err
+}
+
 // close releases a. Its endpoint cancels a response that has not ended.
 func (a *attempt) close() {
 	if a.reply != nil {
@@ -211,7 +224,7 @@
 // forwardStream forwards the events of one attempt.
 func (x *exchange) forwardStream(a *attempt, s *silence) error {
 	for {
-		c, _, err := a.reply.Next()
+		c, err := a.next()
 		if err != nil {
 			return err
 		}
@@ -261,7 +274,7 @@
 	var buffered []chain.Chunk
 	size := 0
 	for {
-		c, _, err := a.reply.Next()
+		c, err := a.next()
 		if err != nil {
 			return err
 		}
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -15,7 +15,7 @@
 //
 // A silent endpoint may still go on, so an attempt is not given up for silence
 // alone. One whose response has not begun is canceled only if another attempt may
-// follow. A begun stream is kept until another endpoint has begun to continue it;
+// follow. A begun stream is kept until an event of another endpoint continues it;
 // if none does, the stream waits for its endpoint until the request's deadline.
 type silence struct {
 	exchange *exchange
@@ -216,22 +216,37 @@
 	}
 }
 
-// openInTime sends a, which has to begin to continue a stream after what the caller
-// has received within the limit.
+// openInTime sends a, whose first events after what the caller has received have to
+// arrive within the limit. The head alone does not show that an endpoint goes on.
 func (s *silence) openInTime(a *attempt, received position) error {
 	timer := time.AfterFunc(s.limit, func() { a.cancel(errIdleTimeout) })
-	err := s.exchange.open(a, true, received)
-	switch {
-	case !timer.Stop() && err == nil:
+	err := s.openFirst(a, received)
+	if !timer.Stop() && err == nil {
 		return errIdleTimeout
-	case err == nil && a.reply.Head().Status != streamStatus:
+	}
+	return err
+}
+
+// openFirst sends a and waits for its first events.
+func (s *silence) openFirst(a *attempt, received position) error {
+	if err := s.exchange.open(a, true, received); err != nil {
+		return err
+	}
+	if status := a.reply.Head().Status; status != streamStatus {
 		return call.Failure{
 			Cause:     call.Refused,
 			MaybeSent: true,
-			Detail:    "the endpoint did not go on with the stream: status " + statusText(a.reply.Head().Status),
+			Detail:    "the endpoint did not go on with the stream: status " + statusText(status),
 		}
 	}
-	return err
+	c, err := a.next()
+	if err != nil {
+		return attemptError(a.ctx, err)
+	}
+	a.stale.stop()
+	a.lastReceived = s.exchange.now()
+	a.first = &c
+	return nil
 }
 
 // replace has a replace the silent attempt, or returns false if that one has gone
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -348,6 +348,38 @@
 	})
 }
 
+// An engine that sends the head of a response but no event must not cost the caller the
+// rest from the silent engine.
+func TestReplacementWithoutEventDoesNotEndSilentStream(t *testing.T) {
+	t.Parallel()
+	silent := script{
+		pauseAt: 3,
+		pause:   3 * time.Second,
+	}
+	for name, others := range map[string]script{
+		"the others break off": {
+			breakAt: 3,
+		},
+		"the others are silent": {
+			pauseAt: 3,
+			pause:   time.Minute,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				e := &scriptedEndpoints{
+					scripts: []script{silent, others},
+				}
+				w, err := serveScripted(t, e, nil)
+				require.NoError(t, err, "got %q", w.body.String())
+				require.Equal(t, wholeStream, w.body.String())
+				require.True(t, w.ended)
+			})
+		})
+	}
+}
+
 // A search that begins after the first event of a stream must not race with the write
 // of the response head.
 func TestSilenceAfterFirstEvent(t *testing.T) {
