relay: an engine is asked in each silence of a stream

Cause: an attempt asks its engine only once whether it has the request. A stream that had survived one silence began its search at the first limit of the next one. Since silence alone ends nothing, an engine may now be silent any number of times in one attempt. Class of fault: a decision on state that is out of date.

The question is asked once in each silence of a begun stream. One silence still extends the time only once.

Evidence: TestEngineIsAskedInEachSilence failed before: "[e1 e3]" should have 1 item(s), but has 2.

--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -32,7 +32,8 @@
 	// received is how much it is of a stream.
 	begun    bool
 	received position
-	// asked is true once the endpoint was asked whether it has the request.
+	// asked is true once the endpoint was asked whether it has the request, in the
+	// current silence if the response has begun.
 	asked bool
 	// ended is true once the attempt has ended.
 	ended bool
@@ -84,6 +85,7 @@
 		s.search.cancel()
 	}
 	s.events++
+	s.asked = s.asked && !begun
 	s.begun = begun
 	s.received = received
 	s.timer.Reset(s.limit)
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -28,6 +28,8 @@
 	// pause is a silence before the event with number pauseAt.
 	pause   time.Duration
 	pauseAt int
+	// again repeats the silence before each further event.
+	again bool
 	// breakAt, if positive, breaks the connection in place of that event.
 	breakAt int
 	// status is the status of the response, if it is not 200.
@@ -108,7 +110,7 @@
 
 func (r *scriptedReply) Next() (chain.Chunk, int, error) {
 	wait := 10 * time.Millisecond
-	if r.next == r.script.pauseAt {
+	if r.next == r.script.pauseAt || r.script.again && r.next > r.script.pauseAt {
 		wait = r.script.pause
 	}
 	if err := sleep(r.ctx, wait); err != nil {
@@ -399,3 +401,38 @@
 		require.Equal(t, wholeStream, w.body.String())
 	})
 }
+
+// holdingEndpoints are engines that say that they have each request.
+type holdingEndpoints struct {
+	*scriptedEndpoints
+}
+
+func (holdingEndpoints) InFlight(context.Context, member.Node, string) (bool, error) {
+	return true, nil
+}
+
+// A stream must not go on elsewhere while its engine, which was silent before, says
+// that it still works on it.
+func TestEngineIsAskedInEachSilence(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		e := &scriptedEndpoints{
+			scripts: []script{
+				{
+					pauseAt: 2,
+					again:   true,
+					pause:   1300 * time.Millisecond,
+				},
+				{},
+			},
+		}
+		w, err := serveScripted(t, e, func(x *exchange) {
+			x.endpoints = holdingEndpoints{
+				scriptedEndpoints: e,
+			}
+		})
+		require.NoError(t, err)
+		require.Equal(t, wholeStream, w.body.String())
+		require.Len(t, e.asked, 1)
+	})
+}
