relay: a long response is not continued by a stream

A caller that resumed a stream and got a long response that is no stream, such as a page with status 404, found the events of another engine in the middle of it (MIXED) when the first engine was silent or broke off after 256 KB.

Cause: whether a response that has begun may be continued was decided by the last event that the caller has. For a request that resumes a stream, that is known from the start, also if the response is no stream.

Once such a response is forwarded, the exchange holds no event that another engine could go on from.

Evidence: TestSilentResponseIsNotContinuedByStream failed before in both cases: "[e1 e3]" should have 1 item(s), but has 2; and the broken response ended without an error.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -284,6 +284,10 @@
 		if size > maxResponseBytes {
 			return errResponseTooLong
 		}
+		if size > maxBufferedBytes {
+			// A stream that the request resumes can't continue this response.
+			x.received = position{}
+		}
 		s.reset(x.received, size > maxBufferedBytes)
 		if !c.End && size <= maxBufferedBytes {
 			continue
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -34,6 +34,8 @@
 	breakAt int
 	// status is the status of the response, if it is not 200.
 	status int
+	// size is the least size of each part of the response in bytes.
+	size int
 }
 
 // scriptedEndpoints are engines that treat the attempts, in their order, as the
@@ -127,7 +129,7 @@
 	r.next++
 	return chain.Chunk{
 		Event: id,
-		Data:  []byte(id + " "),
+		Data:  append([]byte(id+" "), make([]byte, r.script.size)...),
 		End:   id == strconv.Itoa(scriptedEvents),
 	}, 0, nil
 }
@@ -436,3 +438,37 @@
 		require.Len(t, e.asked, 1)
 	})
 }
+
+// A long response that is no stream must not be continued by a stream of another engine
+// if the caller's request resumes a stream.
+func TestSilentResponseIsNotContinuedByStream(t *testing.T) {
+	t.Parallel()
+	for name, first := range map[string]script{
+		"silent": {
+			status:  404,
+			size:    maxBufferedBytes,
+			pauseAt: 4,
+			pause:   3 * time.Second,
+		},
+		"broken": {
+			status:  404,
+			size:    maxBufferedBytes,
+			breakAt: 4,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				e := &scriptedEndpoints{
+					scripts: []script{first, {}},
+				}
+				_, err := serveScripted(t, e, func(x *exchange) {
+					x.request.LastEventID = "1"
+					x.received.event = "1"
+				})
+				require.Equal(t, name == "broken", err != nil)
+				require.Len(t, e.asked, 1)
+			})
+		})
+	}
+}
