relay: a panic beside a silent attempt does not end the process

A fault in what runs beside a silent attempt (the question to its engine, the choice of another one, the decoding of that one's response) ended the process and with it every request.

Cause: the search runs on the goroutine of a timer. The server recovers only what panics on the goroutine of a request, where attempts ran before the search. Class of fault: the process ends on unforeseen input.

The watch logs the panic, closes the attempt that failed and lets the silent one go on.

Evidence: TestPanicInSearchKeepsSilentStream ended the test binary before ("panic: a fault ... created by time.goFunc").

--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -118,6 +120,7 @@
 // expire handles an attempt that was silent for the limit. An endpoint that still
 // has the request is given the same time once more.
 func (s *silence) expire() {
+	defer s.logPanic()
 	s.mu.Lock()
 	before, ask := s.events, !s.asked
 	s.asked = true
@@ -184,33 +187,59 @@
 // attempt is allowed.
 func (s *silence) run(q *search) {
 	defer close(q.done)
+	defer s.endSearch(q)
+	defer s.logPanic()
 	x := s.exchange
 	x.control.Post(state.Called{
 		Endpoint: s.attempt.choice.endpoint.Node.Name,
 		Failed:   true,
 	})
 	for x.attemptsLeft() && x.hasCandidate() && x.takeRetry() {
-		c, err := x.choose()
-		if err != nil {
-			break
-		}
-		a := x.newAttempt(q.ctx, c)
-		err = s.openInTime(a, q.received)
-		if err == nil && s.replace(q, a) {
+		if !s.try(q) {
 			return
 		}
-		a.close()
-		if q.ctx.Err() != nil || err == nil {
-			x.maybeSent = true
-			break
+	}
+}
+
+// try makes one attempt to continue the stream. It returns whether to make another one.
+func (s *silence) try(q *search) bool {
+	x := s.exchange
+	c, err := x.choose()
+	if err != nil {
+		return false
+	}
+	a := x.newAttempt(q.ctx, c)
+	replaced := false
+	defer func() {
+		if !replaced {
+			a.close()
+		}
+	}()
+	err = s.openInTime(a, q.received)
+	if err == nil {
+		replaced = s.replace(q, a)
+		if replaced {
+			return false
 		}
-		f := failureOf(err)
-		x.recordFailure(a, f, true)
-		x.reportFailure(c.endpoint.Node.Name, f)
 	}
-	q.cancel()
+	if q.ctx.Err() != nil || err == nil {
+		x.maybeSent = true
+		return false
+	}
+	f := failureOf(err)
+	x.recordFailure(a, f, true)
+	x.reportFailure(c.endpoint.Node.Name, f)
+	return true
+}
+
+// endSearch ends q. Unless it found a replacement, the silent attempt goes on.
+func (s *silence) endSearch(q *search) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if q.found != nil {
+		return
+	}
+	q.cancel()
 	s.search = nil
 	s.logKept("no other endpoint went on with the stream")
 	if !s.ended && s.events == q.events {
@@ -218,6 +247,15 @@
 	}
 }
 
+// logPanic is deferred where the watch runs beside the goroutine of the request, whose
+// server would recover. The silent attempt goes on.
+func (s *silence) logPanic() {
+	if p := recover(); p != nil {
+		s.exchange.log.Error().Str("event", "panic").Str("request", s.exchange.request.ID).
+			Str("detail", fmt.Sprint(p)).Str("stack", string(debug.Stack())).Send()
+	}
+}
+
 // openInTime sends a, whose first events after what the caller has received have to
 // arrive within the limit. The head alone does not show that an endpoint goes on.
 func (s *silence) openInTime(a *attempt, received position) error {
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/baobabtally/baobabtally/internal/call"
@@ -472,3 +473,61 @@
 		})
 	}
 }
+
+// faultyEndpoints fail with a panic at each attempt after the first one, or when they are
+// asked for a request.
+type faultyEndpoints struct {
+	*scriptedEndpoints
+	atQuery bool
+}
+
+func (e faultyEndpoints) Open(ctx context.Context, a call.Attempt) (call.Reply, error) {
+	e.mu.Lock()
+	first := len(e.asked) == 0
+	e.mu.Unlock()
+	if !first {
+		panic("a fault")
+	}
+	return e.scriptedEndpoints.Open(ctx, a)
+}
+
+func (e faultyEndpoints) InFlight(context.Context, member.Node, string) (bool, error) {
+	if e.atQuery {
+		panic("a fault")
+	}
+	return false, nil
+}
+
+// A panic beside a silent stream must not end the process and all other requests.
+func TestPanicInSearchKeepsSilentStream(t *testing.T) {
+	t.Parallel()
+	for name, atQuery := range map[string]bool{
+		"query":  true,
+		"search": false,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				e := &scriptedEndpoints{
+					scripts: []script{
+						{
+							pauseAt: 3,
+							pause:   3 * time.Second,
+						},
+					},
+				}
+				log := &strings.Builder{}
+				w, err := serveScripted(t, e, func(x *exchange) {
+					x.log = zerolog.New(log)
+					x.endpoints = faultyEndpoints{
+						scriptedEndpoints: e,
+						atQuery:           atQuery,
+					}
+				})
+				require.NoError(t, err)
+				require.Equal(t, wholeStream, w.body.String())
+				require.Contains(t, log.String(), `"event":"panic"`)
+			})
+		})
+	}
+}
