relay: guard test for a caller that leaves while an engine is sought

Whether the search waits for a head, for the first event or for the next engine, it ends with the request and asks nobody any more. The test passes on the code before.

--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -531,3 +531,52 @@
 		})
 	}
 }
+
+// A caller that leaves while another engine is sought must end the search.
+func TestCallerThatLeavesEndsSearch(t *testing.T) {
+	t.Parallel()
+	for name, others := range map[string]script{
+		"before the head": {
+			delay: time.Minute,
+		},
+		"before the first event": {
+			pauseAt: 3,
+			pause:   time.Minute,
+		},
+		"between two engines": {
+			refuse: true,
+			delay:  200 * time.Millisecond,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				e := &scriptedEndpoints{
+					scripts: []script{
+						{
+							pauseAt: 3,
+							pause:   time.Minute,
+						},
+						others,
+					},
+				}
+				x := newWaitingExchange(fixedState{
+					state: fiveEngines(),
+				}, e, time.Minute)
+				x.request.Route.TargetLatency = 0
+				x.writer = &recordingWriter{}
+				x.request.Deadline = x.now().Add(time.Minute)
+				ctx, cancel := context.WithTimeout(t.Context(), 1300*time.Millisecond)
+				defer cancel()
+				begin := time.Now()
+				require.Error(t, x.run(ctx))
+				require.Less(t, time.Since(begin), 1400*time.Millisecond)
+				synctest.Wait()
+				asked := len(e.asked)
+				time.Sleep(10 * time.Second)
+				require.Len(t, e.asked, asked, "no engine is asked any more")
+				require.Zero(t, e.open)
+			})
+		})
+	}
+}
