relay: a caller that left gets no further attempt

Requests that must not run twice reached an engine over half a second after their callers had closed the connection (GONE), and then ran for nobody.

Cause: such a request goes on without its caller, since what an engine has begun can't be undone. That also held for the attempts after one that no engine had run, because it was refused or could not be sent. Class of fault: a decision on state that is out of date.

Once the caller has left, an attempt still goes on, but no other one follows.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -18,8 +18,10 @@
 // goroutine.
 type exchange struct {
 	forwarder
-	request  chain.Request
-	writer   chain.Writer
+	request chain.Request
+	writer  chain.Writer
+	// caller ends when the caller has left, also if the request goes on.
+	caller   context.Context
 	attempts int
 	endpoint string
 	tried    []string
@@ -348,6 +350,9 @@
 	if f.MaybeSent && !x.retryable() {
 		return fault.New(fault.Lost, "the answer of %s was lost (%s): look the result up before you send it again", name, f.Detail).WithRun(fault.Unknown)
 	}
+	if x.caller != nil && x.caller.Err() != nil {
+		return x.contextError(x.caller)
+	}
 	if !x.attemptsLeft() {
 		return x.withRunState(fault.New(fault.Unavailable, "%s did not serve the request (%s) and no more attempts are left: come back later", name, f.Cause).WithRetry(busyRetryAfter))
 	}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -78,12 +78,13 @@
 		forwarder: f,
 		request:   r,
 		writer:    w,
+		caller:    ctx,
 		received: position{
 			event: r.LastEventID,
 		},
 	}
 	if r.Route.Kind == site.NonIdempotent {
-		// The call continues after its caller disconnects: its effect can't be
+		// The attempt continues after the caller disconnects: its effect can't be
 		// undone, and reading the response to its end lets the connection be
 		// reused.
 		ctx = context.WithoutCancel(ctx)
