relay: a waiting attempt is kept if no other engine may begin it

Beside a new version of weights, callers whose engine took over a second to begin got 503 although their engine would have begun: the attempt was canceled for silence, and then no other engine was found.

Cause: a silent attempt is given up if another endpoint exists. Whether one may be chosen was not asked: engines that load weights, or whose weights are too old to begin on, count as endpoints. A search for a begun stream spent a retry on the same mistake. Class of fault: a working attempt is given up before its replacement is secured.

The question is now answered by the choice itself, without what the choice reserves.

Evidence: TestWaitingAttemptIsKeptIfOthersAreStale failed before: "no endpoint of "llm" takes work: come back later".

--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -122,12 +122,15 @@
 	if len(pool) == 0 {
 		return choice{}, false
 	}
-	if !p.request.Route.Prompts || len(p.request.Parts) == 0 {
+	if !p.hasPrompt() {
 		return p.chooseByLoad(pool), true
 	}
 	return p.newPrompt(pool).best(pool)
 }
 
+// hasPrompt reports whether the endpoint is chosen by the request's prompt.
+func (p picker) hasPrompt() bool { return p.request.Route.Prompts && len(p.request.Parts) > 0 }
+
 // hasCandidate reports whether choose would find an endpoint.
 func (x *exchange) hasCandidate() bool {
 	p := picker{
@@ -135,7 +138,12 @@
 		state:    x.control.View(),
 		now:      x.now(),
 	}
-	return len(p.candidates()) > 0
+	pool := p.candidates()
+	if len(pool) == 0 || !p.hasPrompt() {
+		return len(pool) > 0
+	}
+	_, ok := p.newPrompt(pool).lowestCost(pool)
+	return ok
 }
 
 // candidates returns the endpoints that may be called: those that were not
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -123,17 +123,24 @@
 	return prefix.Salt(team, p.request.Model, strconv.FormatInt(weights, 10))
 }
 
-// best returns the engine of pool with the lowest cost. Engines with an order
-// in progress and engines whose weights may no longer start requests are
-// excluded.
+// best returns the engine of pool with the lowest cost and reserves what is copied
+// for it.
 func (p prompt) best(pool []member.Endpoint) (choice, bool) {
+	best, ok := p.lowestCost(pool)
+	if ok {
+		best.source, best.target = p.cacheCopies(best)
+	}
+	return best, ok
+}
+
+// lowestCost returns the engine of pool with the lowest cost. Engines with an
+// order in progress and engines whose weights may no longer start requests are
+// excluded.
+func (p prompt) lowestCost(pool []member.Endpoint) (choice, bool) {
 	best, ok := p.cheapest(pool, func(age time.Duration) bool { return age <= p.bounds.StaleWeightsLimit-staleMargin })
 	if !ok {
 		best, ok = p.cheapest(p.withNewestWeights(pool), func(time.Duration) bool { return true })
 	}
-	if ok {
-		best.source, best.target = p.cacheCopies(best)
-	}
 	return best, ok
 }
 
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -580,3 +580,29 @@
 		})
 	}
 }
+
+// An attempt that waits for its first event must not be given up if the weights of all
+// other engines are too old to begin on.
+func TestWaitingAttemptIsKeptIfOthersAreStale(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := fiveEngines()
+		s.Routing.Weights = s.Routing.Weights.WithDesired("m", 2, time.Now().Add(-time.Minute)).WithLoaded("e1", "m", 2)
+		e := &scriptedEndpoints{
+			scripts: []script{
+				{
+					delay: 3 * time.Second,
+				},
+			},
+		}
+		w, err := serveScripted(t, e, func(x *exchange) {
+			x.control = fixedState{
+				state: s,
+			}
+			x.bounds.StaleWeightsLimit = 5 * time.Second
+		})
+		require.NoError(t, err)
+		require.Equal(t, wholeStream, w.body.String())
+		require.Equal(t, []string{"e1"}, e.asked)
+	})
+}
