oper: an instance survives the end of its log's reader

An instance ended, and all its requests with it, at the first line that it logged after the process that read its log had ended.

Cause: Go ends a process that writes to a broken pipe on standard output or standard error with SIGPIPE, unless it handles that signal. Class of fault: the process ends on a signal.

Instances ignore SIGPIPE, so the write fails and the line is lost. The other commands still end, as users of a pipe expect.

Evidence: TestClosedLogDoesNotEndInstance failed before: the instance did not answer its probe any more after a SIGHUP, which logs a line.

--- a/internal/oper/main.go
+++ b/internal/oper/main.go
@@ -70,6 +70,10 @@
 	return 0
 }
 
+// surviveClosedLog makes writes to a log whose reader has ended fail, rather than end
+// the process.
+func surviveClosedLog() { signal.Ignore(syscall.SIGPIPE) }
+
 // target holds the flags that name an instance and the secret for it.
 type target struct {
 	server *string
--- a/internal/oper/platform.go
+++ b/internal/oper/platform.go
@@ -41,6 +41,7 @@
 }
 
 func (c platformInstance) run(ctx context.Context, _ output) error {
+	surviveClosedLog()
 	s, err := platform.ReadSettings(*c.settings)
 	if err != nil {
 		return err
--- a/internal/oper/serve.go
+++ b/internal/oper/serve.go
@@ -33,6 +33,7 @@
 }
 
 func (c serve) run(ctx context.Context, _ output) error {
+	surviveClosedLog()
 	s, stopDemo, err := c.load()
 	if err != nil {
 		return err
--- a/internal/oper/signal_test.go
+++ b/internal/oper/signal_test.go
@@ -115,3 +115,35 @@
 	require.NoError(t, <-ended)
 	require.Equal(t, 1, out.count("event=stop "))
 }
+
+// The end of the process that reads the log must not end an instance.
+func TestClosedLogDoesNotEndInstance(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	ip := fmt.Sprintf("127.%d.%d.10", 1+os.Getpid()/250%250, 1+os.Getpid()%250)
+	file := writeFile(t, fmt.Sprintf("node-name=n1\nzone=a\nlisten.front=%s:21001\nlisten.ready=%s:21002\nlisten.control=%s:21003\n"+
+		"platform.address=%s\nbounds.lease-ms=500\nbounds.version-ms=8000\nbounds.grace-s=6\n", ip, ip, ip, l.Addr()))
+	r, w, err := os.Pipe()
+	require.NoError(t, err)
+	child := exec.Command(os.Args[0], "platform", "--settings", file)
+	child.Env = append(os.Environ(), childVariable+"=1")
+	child.Stdout, child.Stderr = w, w
+	require.NoError(t, child.Start())
+	require.NoError(t, w.Close())
+	ended := make(chan error, 1)
+	go func() { ended <- child.Wait() }()
+	t.Cleanup(func() { _ = child.Process.Kill() })
+	ready := func() bool {
+		resp, err := http.Get("http://" + ip + ":21002/v1/ready")
+		return err == nil && resp.Body.Close() == nil
+	}
+	require.Eventually(t, ready, 10*time.Second, 5*time.Millisecond)
+	require.NoError(t, r.Close())
+
+	require.NoError(t, child.Process.Signal(syscall.SIGHUP))
+	time.Sleep(500 * time.Millisecond)
+	require.True(t, ready())
+	require.NoError(t, child.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, <-ended)
+}
