--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -19,8 +19,10 @@
 // goroutine.
 type exchange struct {
 	forwarder
-	request  chain.Request
-	writer   chain.Writer
+	request chain.Request
+	writer  chain.Writer
+	// caller ends when the caller has left, also if the request goes on.
+	caller   context.Context
 	attempts int
 	endpoint string
 	tried    []string
@@ -79,7 +81,7 @@
 		}
 		if next != nil {
 			f := failureOf(err)
-			x.recordFailure(a, f)
+			x.recordFailure(a, f, x.headWritten)
 			if f.Cause != call.TimedOut {
 				// A silent endpoint was reported when the search began.
 				x.reportFailure(x.endpoint, f)
@@ -120,6 +122,9 @@
 	stale   *staleTimer
 	// reply is the response; nil until its head has arrived.
 	reply call.Reply
+	// first is the first part of the response if it was received before the attempt
+	// was to serve; nil otherwise.
+	first *chain.Chunk
 	// lastReceived is when the attempt started or last received data.
 	lastReceived time.Time
 }
@@ -141,9 +146,9 @@
 	}
 }
 
-// open sends a and waits for the head of the response. Received is what the caller
-// has of a stream.
-func (x *exchange) open(a *attempt, received position) error {
+// open sends a and waits for the head of the response. Begun is whether the caller's
+// response has begun, and received is what the caller has of a stream.
+func (x *exchange) open(a *attempt, begun bool, received position) error {
 	c := a.choice
 	reply, err := x.endpoints.Open(a.ctx, call.Attempt{
 		ID:             x.request.ID,
@@ -152,8 +157,8 @@
 		CacheSalt:      c.salt,
 		Priority:       x.request.CombinedPriority(),
 		LastEventID:    received.event,
-		Begun:          x.headWritten,
-		ConsecutiveIDs: x.headWritten && !received.skipsIDs,
+		Begun:          begun,
+		ConsecutiveIDs: begun && !received.skipsIDs,
 		WeightsVersion: c.weights,
 		KVSource:       c.source,
 		KVTarget:       c.target,
@@ -167,6 +172,16 @@
 	return nil
 }
 
+// next returns the next part of the response.
+func (a *attempt) next() (chain.Chunk, error) {
+	if c := a.first; c != nil {
+		a.first = nil
+		return *c, nil
+	}
+	c, _, err := a.reply.Next()
+	return c, err
+}
+
 // close releases a. Its endpoint cancels a response that has not ended.
 func (a *attempt) close() {
 	if a.reply != nil {
@@ -189,7 +204,7 @@
 // forward sends a, unless its response has begun, and forwards the response.
 func (x *exchange) forward(a *attempt, s *silence) error {
 	if a.reply == nil {
-		if err := x.open(a, x.received); err != nil {
+		if err := x.open(a, x.headWritten, x.received); err != nil {
 			return err
 		}
 	}
@@ -216,7 +231,7 @@
 // forwardStream forwards the events of one attempt.
 func (x *exchange) forwardStream(a *attempt, s *silence) error {
 	for {
-		c, _, err := a.reply.Next()
+		c, err := a.next()
 		if err != nil {
 			return err
 		}
@@ -266,7 +281,7 @@
 	var buffered []chain.Chunk
 	size := 0
 	for {
-		c, _, err := a.reply.Next()
+		c, err := a.next()
 		if err != nil {
 			return err
 		}
@@ -276,6 +291,10 @@
 		if size > maxResponseBytes {
 			return errResponseTooLong
 		}
+		if size > maxBufferedBytes {
+			// A stream that the request resumes can't continue this response.
+			x.received = position{}
+		}
 		s.reset(x.received, size > maxBufferedBytes)
 		if !c.End && size <= maxBufferedBytes {
 			continue
@@ -327,7 +346,7 @@
 		return known
 	}
 	f := failureOf(err)
-	x.recordFailure(a, f)
+	x.recordFailure(a, f, x.headWritten)
 	if ctx.Err() != nil {
 		return x.contextError(ctx)
 	}
@@ -342,6 +361,9 @@
 	if f.MaybeSent && !x.retryable() {
 		return fault.New(fault.Lost, "the answer of %s was lost (%s): look the result up before you send it again", name, f.Detail).WithRun(fault.Unknown)
 	}
+	if x.caller != nil && x.caller.Err() != nil {
+		return x.contextError(x.caller)
+	}
 	if !x.attemptsLeft() {
 		return x.withRunState(fault.New(fault.Unavailable, "%s did not serve the request (%s) and no more attempts are left: come back later", name, f.Cause).WithRetry(busyRetryAfter))
 	}
@@ -364,14 +386,14 @@
 	}
 }
 
-// recordFailure logs and counts a failed attempt. Its endpoint gets no further
-// attempt.
-func (x *exchange) recordFailure(a *attempt, f call.Failure) {
+// recordFailure logs and counts a failed attempt; begun is whether the caller's
+// response has begun. Its endpoint gets no further attempt.
+func (x *exchange) recordFailure(a *attempt, f call.Failure, begun bool) {
 	name := a.choice.endpoint.Node.Name
 	x.maybeSent = x.maybeSent || f.MaybeSent
 	x.meter.Failed(f.Cause.String())
 	x.log.Warn().Str("event", "fail").Str("request", x.request.ID).Str("endpoint", name).
-		Str("cause", f.Cause.String()).Bool("sent", f.MaybeSent).Bool("begun", x.headWritten).Int("attempt", a.number).
+		Str("cause", f.Cause.String()).Bool("sent", f.MaybeSent).Bool("begun", begun).Int("attempt", a.number).
 		Stringer("quiet", x.now().Sub(a.lastReceived).Round(time.Millisecond)).Str("detail", f.Detail).
 		Str("parts", poison.Text(x.parts)).Send()
 	if f.WeightsVersion > 0 {
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -15,7 +17,7 @@
 //
 // A silent endpoint may still go on, so an attempt is not given up for silence
 // alone. One whose response has not begun is canceled only if another attempt may
-// follow. A begun stream is kept until another endpoint has begun to continue it;
+// follow. A begun stream is kept until an event of another endpoint continues it;
 // if none does, the stream waits for its endpoint until the request's deadline.
 type silence struct {
 	exchange *exchange
@@ -32,13 +34,15 @@
 	// received is how much it is of a stream.
 	begun    bool
 	received position
-	// asked is true once the endpoint was asked whether it has the request.
+	// asked is true once the endpoint was asked whether it has the request, in the
+	// current silence if the response has begun.
 	asked bool
 	// ended is true once the attempt has ended.
 	ended bool
 	// search is the search in progress, or the one that found a replacement; nil
-	// if there is none. Invariant: while it is in progress, it alone uses the
-	// exchange's record of attempts.
+	// if there is none. Invariants: it is for a begun stream; while it is in
+	// progress, it alone uses the exchange's record of attempts and nothing else of
+	// the exchange that changes.
 	search *search
 }
 
@@ -83,6 +87,7 @@
 		s.search.cancel()
 	}
 	s.events++
+	s.asked = s.asked && !begun
 	s.begun = begun
 	s.received = received
 	s.timer.Reset(s.limit)
@@ -115,6 +120,7 @@
 // expire handles an attempt that was silent for the limit. An endpoint that still
 // has the request is given the same time once more.
 func (s *silence) expire() {
+	defer s.logPanic()
 	s.mu.Lock()
 	before, ask := s.events, !s.asked
 	s.asked = true
@@ -181,33 +187,59 @@
 // attempt is allowed.
 func (s *silence) run(q *search) {
 	defer close(q.done)
+	defer s.endSearch(q)
+	defer s.logPanic()
 	x := s.exchange
 	x.control.Post(state.Called{
 		Endpoint: s.attempt.choice.endpoint.Node.Name,
 		Failed:   true,
 	})
 	for x.attemptsLeft() && x.hasCandidate() && x.takeRetry() {
-		c, err := x.choose()
-		if err != nil {
-			break
-		}
-		a := x.newAttempt(q.ctx, c)
-		err = s.openInTime(a, q.received)
-		if err == nil && s.replace(q, a) {
+		if !s.try(q) {
 			return
 		}
-		a.close()
-		if q.ctx.Err() != nil || err == nil {
-			x.maybeSent = true
-			break
+	}
+}
+
+// try makes one attempt to continue the stream. It returns whether to make another one.
+func (s *silence) try(q *search) bool {
+	x := s.exchange
+	c, err := x.choose()
+	if err != nil {
+		return false
+	}
+	a := x.newAttempt(q.ctx, c)
+	replaced := false
+	defer func() {
+		if !replaced {
+			a.close()
+		}
+	}()
+	err = s.openInTime(a, q.received)
+	if err == nil {
+		replaced = s.replace(q, a)
+		if replaced {
+			return false
 		}
-		f := failureOf(err)
-		x.recordFailure(a, f)
-		x.reportFailure(c.endpoint.Node.Name, f)
 	}
-	q.cancel()
+	if q.ctx.Err() != nil || err == nil {
+		x.maybeSent = true
+		return false
+	}
+	f := failureOf(err)
+	x.recordFailure(a, f, true)
+	x.reportFailure(c.endpoint.Node.Name, f)
+	return true
+}
+
+// endSearch ends q. Unless it found a replacement, the silent attempt goes on.
+func (s *silence) endSearch(q *search) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if q.found != nil {
+		return
+	}
+	q.cancel()
 	s.search = nil
 	s.logKept("no other endpoint went on with the stream")
 	if !s.ended && s.events == q.events {
@@ -215,22 +247,46 @@
 	}
 }
 
-// openInTime sends a, which has to begin to continue a stream after what the caller
-// has received within the limit.
+// logPanic is deferred where the watch runs beside the goroutine of the request, whose
+// server would recover. The silent attempt goes on.
+func (s *silence) logPanic() {
+	if p := recover(); p != nil {
+		s.exchange.log.Error().Str("event", "panic").Str("request", s.exchange.request.ID).
+			Str("detail", fmt.Sprint(p)).Str("stack", string(debug.Stack())).Send()
+	}
+}
+
+// openInTime sends a, whose first events after what the caller has received have to
+// arrive within the limit. The head alone does not show that an endpoint goes on.
 func (s *silence) openInTime(a *attempt, received position) error {
 	timer := time.AfterFunc(s.limit, func() { a.cancel(errIdleTimeout) })
-	err := s.exchange.open(a, received)
-	switch {
-	case !timer.Stop() && err == nil:
+	err := s.openFirst(a, received)
+	if !timer.Stop() && err == nil {
 		return errIdleTimeout
-	case err == nil && a.reply.Head().Status != streamStatus:
+	}
+	return err
+}
+
+// openFirst sends a and waits for its first events.
+func (s *silence) openFirst(a *attempt, received position) error {
+	if err := s.exchange.open(a, true, received); err != nil {
+		return err
+	}
+	if status := a.reply.Head().Status; status != streamStatus {
 		return call.Failure{
 			Cause:     call.Refused,
 			MaybeSent: true,
-			Detail:    "the endpoint did not go on with the stream: status " + statusText(a.reply.Head().Status),
+			Detail:    "the endpoint did not go on with the stream: status " + statusText(status),
 		}
 	}
-	return err
+	c, err := a.next()
+	if err != nil {
+		return attemptError(a.ctx, err)
+	}
+	a.stale.stop()
+	a.lastReceived = s.exchange.now()
+	a.first = &c
+	return nil
 }
 
 // replace has a replace the silent attempt, or returns false if that one has gone
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/baobabtally/baobabtally/internal/call"
@@ -28,10 +29,14 @@
 	// pause is a silence before the event with number pauseAt.
 	pause   time.Duration
 	pauseAt int
+	// again repeats the silence before each further event.
+	again bool
 	// breakAt, if positive, breaks the connection in place of that event.
 	breakAt int
 	// status is the status of the response, if it is not 200.
 	status int
+	// size is the least size of each part of the response in bytes.
+	size int
 }
 
 // scriptedEndpoints are engines that treat the attempts, in their order, as the
@@ -108,7 +113,7 @@
 
 func (r *scriptedReply) Next() (chain.Chunk, int, error) {
 	wait := 10 * time.Millisecond
-	if r.next == r.script.pauseAt {
+	if r.next == r.script.pauseAt || r.script.again && r.next > r.script.pauseAt {
 		wait = r.script.pause
 	}
 	if err := sleep(r.ctx, wait); err != nil {
@@ -125,7 +130,7 @@
 	r.next++
 	return chain.Chunk{
 		Event: id,
-		Data:  []byte(id + " "),
+		Data:  append([]byte(id+" "), make([]byte, r.script.size)...),
 		End:   id == strconv.Itoa(scriptedEvents),
 	}, 0, nil
 }
@@ -347,3 +352,257 @@
 		require.Equal(t, wholeStream, w.body.String())
 	})
 }
+
+// An engine that sends the head of a response but no event must not cost the caller the
+// rest from the silent engine.
+func TestReplacementWithoutEventDoesNotEndSilentStream(t *testing.T) {
+	t.Parallel()
+	silent := script{
+		pauseAt: 3,
+		pause:   3 * time.Second,
+	}
+	for name, others := range map[string]script{
+		"the others break off": {
+			breakAt: 3,
+		},
+		"the others are silent": {
+			pauseAt: 3,
+			pause:   time.Minute,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				e := &scriptedEndpoints{
+					scripts: []script{silent, others},
+				}
+				w, err := serveScripted(t, e, nil)
+				require.NoError(t, err, "got %q", w.body.String())
+				require.Equal(t, wholeStream, w.body.String())
+				require.True(t, w.ended)
+			})
+		})
+	}
+}
+
+// A search that begins after the first event of a stream must not race with the write
+// of the response head.
+func TestSilenceAfterFirstEvent(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		e := &scriptedEndpoints{
+			scripts: []script{
+				{
+					pauseAt: 2,
+					pause:   time.Minute,
+				},
+				{},
+			},
+		}
+		w, err := serveScripted(t, e, nil)
+		require.NoError(t, err)
+		require.Equal(t, wholeStream, w.body.String())
+	})
+}
+
+// holdingEndpoints are engines that say that they have each request.
+type holdingEndpoints struct {
+	*scriptedEndpoints
+}
+
+func (holdingEndpoints) InFlight(context.Context, member.Node, string) (bool, error) {
+	return true, nil
+}
+
+// A stream must not go on elsewhere while its engine, which was silent before, says
+// that it still works on it.
+func TestEngineIsAskedInEachSilence(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		e := &scriptedEndpoints{
+			scripts: []script{
+				{
+					pauseAt: 2,
+					again:   true,
+					pause:   1300 * time.Millisecond,
+				},
+				{},
+			},
+		}
+		w, err := serveScripted(t, e, func(x *exchange) {
+			x.endpoints = holdingEndpoints{
+				scriptedEndpoints: e,
+			}
+		})
+		require.NoError(t, err)
+		require.Equal(t, wholeStream, w.body.String())
+		require.Len(t, e.asked, 1)
+	})
+}
+
+// A long response that is no stream must not be continued by a stream of another engine
+// if the caller's request resumes a stream.
+func TestSilentResponseIsNotContinuedByStream(t *testing.T) {
+	t.Parallel()
+	for name, first := range map[string]script{
+		"silent": {
+			status:  404,
+			size:    maxBufferedBytes,
+			pauseAt: 4,
+			pause:   3 * time.Second,
+		},
+		"broken": {
+			status:  404,
+			size:    maxBufferedBytes,
+			breakAt: 4,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				e := &scriptedEndpoints{
+					scripts: []script{first, {}},
+				}
+				_, err := serveScripted(t, e, func(x *exchange) {
+					x.request.LastEventID = "1"
+					x.received.event = "1"
+				})
+				require.Equal(t, name == "broken", err != nil)
+				require.Len(t, e.asked, 1)
+			})
+		})
+	}
+}
+
+// faultyEndpoints fail with a panic at each attempt after the first one, or when they are
+// asked for a request.
+type faultyEndpoints struct {
+	*scriptedEndpoints
+	atQuery bool
+}
+
+func (e faultyEndpoints) Open(ctx context.Context, a call.Attempt) (call.Reply, error) {
+	e.mu.Lock()
+	first := len(e.asked) == 0
+	e.mu.Unlock()
+	if !first {
+		panic("a fault")
+	}
+	return e.scriptedEndpoints.Open(ctx, a)
+}
+
+func (e faultyEndpoints) InFlight(context.Context, member.Node, string) (bool, error) {
+	if e.atQuery {
+		panic("a fault")
+	}
+	return false, nil
+}
+
+// A panic beside a silent stream must not end the process and all other requests.
+func TestPanicInSearchKeepsSilentStream(t *testing.T) {
+	t.Parallel()
+	for name, atQuery := range map[string]bool{
+		"query":  true,
+		"search": false,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				e := &scriptedEndpoints{
+					scripts: []script{
+						{
+							pauseAt: 3,
+							pause:   3 * time.Second,
+						},
+					},
+				}
+				log := &strings.Builder{}
+				w, err := serveScripted(t, e, func(x *exchange) {
+					x.log = zerolog.New(log)
+					x.endpoints = faultyEndpoints{
+						scriptedEndpoints: e,
+						atQuery:           atQuery,
+					}
+				})
+				require.NoError(t, err)
+				require.Equal(t, wholeStream, w.body.String())
+				require.Contains(t, log.String(), `"event":"panic"`)
+			})
+		})
+	}
+}
+
+// A caller that leaves while another engine is sought must end the search.
+func TestCallerThatLeavesEndsSearch(t *testing.T) {
+	t.Parallel()
+	for name, others := range map[string]script{
+		"before the head": {
+			delay: time.Minute,
+		},
+		"before the first event": {
+			pauseAt: 3,
+			pause:   time.Minute,
+		},
+		"between two engines": {
+			refuse: true,
+			delay:  200 * time.Millisecond,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				e := &scriptedEndpoints{
+					scripts: []script{
+						{
+							pauseAt: 3,
+							pause:   time.Minute,
+						},
+						others,
+					},
+				}
+				x := newWaitingExchange(fixedState{
+					state: fiveEngines(),
+				}, e, time.Minute)
+				x.request.Route.TargetLatency = 0
+				x.writer = &recordingWriter{}
+				x.request.Deadline = x.now().Add(time.Minute)
+				ctx, cancel := context.WithTimeout(t.Context(), 1300*time.Millisecond)
+				defer cancel()
+				begin := time.Now()
+				require.Error(t, x.run(ctx))
+				require.Less(t, time.Since(begin), 1400*time.Millisecond)
+				synctest.Wait()
+				asked := len(e.asked)
+				time.Sleep(10 * time.Second)
+				require.Len(t, e.asked, asked, "no engine is asked any more")
+				require.Zero(t, e.open)
+			})
+		})
+	}
+}
+
+// An attempt that waits for its first event must not be given up if the weights of all
+// other engines are too old to begin on.
+func TestWaitingAttemptIsKeptIfOthersAreStale(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := fiveEngines()
+		s.Routing.Weights = s.Routing.Weights.WithDesired("m", 2, time.Now().Add(-time.Minute)).WithLoaded("e1", "m", 2)
+		e := &scriptedEndpoints{
+			scripts: []script{
+				{
+					delay: 3 * time.Second,
+				},
+			},
+		}
+		w, err := serveScripted(t, e, func(x *exchange) {
+			x.control = fixedState{
+				state: s,
+			}
+			x.bounds.StaleWeightsLimit = 5 * time.Second
+		})
+		require.NoError(t, err)
+		require.Equal(t, wholeStream, w.body.String())
+		require.Equal(t, []string{"e1"}, e.asked)
+	})
+}
