relay: a stream whose events have no ids clears the parts of its prompt

On routes whose streams carry no event ids, no part of a prompt was ever recorded as served. A part that all requests of the route share stayed suspect after the first crash, so that all of them went to one engine, and after three crashes of any cause within an hour it was refused with a verdict. Requests on a crashed engine were not repeated either.

Cause: a stream counted as served if the id of its last event differed from the Last-Event-Id of the request, and without ids both are empty.

Evidence: TestStreamWithoutEventIDsClearsItsParts failed before with "event=crash ... suspects=2" although the shared part had been served.

The attempt now notes whether a part of the body has arrived, which does not depend on ids.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -74,7 +74,7 @@
 		var err error
 		next, err = x.serve(ctx, a)
 		if err == nil {
-			x.countServed(ctx, a.choice)
+			x.countServed(ctx, a)
 			return nil
 		}
 		if next != nil {
@@ -122,6 +122,8 @@
 	reply call.Reply
 	// lastReceived is when the attempt started or last received data.
 	lastReceived time.Time
+	// begun is true once a part of the body of a stream has arrived.
+	begun bool
 }
 
 // newAttempt counts an attempt at the endpoint of c, which open sends.
@@ -223,6 +225,7 @@
 		a.stale.stop()
 		a.counter.EndPrefill()
 		a.lastReceived = x.now()
+		a.begun = a.begun || len(c.Data) > 0
 		received := x.received.WithChunk(c)
 		if !s.reset(received, true) {
 			// The attempt that replaces this one repeats the event.
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -50,14 +50,14 @@
 	return poison.Shared(r.Service, r.Model, r.Parts)
 }
 
-// countServed records that the request was served to its end. A stream without a
-// length that ends before its first event may be that of an endpoint that crashed.
-func (x *exchange) countServed(ctx context.Context, c choice) {
+// countServed records that a served the request to its end. A stream that ends before
+// its first event may be that of an endpoint that crashed, and shows no more than that.
+func (x *exchange) countServed(ctx context.Context, a *attempt) {
 	switch {
 	case len(x.parts) == 0 || x.status != streamStatus:
 		return
-	case x.request.Stream && x.received.event == x.request.LastEventID:
-		x.crashed(ctx, c.endpoint.Node, call.Failure{
+	case x.request.Stream && !a.begun:
+		x.crashed(ctx, a.choice.endpoint.Node, call.Failure{
 			Cause:     call.Broken,
 			MaybeSent: true,
 		})
