relay: an unframed answer of an endpoint that crashed clears no part

An engine that sends its first event without a length or chunks and crashes then ends its stream like one that is complete. The part that caused the crash was recorded as served, which cleared it on all instances for an hour: engine after engine crashed and no crash was noted at all.

The head of a response now tells whether its end is known only from the end of the connection. If such an answer ends soon after its start, and the endpoint refuses connections, it is evidence of a crash like one that broke. The extra dial is made only for prompts with a part that was never served.

--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -50,17 +50,21 @@
 	return poison.Shared(r.Service, r.Model, r.Parts)
 }
 
-// countServed records that a served the request to its end. A stream that ends before
-// its first event may be that of an endpoint that crashed, and shows no more than that.
+// countServed records that a served the request to its end. An answer without events
+// shows nothing, and one that may be that of an endpoint that crashed does not clear the
+// parts of the prompt.
 func (x *exchange) countServed(ctx context.Context, a *attempt) {
-	switch {
-	case len(x.parts) == 0 || x.status != streamStatus:
+	if len(x.parts) == 0 || x.status != streamStatus {
 		return
-	case x.request.Stream && !a.begun:
-		x.crashed(ctx, a.choice.endpoint.Node, call.Failure{
-			Cause:     call.Broken,
-			MaybeSent: true,
-		})
+	}
+	empty := x.request.Stream && !a.begun
+	if (empty || a.reply.Head().Unframed) && x.crashed(ctx, a.choice.endpoint.Node, call.Failure{
+		Cause:     call.Broken,
+		MaybeSent: true,
+	}) {
+		return
+	}
+	if empty {
 		return
 	}
 	x.served.Add(x.parts)
--- a/pkg/chain/request.go
+++ b/pkg/chain/request.go
@@ -215,6 +215,9 @@
 	Header Header
 	// Length is the length of a relayed body in bytes; -1 if unknown.
 	Length int64
+	// Unframed is whether the end of a relayed body is known only from the end of its
+	// connection, which looks the same if the endpoint crashed.
+	Unframed bool
 }
 
 // Chunk is a part of a response.
