relay: a stream that goes on clears the parts of its prompt

After a start nothing has been served yet. When an engine crashed, all parts of the prompts that waited there became suspects, those that a whole route shares too. All requests of the route then went to one engine until the first stream ended, which takes as long as the longest answers do; three crashes within that time refused the route.

Cause: a part was cleared at the end of a stream only, although its engine has survived it once it goes on with the answer. A crash later than startTime after the first event was no evidence against the part already.

Evidence: TestStreamThatGoesOnClearsItsParts failed before with "event=crash ... suspects=2" while a stream with the shared part had been running for 600 ms.

An attempt now adds up how long it waited for events after the first one, and clears the parts when that exceeds startTime. Time in which the caller does not read is left out: events that were sent before a crash may be read late.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -122,8 +122,11 @@
 	reply call.Reply
 	// lastReceived is when the attempt started or last received data.
 	lastReceived time.Time
-	// begun is true once a part of the body of a stream has arrived.
+	// begun is true once a part of the body of a stream has arrived, and alive is how
+	// long the endpoint was waited for since then before more arrived. A slow caller
+	// does not extend it.
 	begun bool
+	alive time.Duration
 }
 
 // newAttempt counts an attempt at the endpoint of c, which open sends.
@@ -218,6 +221,7 @@
 // forwardStream forwards the events of one attempt.
 func (x *exchange) forwardStream(a *attempt, s *silence) error {
 	for {
+		asked := x.now()
 		c, _, err := a.reply.Next()
 		if err != nil {
 			return err
@@ -225,7 +229,9 @@
 		a.stale.stop()
 		a.counter.EndPrefill()
 		a.lastReceived = x.now()
-		a.begun = a.begun || len(c.Data) > 0
+		if len(c.Data) > 0 {
+			x.countPart(a, a.lastReceived.Sub(asked))
+		}
 		received := x.received.WithChunk(c)
 		if !s.reset(received, true) {
 			// The attempt that replaces this one repeats the event.
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -67,6 +67,26 @@
 	if empty {
 		return
 	}
+	x.clearParts()
+}
+
+// countPart notes that a part of a stream arrived after it was waited for for the given
+// time. An endpoint that goes on with its answer has survived the parts of the prompt,
+// which are cleared without waiting for the end of the stream.
+func (x *exchange) countPart(a *attempt, waited time.Duration) {
+	if !a.begun {
+		a.begun = true
+		return
+	}
+	before := a.alive
+	a.alive += waited
+	if before <= startTime && a.alive > startTime {
+		x.clearParts()
+	}
+}
+
+// clearParts records that the parts of the prompt were served.
+func (x *exchange) clearParts() {
 	x.served.Add(x.parts)
 	if suspects := x.control.View().Routing.Poison.SuspectsOf(x.parts); len(suspects) > 0 {
 		x.control.Post(state.PartsServed{
