poison: a part behind many others is considered

A prompt may have up to 256 parts, of which the first 64 were considered. A part behind these that crashes engines was never a suspect: if the parts before it had been served, as in a long session, no crash was noted and each request was repeated at the next engine.

Evidence: TestManyPartsDoNotHideLaterOnes failed before: the part was not among those that Shared returns.

All parts that the front end reads are considered now. What is kept of a crash stays at 64 suspects, so heartbeats do not grow.

--- a/pkg/poison/part.go
+++ b/pkg/poison/part.go
@@ -19,8 +19,9 @@
 	// session only.
 	ownParts = 1
 	// maxParts limits how many parts of a prompt are considered. Callers choose
-	// how many parts their prompts have.
-	maxParts = 64
+	// how many parts their prompts have. It is at least as many as the front end
+	// reads: a part that is left out here is never found.
+	maxParts = 256
 )
 
 // Shared returns the parts of a prompt that other requests may have in common
--- a/pkg/poison/tracker.go
+++ b/pkg/poison/tracker.go
@@ -17,7 +17,7 @@
 	// of them and maxCleared the cleared parts. The limits bound the evidence in a
 	// heartbeat to about 20 KB.
 	maxCrashes  = 32
-	maxSuspects = maxParts
+	maxSuspects = 64
 	maxCleared  = 256
 	// reportTTL is how long a clearance is reported to other instances. It covers
 	// several rounds of heartbeats in a large fleet.
--- a/pkg/poison/tracker_test.go
+++ b/pkg/poison/tracker_test.go
@@ -293,6 +293,43 @@
 	require.Len(t, Shared("llm", "m", make([]prefix.Part, 5000)), maxParts)
 }
 
+// Parts in front of the one that crashes engines must not keep it out of the
+// evidence: sessions have long prompts, and callers choose how many parts they send.
+func TestManyPartsDoNotHideLaterOnes(t *testing.T) {
+	t.Parallel()
+	var parts []prefix.Part
+	for i := range 256 {
+		parts = append(parts, prefix.Part{ID: uint64(i)})
+	}
+	deadly := Shared("llm", "m", []prefix.Part{{ID: 254}, {ID: 0}})[0]
+	shared := Shared("llm", "m", parts)
+	require.Contains(t, shared, deadly)
+	var s Served
+	s.Add(shared[:254])
+	require.Equal(t, []Part{deadly}, s.Without(shared))
+}
+
+// The same with parts that are all new, which no instance has served.
+func TestManyNewPartsDoNotHideOne(t *testing.T) {
+	t.Parallel()
+	for trial := range 20 {
+		var r Tracker
+		n := 0
+		for ; n < maxCrashes; n++ {
+			parts := []Part{7}
+			for i := range maxParts - 2 {
+				parts = append(parts, Part(prefix.PartKey("x", uint64(trial<<32|n<<16|i))))
+			}
+			c := crashOf(fmt.Sprint("e", trial, "-", n), float64(n), parts...)
+			r = r.WithCrash(c, c.At)
+			if _, ok := r.WithVerdicts(c.At).Verdict([]Part{7}); ok {
+				break
+			}
+		}
+		require.Less(t, n, maxCrashes)
+	}
+}
+
 func BenchmarkServed(b *testing.B) {
 	var s Served
 	parts := []Part{1, 2, 3}
