poison: an instance that was out of reach learns which suspects were cleared

A clearance was reported for 30 s. An instance that was cut off from the others for longer kept a sound part as a suspect for the hour that it remembers the crash: it sent all requests with the part to one engine, and its crashes could become a verdict that only this instance had.

Evidence: TestClearanceReachesInstanceThatWasCutOff failed before: the part was still a suspect after both had exchanged their evidence.

An instance that hears of a suspect which it knows to be cleared reports the clearance once more, for the same 30 s. The sender then drops the suspect, so that the exchange ends.

--- a/pkg/poison/tracker.go
+++ b/pkg/poison/tracker.go
@@ -156,6 +156,7 @@
 // WithEvidence returns a copy of t with what another instance knows.
 func (t Tracker) WithEvidence(e Evidence, now time.Time) Tracker {
 	t = t.withCleared(e.Cleared[max(len(e.Cleared)-maxCleared, 0):], now)
+	t = t.withReported(e, now)
 	for _, r := range e.Crashes[max(len(e.Crashes)-maxCrashes, 0):] {
 		t = t.WithCrash(Crash{
 			Engine: r.Engine,
@@ -167,6 +168,28 @@
 	return t
 }
 
+// withReported returns a copy of t that reports once more which suspects of e were
+// cleared: the sender was out of reach when they were.
+func (t Tracker) withReported(e Evidence, now time.Time) Tracker {
+	unknown := func(c clearance) bool {
+		return now.Sub(c.at) > reportTTL && slices.ContainsFunc(e.Crashes, func(r Report) bool { return slices.Contains(r.Parts, c.part) })
+	}
+	if !slices.ContainsFunc(t.cleared, unknown) {
+		return t
+	}
+	cleared := slices.DeleteFunc(slices.Clone(t.cleared), unknown)
+	for _, c := range t.cleared {
+		if unknown(c) {
+			cleared = append(cleared, clearance{
+				part: c.part,
+				at:   now,
+			})
+		}
+	}
+	t.cleared = cleared
+	return t
+}
+
 // Evidence returns what t knows at now, for other instances.
 func (t Tracker) Evidence(now time.Time) Evidence {
 	var e Evidence
--- a/pkg/poison/tracker_test.go
+++ b/pkg/poison/tracker_test.go
@@ -330,6 +330,21 @@
 	}
 }
 
+// An instance that was cut off when a suspect was cleared must not suspect it
+// for as long as it remembers the crash.
+func TestClearanceReachesInstanceThatWasCutOff(t *testing.T) {
+	t.Parallel()
+	var cut, other Tracker
+	c := crashOf("a", 0, 7)
+	cut = cut.WithCrash(c, c.At)
+	other = other.WithCrash(c, c.At).WithServed([]Part{7}, c.At)
+	later := begin.Add(reportTTL + time.Minute)
+	require.NotEmpty(t, cut.SuspectsOf([]Part{7}))
+	other = other.WithEvidence(cut.Evidence(later), later)
+	cut = cut.WithEvidence(other.Evidence(later), later)
+	require.Empty(t, cut.SuspectsOf([]Part{7}))
+}
+
 func BenchmarkServed(b *testing.B) {
 	var s Served
 	parts := []Part{1, 2, 3}
