--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -76,7 +76,7 @@
 		var err error
 		next, err = x.serve(ctx, a)
 		if err == nil {
-			x.countServed(ctx, a.choice)
+			x.countServed(ctx, a)
 			return nil
 		}
 		if next != nil {
@@ -127,6 +127,11 @@
 	first *chain.Chunk
 	// lastReceived is when the attempt started or last received data.
 	lastReceived time.Time
+	// begun is true once a part of the body of a stream has arrived, and alive is how
+	// long the endpoint was waited for since then before more arrived. A slow caller
+	// does not extend it.
+	begun bool
+	alive time.Duration
 }
 
 // newAttempt counts an attempt at the endpoint of c, which open sends.
@@ -231,6 +236,7 @@
 // forwardStream forwards the events of one attempt.
 func (x *exchange) forwardStream(a *attempt, s *silence) error {
 	for {
+		asked := x.now()
 		c, err := a.next()
 		if err != nil {
 			return err
@@ -238,6 +244,9 @@
 		a.stale.stop()
 		a.counter.EndPrefill()
 		a.lastReceived = x.now()
+		if len(c.Data) > 0 {
+			x.countPart(a, a.lastReceived.Sub(asked))
+		}
 		received := x.received.WithChunk(c)
 		if !s.reset(received, true) {
 			// The attempt that replaces this one repeats the event.
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -50,19 +50,43 @@
 	return poison.Shared(r.Service, r.Model, r.Parts)
 }
 
-// countServed records that the request was served to its end. A stream without a
-// length that ends before its first event may be that of an endpoint that crashed.
-func (x *exchange) countServed(ctx context.Context, c choice) {
-	switch {
-	case len(x.parts) == 0 || x.status != streamStatus:
+// countServed records that a served the request to its end. An answer without events
+// shows nothing, and one that may be that of an endpoint that crashed does not clear the
+// parts of the prompt.
+func (x *exchange) countServed(ctx context.Context, a *attempt) {
+	if len(x.parts) == 0 || x.status != streamStatus {
 		return
-	case x.request.Stream && x.received.event == x.request.LastEventID:
-		x.crashed(ctx, c.endpoint.Node, call.Failure{
-			Cause:     call.Broken,
-			MaybeSent: true,
-		})
+	}
+	empty := x.request.Stream && !a.begun
+	if (empty || a.reply.Head().Unframed) && x.crashed(ctx, a.choice.endpoint.Node, call.Failure{
+		Cause:     call.Broken,
+		MaybeSent: true,
+	}) {
+		return
+	}
+	if empty {
 		return
 	}
+	x.clearParts()
+}
+
+// countPart notes that a part of a stream arrived after it was waited for for the given
+// time. An endpoint that goes on with its answer has survived the parts of the prompt,
+// which are cleared without waiting for the end of the stream.
+func (x *exchange) countPart(a *attempt, waited time.Duration) {
+	if !a.begun {
+		a.begun = true
+		return
+	}
+	before := a.alive
+	a.alive += waited
+	if before <= startTime && a.alive > startTime {
+		x.clearParts()
+	}
+}
+
+// clearParts records that the parts of the prompt were served.
+func (x *exchange) clearParts() {
 	x.served.Add(x.parts)
 	if suspects := x.control.View().Routing.Poison.SuspectsOf(x.parts); len(suspects) > 0 {
 		x.control.Post(state.PartsServed{
