ctrl, member: an endpoint that returns after a peer reported its departure is used

In a large fleet most instances sent no more requests to engines whose entries had been removed and were back, for good, and the holder of the lease gave them no orders.

Cause: a departure that a peer reports is kept twice. Registry sets the entry's report, which the next read of the entry replaces. Mesh sets a flag of the member that only an answer of the endpoint clears, and an endpoint that takes no work gets no call to answer. An instance that reads the removal itself drops the member and begins anew, so small fleets, where all read the registry each 0.9 s, don't show it. Class: one fact in two places, of which one is never updated.

Evidence: the holder has a line state=leaving from a peer for exactly the 20 engines without an order, and none of them state=gone. TestEndpointThatReturnsAfterReportedDepartureIsUsed failed before: expected [e1 e2], actual [e2].

A read of the entry as ready now clears the flag, unless it is older than the reported departure; such a read no longer erases the departure's version either.

--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -423,3 +423,32 @@
 	})
 	require.Equal(t, []string{"e2"}, c.pool())
 }
+
+// An endpoint whose entry a peer saw removed must be used again once its entry is back,
+// also where the removal itself was never read.
+func TestEndpointThatReturnsAfterReportedDepartureIsUsed(t *testing.T) {
+	c, peer := servingInstance(t, "e1", "e2"), servingInstance(t, "e1", "e2")
+	peer.step(state.RegistrySnapshot{
+		Removed: []string{"e1"},
+		Version: 12,
+	})
+	c.step(ctrl.HeartbeatOf(peer.state))
+	require.Equal(t, []string{"e2"}, c.pool())
+	c.step(state.RegistrySnapshot{
+		Put:     []member.RegistryEntry{registryEntry("e1")},
+		Version: 11,
+	})
+	require.Equal(t, []string{"e2"}, c.pool(), "the read is older than the removal")
+	c.step(state.RegistrySnapshot{
+		Put:     []member.RegistryEntry{registryEntry("e1")},
+		Version: 11,
+	})
+	require.Equal(t, []string{"e2"}, c.pool(), "so is another one")
+	c.step(state.RegistrySnapshot{
+		Put:     []member.RegistryEntry{registryEntry("e1")},
+		Version: 13,
+	})
+	require.Equal(t, []string{"e1", "e2"}, c.pool())
+	c.step(ctrl.HeartbeatOf(peer.state))
+	require.Equal(t, []string{"e1", "e2"}, c.pool(), "the peer has not read the return yet")
+}
--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -87,25 +87,37 @@
 	news := len(s.Routing.Departed) > len(departed)
 	s = c.clearDeparture(s, e.Put)
 	s = c.setNodes(s, nodes)
+	s, changes := c.applyEntries(s, e, removed)
+	actions = append(actions, changes...)
+	if news || len(actions) > 0 {
+		// In a large fleet the other instances read the registry rarely. The
+		// heartbeats are repeated, since one that is already in flight may lack
+		// the change and keeps another one from being sent.
+		s.Routing.RepeatUntil = now.Add(repeatDuration)
+		actions = append(actions, heartbeatsTo(s, s.Others())...)
+	}
+	return s, actions
+}
+
+// applyEntries applies the entries that are new or changed.
+func (c Registry) applyEntries(s state.State, e state.RegistrySnapshot, removed []string) (state.State, []state.Action) {
+	departures, before := s.Routing.DepartureVersions, s.Members
 	s = c.recordVersions(s, e, removed)
-	before := s.Members
+	var actions []state.Action
 	for _, entry := range e.Put {
+		name := entry.Node.Name
 		s = s.WithMembers(s.Members.WithRegistryEntry(entry))
+		if !entry.Report.Departing && e.Version >= departures[name] {
+			s = s.WithMembers(s.Members.WithoutReportedDeparture(name))
+		}
 		for model, version := range entry.Weights {
-			s.Routing.Weights = s.Routing.Weights.WithLoaded(entry.Node.Name, model, version)
+			s.Routing.Weights = s.Routing.Weights.WithLoaded(name, model, version)
 		}
-		old, known := before.Find(entry.Node.Name)
+		old, known := before.Find(name)
 		if entry.Report.Departing && (!known || !old.Report.Departing) {
-			actions = append(actions, endpointNote(entry.Node.Name, "leaving", e))
+			actions = append(actions, endpointNote(name, "leaving", e))
 		}
 	}
-	if news || len(actions) > 0 {
-		// In a large fleet the other instances read the registry rarely. The
-		// heartbeats are repeated, since one that is already in flight may lack
-		// the change and keeps another one from being sent.
-		s.Routing.RepeatUntil = now.Add(repeatDuration)
-		actions = append(actions, heartbeatsTo(s, s.Others())...)
-	}
 	return s, actions
 }
 
@@ -193,7 +205,9 @@
 			continue
 		}
 		ready[entry.Node.Name] = e.Version
-		delete(departures, entry.Node.Name)
+		if e.Version >= departures[entry.Node.Name] {
+			delete(departures, entry.Node.Name)
+		}
 	}
 	maps.DeleteFunc(departures, func(name string, _ int64) bool {
 		_, known := s.Members.Find(name)
--- a/pkg/member/set.go
+++ b/pkg/member/set.go
@@ -123,6 +123,17 @@
 	return s.with(name, e)
 }
 
+// WithoutReportedDeparture returns a copy of s after the node name was found registered
+// later than a peer said that it is departing.
+func (s Set) WithoutReportedDeparture(name string) Set {
+	e, ok := s.entries[name]
+	if !ok || !e.reportedDeparting {
+		return s
+	}
+	e.reportedDeparting = false
+	return s.with(name, e)
+}
+
 // WithFailure returns a copy of s after a call to the node name failed.
 func (s Set) WithFailure(name string, now time.Time) Set {
 	e, ok := s.entries[name]
