state, ctrl, member: ticks and heartbeats follow what changed, not how many peers there are

Cause: at each poll an instance hashed the names of all peers for each engine (320 x 294 strings) to find which engines it follows; each heartbeat copied the map and the list of all peers and sorted all times of answers, which only the own front end uses; each tick searched all entries for departing endpoints, also where no heartbeat was due.

Change: state.Ranks keeps the ranks for the list of peers from which they are derived and ranks only new endpoints; peers are in a persistent map; the list is copied only for a peer that is new or moved.

Followers of an engine change once with this release, since ranks now mix two hashes in place of hashing the joined names. While both releases run, an engine may have some followers more or fewer, within the share of its event calls that is kept free for that.

--- a/internal/ctrl/follow.go
+++ b/internal/ctrl/follow.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/prefix"
@@ -38,6 +36,7 @@
 		if s.Ticks%followTicks != 0 {
 			return s, nil
 		}
+		s = withRanks(s)
 		return s, c.pollActions(s)
 	case state.CacheEvents:
 		return c.handleCacheEvents(s, e, now)
@@ -55,17 +54,19 @@
 		if len(v.Models) == 0 {
 			continue
 		}
-		for _, e := range s.Members.Pool(v.Name) {
-			if isFollower(s, e.Node.Name, min(each, followerLimit(v.Follows))) {
+		limit, pool := min(each, followerLimit(v.Follows)), s.Members.Pool(v.Name)
+		for i := range pool {
+			e := &pool[i]
+			if s.Routing.Ranks.Of(e.Node.Name) < limit {
 				actions = append(actions, state.PollCacheEvents{
-					Endpoint: e,
+					Endpoint: *e,
 					After:    s.Index.Seq(e.Node.Name),
 				})
 			}
 		}
 	}
 	for _, v := range s.Routing.Site.Stores() {
-		if !FollowsStore(s, v) {
+		if s.Routing.Ranks.Of(v.Name) >= followerLimit(v.Follows) {
 			continue
 		}
 		actions = append(actions, state.PollCacheEvents{
@@ -82,28 +83,32 @@
 	return actions
 }
 
-// FollowsStore reports whether this instance follows a store of cached prompts.
-func FollowsStore(s state.State, store site.Service) bool {
-	return isFollower(s, store.Name, followerLimit(store.Follows))
+// withRanks returns s with the instance's ranks for all endpoints that can be followed.
+// An endpoint is followed by the instances with the lowest ranks.
+func withRanks(s state.State) state.State {
+	endpoints := len(s.Members.Nodes(member.Engine)) + len(s.Routing.Site.Stores())
+	// Endpoints that are gone keep their ranks until they outnumber the others.
+	r := s.Routing.Ranks.WithPeers(s.Self.Name, s.Routing.Peers, 2*endpoints+1)
+	for _, v := range s.Routing.Site.Services() {
+		if len(v.Models) == 0 {
+			continue
+		}
+		pool := s.Members.Pool(v.Name)
+		for i := range pool {
+			r = r.WithEndpoint(pool[i].Node.Name)
+		}
+	}
+	for _, v := range s.Routing.Site.Stores() {
+		r = r.WithEndpoint(v.Name)
+	}
+	s.Routing.Ranks = r
+	return s
 }
 
 // followerLimit returns how many followers an endpoint may have that accepts limit
 // event calls at once.
 func followerLimit(limit int) int { return int(followerShare * float64(limit)) }
 
-// isFollower reports whether this instance is among the first limit instances by
-// rendezvous hash of the endpoint. All instances compute the same followers without
-// exchanging messages.
-func isFollower(s state.State, endpoint string, limit int) bool {
-	own, before := xxhash.Sum64String(endpoint+"/"+s.Self.Name), 0
-	for _, p := range s.Routing.Peers {
-		if xxhash.Sum64String(endpoint+"/"+p.Name) > own {
-			before++
-		}
-	}
-	return before < limit
-}
-
 // handleCacheEvents applies a batch of cache events to the index of the engines or
 // of the stores.
 func (c Follow) handleCacheEvents(s state.State, e state.CacheEvents, now time.Time) (state.State, []state.Action) {
--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -127,6 +127,9 @@
 
 // heartbeatsTo sends the current heartbeat to the named instances.
 func heartbeatsTo(s state.State, names []string) []state.Action {
+	if len(names) == 0 {
+		return nil
+	}
 	heartbeat := HeartbeatOf(s)
 	actions := make([]state.Action, 0, len(names))
 	for _, name := range names {
--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -365,21 +365,27 @@
 // addPeers adds peers that were unknown, and takes a new address of a peer that no
 // longer answers at its old one.
 func (c Registry) addPeers(s state.State, peers []member.Node, now time.Time) state.State {
-	next := slices.Clone(s.Routing.Peers)
+	next := s.Routing.Peers
 	changed := false
+	change := func() {
+		if !changed {
+			next = slices.Clone(next)
+		}
+		changed = true
+	}
 	for _, p := range peers {
-		i := slices.IndexFunc(next, func(o member.Node) bool { return o.Name == p.Name })
+		i := indexOfPeer(next, p.Name)
 		switch {
 		case p.Name == s.Self.Name || p.Addr == "" || p.Addr == s.Self.Addr:
 		case i < 0:
+			change()
 			next = append(next, p)
-			changed = true
 			s = s.WithPeer(p.Name, state.Peer{
 				LastAnswered: now,
 			})
 		case next[i].Addr != p.Addr && now.Sub(s.Peer(p.Name).LastAnswered) > member.AnswerTimeout:
+			change()
 			next[i] = p
-			changed = true
 		}
 	}
 	if !changed {
@@ -395,6 +401,17 @@
 	return c.setNodes(s, c.knownEndpoints(s))
 }
 
+// indexOfPeer returns the index of the peer name, or -1. Peers that were just found are
+// at the end, the others are sorted by name.
+func indexOfPeer(peers []member.Node, name string) int {
+	for i := range peers {
+		if peers[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
 // handleHeartbeat applies what a peer reports about endpoints and about other
 // instances.
 func (c Registry) handleHeartbeat(s state.State, e state.Heartbeat, now time.Time) (state.State, []state.Action) {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/benbjohnson/immutable"
+
 	"github.com/baobabtally/baobabtally/pkg/alarm"
 	"github.com/baobabtally/baobabtally/pkg/conf"
 	"github.com/baobabtally/baobabtally/pkg/lease"
@@ -78,9 +80,8 @@
 	Ticks uint64
 	// Routing is the additional state of an instance that forwards by routes.
 	Routing Routing
-	// peers maps the names of other instances to what is known of them. Invariant:
-	// the map is never written in place.
-	peers map[string]Peer
+	// peers maps the names of other instances to what is known of them.
+	peers *immutable.Map[string, Peer]
 }
 
 // Routing is the state of an instance that forwards requests by routes.
@@ -138,6 +139,9 @@
 	// Peers holds the other instances. Invariant: the slice is never written in
 	// place.
 	Peers []member.Node
+	// Ranks holds the order of the instances for each endpoint whose cache events are
+	// followed.
+	Ranks Ranks
 	// Poison is the evidence on parts of prompts that crash engines.
 	Poison poison.Tracker
 }
@@ -301,28 +305,35 @@
 
 // WithPeer returns a copy of s in which p is the state of the peer name.
 func (s State) WithPeer(name string, p Peer) State {
-	next := maps.Clone(s.peers)
-	if next == nil {
-		next = map[string]Peer{}
+	if s.peers == nil {
+		s.peers = immutable.NewMap[string, Peer](nil)
 	}
-	next[name] = p
-	s.peers = next
+	s.peers = s.peers.Set(name, p)
 	return s
 }
 
 // WithFresh returns a copy of s in which FreshUntil is recomputed from the times at
-// which peers answered.
+// which peers answered. An instance that forwards by routes does not use that time.
 func (s State) WithFresh() State {
+	if s.Routing.On {
+		return s
+	}
 	var answered []time.Time
 	for _, n := range s.Others() {
-		answered = append(answered, s.peers[n].LastAnswered)
+		answered = append(answered, s.Peer(n).LastAnswered)
 	}
 	s.FreshUntil = s.Config.FreshUntil(answered)
 	return s
 }
 
 // Peer returns what is known of the instance name.
-func (s State) Peer(name string) Peer { return s.peers[name] }
+func (s State) Peer(name string) Peer {
+	if s.peers == nil {
+		return Peer{}
+	}
+	p, _ := s.peers.Get(name)
+	return p
+}
 
 // Others returns the sorted names of the other known instances.
 func (s State) Others() []string {
@@ -344,7 +355,7 @@
 		return true
 	}
 	for _, name := range s.Others() {
-		if incarnation == name+"@"+s.peers[name].Epoch {
+		if incarnation == name+"@"+s.Peer(name).Epoch {
 			return slices.Contains(s.Members.Live(s.Self.Name, now), name)
 		}
 	}
--- a/pkg/member/set.go
+++ b/pkg/member/set.go
@@ -241,9 +241,11 @@
 // Those that only announced it in an answer are listed by Announcements.
 func (s Set) Departing() []string {
 	var out []string
-	for name, e := range s.entries {
-		if e.node.Role != Instance && e.report.Departing {
-			out = append(out, name)
+	for _, r := range [...]Role{Engine, Service} {
+		for i := range s.roles[r] {
+			if s.roles[r][i].Report.Departing {
+				out = append(out, s.roles[r][i].Node.Name)
+			}
 		}
 	}
 	slices.Sort(out)
