ctrl, relay: few instances read the registry, the others learn from them

Each instance read the registry itself, at 10 reads a second for the whole fleet up to 80 instances and 37 at 295, since peers sent departures but no entries of engines that are new or returned. Each reader that found an endpoint gone sent that to all others four times, although all had it from the first one: the square of the fleet for each change. Peers that a large fleet calls less than once in 30 s were dropped and found again in the store each 10 s.

Change: three reads a registry interval for the whole fleet, which wait a second for changes; heartbeats carry entries that changed, bounded in number and age, without raising the receiver's registry version; only what no peer has sent goes to all, and is repeated to those that have not answered since. A peer is dropped 30 s after a call to it failed. An instance makes itself known to peers that it discovers. An instance that hears no peer, misses endpoints or can't reach the store reads as often as before in a fleet of 8. Rivals for the lease read by their place among 100, not 20.

--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -66,6 +66,8 @@
 	if e.Sent.After(p.LastAnswered) {
 		p.LastAnswered = e.Sent
 	}
+	p.FailedSince = time.Time{}
+	s.Routing.PeerHeardAt = now
 	if p.Epoch != e.Epoch {
 		p.Epoch = e.Epoch
 		p.SummarySeq = 0
@@ -122,9 +124,24 @@
 	for i := from; i < to; i++ {
 		chosen = append(chosen, others[i%n])
 	}
+	if silent := silentPeer(s, others); silent != "" && !slices.Contains(chosen, silent) {
+		chosen = append(chosen, silent)
+	}
 	return heartbeatsTo(s, chosen)
 }
 
+// silentPeer returns a peer whose last heartbeat failed, or "". It is called again soon,
+// since a full rotation takes many minutes in a fleet of hundreds.
+func silentPeer(s state.State, others []string) string {
+	first := int(s.Own.Seq % uint64(len(others)))
+	for i := range others {
+		if name := others[(first+i)%len(others)]; !s.Peer(name).FailedSince.IsZero() {
+			return name
+		}
+	}
+	return ""
+}
+
 // heartbeatsTo sends the current heartbeat to the named instances.
 func heartbeatsTo(s state.State, names []string) []state.Action {
 	if len(names) == 0 {
@@ -183,6 +200,7 @@
 	r.Poison = s.Routing.Poison.Evidence(s.At)
 	r.Weights = s.Routing.PendingWeights
 	r.Announcements = recentAnnouncements(s)
+	r.Entries = s.Routing.RecentEntries
 	r.DepartureVersions = make(map[string]int64, len(drained))
 	for _, name := range drained {
 		if v, ok := s.Routing.DepartureVersions[name]; ok {
--- a/internal/ctrl/poison.go
+++ b/internal/ctrl/poison.go
@@ -58,7 +58,7 @@
 		At:     now,
 		Parts:  e.Parts,
 	}, now)
-	s.Routing.RepeatUntil = now.Add(crashRepeat)
+	s = s.WithNews(now, crashRepeat)
 	return s, []state.Action{
 		state.Note{
 			Event: "crash",
@@ -80,7 +80,7 @@
 	}
 	s.Routing.Poison = s.Routing.Poison.WithServed(e.Parts, now)
 	if !e.LookedUp {
-		s.Routing.RepeatUntil = now.Add(repeatDuration)
+		s = s.WithNews(now, repeatDuration)
 	}
 	return s
 }
--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -28,6 +28,11 @@
 	// peerTTL is for how long an instance that does not answer still receives
 	// changes.
 	peerTTL = 30 * time.Second
+	// entryTTL is for how long heartbeats include a registry entry that this instance
+	// read: longer than changes are repeated. maxRecentEntries bounds their number, and
+	// with it a heartbeat, to some 20 KB; what goes beyond is read in the store.
+	entryTTL         = 2 * time.Second
+	maxRecentEntries = 64
 )
 
 // Registry tracks the endpoints of the registry and the other instances.
@@ -38,12 +43,15 @@
 	switch e := e.(type) {
 	case state.Tick:
 		s, actions := c.expireNodes(s, now)
+		s = forgetRecentEntries(s, now)
 		s, repeated := c.repeatHeartbeats(s, now)
 		return s, append(actions, repeated...)
 	case state.RegistrySnapshot:
 		return c.handleSnapshot(s, e, now)
 	case state.PeersFound:
-		return c.addPeers(s, e.Peers, now), nil
+		return c.handlePeersFound(s, e, now)
+	case state.HeartbeatFailed:
+		return c.handleHeartbeatFailed(s, e, now), nil
 	case state.Heartbeat:
 		return c.handleHeartbeat(s, e, now)
 	case state.StoreStatus:
@@ -61,6 +69,7 @@
 	if e.Version < s.Routing.RegistryVersion {
 		return s, nil
 	}
+	before := s
 	r := s.Routing
 	r.RegistryVersion = e.Version
 	r.RegistryConfirmed = now
@@ -80,25 +89,132 @@
 	for _, entry := range e.Put {
 		nodes[entry.Node.Name] = entry.Node
 	}
-	departed := s.Routing.Departed
 	certain := r.StoreReachable && now.Sub(r.StoreSince) >= reregisterTimeout && !storeLoss
 	s, removals := c.removeEndpoints(s, nodes, removed, certain, e, now)
 	actions = append(actions, removals...)
-	news := len(s.Routing.Departed) > len(departed)
 	s = c.clearDeparture(s, e.Put)
 	s = c.setNodes(s, nodes)
 	s, changes := c.applyEntries(s, e, removed)
 	actions = append(actions, changes...)
-	if news || len(actions) > 0 {
+	s, news := withRegistryNews(before, s, e, removed, now)
+	switch {
+	case news:
 		// In a large fleet the other instances read the registry rarely. The
 		// heartbeats are repeated, since one that is already in flight may lack
 		// the change and keeps another one from being sent.
-		s.Routing.RepeatUntil = now.Add(repeatDuration)
+		s = s.WithNews(now, repeatDuration)
 		actions = append(actions, heartbeatsTo(s, s.Others())...)
+	case len(actions) > 0:
+		// A peer sent this change to all others. Some are told again, in case that it
+		// ended meanwhile.
+		actions = append(actions, broadcastHeartbeats(s)...)
 	}
 	return s, actions
 }
 
+// withRegistryNews returns s, the state after a read of the registry, with the entries
+// that peers need, and reports whether the read shows anything that no peer sent to
+// this instance before. All instances read each change at some time: if each of them
+// sent it to all others, a change would cost the square of their number.
+func withRegistryNews(before, s state.State, e state.RegistrySnapshot, removed []string, now time.Time) (state.State, bool) {
+	if !before.Members.RegistryLoaded() {
+		return s, false
+	}
+	news := false
+	for _, name := range removed {
+		old, known := before.Members.Find(name)
+		_, departed := s.Routing.Departed[name]
+		_, before := before.Routing.Departed[name]
+		news = news || departed && !before && !(known && old.Report.Departing)
+	}
+	recent := s.Routing.RecentEntries
+	for _, entry := range e.Put {
+		old, known := before.Members.Find(entry.Node.Name)
+		switch {
+		case entry.Report.Departing:
+			news = news || !known || !old.Report.Departing
+		case !known || old.Report.Departing || !reflect.DeepEqual(old.Node, entry.Node):
+			news = true
+			recent = append(slices.Clip(recent), state.RecentEntry{
+				Entry:   entry,
+				Version: e.Version,
+				ReadAt:  now,
+			})
+		}
+	}
+	s.Routing.RecentEntries = recent[max(len(recent)-maxRecentEntries, 0):]
+	return s, news
+}
+
+// forgetRecentEntries returns s without the entries that were read too long ago.
+func forgetRecentEntries(s state.State, now time.Time) state.State {
+	recent := s.Routing.RecentEntries
+	for len(recent) > 0 && now.Sub(recent[0].ReadAt) > entryTTL {
+		recent = recent[1:]
+	}
+	s.Routing.RecentEntries = recent
+	return s
+}
+
+// handleRecentEntries applies the registry entries that a peer read. Those that are
+// older than what this instance knows of the endpoint are ignored. The known version of
+// the registry stays, since the peer sends only some of the changes up to its own.
+func (c Registry) handleRecentEntries(s state.State, e state.Heartbeat) (state.State, []state.Action) {
+	var actions []state.Action
+	for _, recent := range e.Relay.Entries {
+		name := recent.Entry.Node.Name
+		old, known := s.Members.Find(name)
+		switch {
+		case !s.Members.RegistryLoaded(), recent.Version <= s.Routing.ReadyVersions[name], recent.Version < s.Routing.DepartureVersions[name]:
+			continue
+		case known && !old.Report.Departing && reflect.DeepEqual(old.Node, recent.Entry.Node):
+			continue
+		}
+		one, more := c.withoutInstances(s, state.RegistrySnapshot{
+			Put:     []member.RegistryEntry{recent.Entry},
+			Version: recent.Version,
+			Source:  e.Name,
+		})
+		actions = append(actions, more...)
+		if len(one.Put) == 0 {
+			continue
+		}
+		nodes := c.knownEndpoints(s)
+		nodes[name] = recent.Entry.Node
+		s = c.clearDeparture(s, one.Put)
+		s = c.setNodes(s, nodes)
+		next, changes := c.applyEntries(s, one, nil)
+		s = next
+		actions = append(actions, changes...)
+	}
+	return s, actions
+}
+
+// handlePeersFound adds peers that were discovered and makes this instance known to
+// those that it did not know: in a large fleet the rotation of heartbeats takes many
+// minutes, and until a peer knows this instance it sends it no news.
+func (c Registry) handlePeersFound(s state.State, e state.PeersFound, now time.Time) (state.State, []state.Action) {
+	before := s.Routing.Peers
+	s = c.addPeers(s, e.Peers, now)
+	var found []string
+	for _, p := range e.Peers {
+		if indexOfPeer(before, p.Name) < 0 && indexOfPeer(s.Routing.Peers, p.Name) >= 0 {
+			found = append(found, p.Name)
+		}
+	}
+	return s, heartbeatsTo(s, found)
+}
+
+// handleHeartbeatFailed records that a peer did not answer.
+func (Registry) handleHeartbeatFailed(s state.State, e state.HeartbeatFailed, now time.Time) state.State {
+	p := s.Peer(e.Name)
+	if !p.FailedSince.IsZero() || indexOfPeer(s.Routing.Peers, e.Name) < 0 {
+		return s
+	}
+	p.FailedSince = now
+	return s.WithPeer(e.Name, p)
+}
+
 // applyEntries applies the entries that are new or changed.
 func (c Registry) applyEntries(s state.State, e state.RegistrySnapshot, removed []string) (state.State, []state.Action) {
 	departures, before := s.Routing.DepartureVersions, s.Members
@@ -242,7 +358,10 @@
 	if now.After(s.Routing.RepeatUntil) {
 		return s, nil
 	}
-	return s, heartbeatsTo(s, s.Others())
+	waiting := slices.DeleteFunc(s.Others(), func(name string) bool {
+		return s.Peer(name).LastAnswered.After(s.Routing.NewsAt)
+	})
+	return s, heartbeatsTo(s, waiting)
 }
 
 // knownEndpoints returns the known endpoints by name.
@@ -351,12 +470,12 @@
 			Pairs: []string{"endpoint", name, "state", "gone", "reason", "did not register again after the store outage"},
 		})
 	}
-	alive := func(p member.Node) bool {
-		answered := s.Peer(p.Name).LastAnswered
-		return answered.IsZero() || now.Sub(answered) < peerTTL
+	silent := func(p member.Node) bool {
+		failed := s.Peer(p.Name).FailedSince
+		return !failed.IsZero() && now.Sub(failed) >= peerTTL
 	}
-	if i := slices.IndexFunc(s.Routing.Peers, func(p member.Node) bool { return !alive(p) }); i >= 0 {
-		s.Routing.Peers = slices.Delete(slices.Clone(s.Routing.Peers), i, i+1)
+	if slices.ContainsFunc(s.Routing.Peers, silent) {
+		s.Routing.Peers = slices.DeleteFunc(slices.Clone(s.Routing.Peers), silent)
 		s = c.setNodes(s, c.knownEndpoints(s))
 	}
 	return s, actions
@@ -425,7 +544,7 @@
 		})
 	}
 	s = c.addPeers(s, peers, now)
-	var actions []state.Action
+	s, actions := c.handleRecentEntries(s, e)
 	for _, name := range e.Drained {
 		n, ok := s.Members.Find(name)
 		if !ok || n.Report.Departing || staleDeparture(s, e, name) {
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -41,6 +41,15 @@
 			Ordered: w.Ordered,
 		})
 	}
+	for _, recent := range r.Entries {
+		// An entry that was read can be written.
+		if data, err := json.Marshal(recent.Entry); err == nil {
+			m.Entries = append(m.Entries, &rpcapi.Entry{
+				Listing: recent.Version,
+				Data:    data,
+			})
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(r.DepartureVersions)) {
 		m.Leavers = append(m.Leavers, &rpcapi.Leaver{
 			Name:    name,
@@ -95,6 +104,18 @@
 			Ordered: w.GetOrdered(),
 		})
 	}
+	for _, recent := range m.GetEntries() {
+		// A peer of another release may send one that this release refuses; the store
+		// has it as well.
+		var entry member.RegistryEntry
+		if json.Unmarshal(recent.GetData(), &entry) != nil || entry.Validate() != nil {
+			continue
+		}
+		r.Entries = append(r.Entries, state.RecentEntry{
+			Entry:   entry,
+			Version: recent.GetListing(),
+		})
+	}
 	for _, l := range m.GetLeavers() {
 		if r.DepartureVersions == nil {
 			r.DepartureVersions = map[string]int64{}
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -82,7 +82,9 @@
 	p, err := x.parts.Peers.SendHeartbeat(ctx, a.To, a.Heartbeat)
 	if err != nil {
 		x.logFailedCall("pulse", a.To.Name, err)
-		return nil
+		return state.HeartbeatFailed{
+			Name: a.To.Name,
+		}
 	}
 	p.Sent = sent
 	return p
--- a/internal/relay/join.go
+++ b/internal/relay/join.go
@@ -20,9 +20,13 @@
 	// and joinTimeout limits one registration.
 	joinRetryDelay = 700 * time.Millisecond
 	joinTimeout    = 1500 * time.Millisecond
-	// rejoinInterval is how often instances are discovered again, so that two
-	// parts of a fleet that started separately find each other.
-	rejoinInterval = 10 * time.Second
+	// rejoinInterval is how often the instances of a small fleet read the table
+	// again, so that two parts of a fleet that started separately find each other.
+	// Larger fleets divide the reads, up to maxRejoinInterval: it is enough that one
+	// instance of one part finds the other part, since it sends heartbeats to all that
+	// it finds.
+	rejoinInterval    = 10 * time.Second
+	maxRejoinInterval = 2 * time.Minute
 )
 
 // peerRow is an instance's row in the table.
@@ -40,7 +44,7 @@
 		return errors.Trace(err)
 	}
 	for ctx.Err() == nil {
-		interval := rejoinInterval
+		interval := rejoinIntervalOf(len(i.Loop.View().Routing.Peers))
 		if err := i.register(ctx); err != nil {
 			i.parts.Log.Debug().Str("event", "join").Err(err).Send()
 			interval = joinRetryDelay
@@ -51,6 +55,12 @@
 	return nil
 }
 
+// rejoinIntervalOf returns the time between two discoveries of an instance with the
+// given number of peers.
+func rejoinIntervalOf(peers int) time.Duration {
+	return min(rejoinInterval*time.Duration((peers+smallFleet)/smallFleet), maxRejoinInterval)
+}
+
 // register reads the rows of all instances and writes the instance's own row if
 // it differs.
 func (i *Relay) register(ctx context.Context) error {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,18 +35,35 @@
 	// operatorLongPoll is how long a read of the operators' table waits at the
 	// store for changes. The store allows up to 30 s.
 	operatorLongPoll = 20 * time.Second
-	// registryInterval is how often each instance of a small fleet reads the
-	// registry. It is a fraction of the time after which a departing endpoint
-	// must get no more requests. Larger fleets divide the reads: an instance
-	// that finds changes announces them to its peers.
+	// registryInterval is how often an instance without peers reads the registry. It
+	// is a fraction of the time after which a departing endpoint must get no more
+	// requests. Instances with peers divide the reads: one that finds changes sends
+	// them to all others.
 	registryInterval = 900 * time.Millisecond
-	// registryReaders is how many instances read the registry per
-	// registryInterval, and maxRegistryInterval limits the interval of one
-	// instance in a large fleet.
-	registryReaders     = 9
-	maxRegistryInterval = 8 * time.Second
-	// registryLongPoll is how long such a read waits at the store for changes.
-	registryLongPoll = 300 * time.Millisecond
+	// registryReaders is how many instances read the registry per registryInterval,
+	// however many there are: more than one, since a reader may be paused, cut off or
+	// about to end. maxRegistryInterval limits the interval of one instance, and with
+	// it for how long it can miss a change that no peer sent to it.
+	registryReaders     = 3
+	maxRegistryInterval = 30 * time.Second
+	// registryLongPoll is how long such a read waits at the store for changes. It is
+	// longer than registryInterval, so that at almost any time some instance waits
+	// for them.
+	registryLongPoll = time.Second
+	// smallFleet is the number of instances up to which each reads the registry at
+	// registryInterval while the news of peers can't be relied on. More instances
+	// divide the reads, up to maxStoreProbeInterval, since the store refuses calls
+	// beyond its rate and each refused call has its price.
+	smallFleet            = 9
+	maxStoreProbeInterval = 3 * time.Second
+	// heartbeatInterval is the time between two rounds of heartbeats, and
+	// heartbeatsPerRound the number that an instance of a fleet of hundreds sends in
+	// one, times the number of its peers.
+	heartbeatInterval  = 800 * time.Millisecond
+	heartbeatsPerRound = 81
+	// isolationRounds is how many heartbeats may fail to arrive in a row before an
+	// instance reads the registry as if it had no peers.
+	isolationRounds = 3
 )
 
 // rowStore is the platform's store.
@@ -209,21 +226,30 @@
 		}, watch.WithLongPoll(operatorLongPoll)),
 		registry: watch.New(p.Store, registry, registrySink{
 			controlSink: newSink("registry"),
-		}, watch.WithLongPoll(registryLongPoll), watch.WithInterval(func() time.Duration { return registryReadInterval(loop.View()) })),
+		}, watch.WithLongPoll(registryLongPoll), watch.WithInterval(func() time.Duration { return registryReadInterval(loop.View(), p.Now()) })),
 		done: make(chan struct{}),
 	}
 }
 
-// registryReadInterval returns the time between two reads of the registry. It
-// is short while endpoints are missing that may reappear.
-func registryReadInterval(s *state.State) time.Duration {
-	if len(s.Routing.Departing) > 0 {
-		return registryInterval
+// registryReadInterval returns the time between two reads of the registry at now. It
+// is short while endpoints are missing that may reappear, while the store does not
+// answer, and while no peer is heard from, which would send changes.
+func registryReadInterval(s *state.State, now time.Time) time.Duration {
+	peers := len(s.Routing.Peers)
+	if len(s.Routing.Departing) > 0 || !s.Routing.StoreReachable || isolated(s, now) {
+		return min(registryInterval*time.Duration((peers+smallFleet)/smallFleet), maxStoreProbeInterval)
 	}
-	share := (len(s.Routing.Peers) + registryReaders) / registryReaders
+	share := (peers + registryReaders) / registryReaders
 	return min(registryInterval*time.Duration(share), maxRegistryInterval)
 }
 
+// isolated reports whether no heartbeat has come from a peer for longer than the
+// rotation explains.
+func isolated(s *state.State, now time.Time) bool {
+	gap := heartbeatInterval * time.Duration(max(1, len(s.Routing.Peers)/heartbeatsPerRound))
+	return now.Sub(s.Routing.PeerHeardAt) > isolationRounds*gap
+}
+
 // chain builds the filter chain.
 func (x *executor) chain(g *gate) chain.Handler {
 	p := x.parts
--- a/internal/relay/sinks.go
+++ b/internal/relay/sinks.go
@@ -40,12 +40,14 @@
 	}
 }
 
-// HandleResult logs a failed read and reports a successful one. Whether the
-// store is reachable is determined by the reads of the registry, which are more
-// frequent.
+// HandleResult reports the result of a read. A failed one shows that the store is
+// unreachable, long before the next read of the registry in a large fleet; that it is
+// reachable again is determined by the registry's reads.
 func (s operatorSink) HandleResult(ctx context.Context, err error) {
 	if err != nil {
-		s.log.Debug().Str("event", "store").Str("table", "operators").Err(err).Send()
+		s.send(ctx, state.StoreStatus{
+			Reason: err.Error(),
+		})
 		return
 	}
 	s.send(ctx, state.SiteConfirmed{})
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -157,6 +157,8 @@
 	DepartureVersions map[string]int64
 	// Weights is set by the instance that sends orders.
 	Weights []EngineWeights
+	// Entries holds registry entries that the sender read a short while ago.
+	Entries []RecentEntry
 	// Announcements holds the departures that endpoints announced a short while ago.
 	Announcements []Announcement
 	// Peers holds the other instances that the sender knows.
@@ -165,6 +167,12 @@
 	Poison poison.Evidence
 }
 
+// HeartbeatFailed reports that an instance did not answer a heartbeat.
+type HeartbeatFailed struct {
+	// Name is the name of the instance.
+	Name string
+}
+
 // Announcement is the departure that an endpoint announced in an answer.
 type Announcement struct {
 	// Endpoint and Start identify the incarnation of the endpoint.
@@ -442,6 +450,9 @@
 // Event implements Event.
 func (StoreStatus) Event() string { return "store" }
 
+// Event implements Event.
+func (HeartbeatFailed) Event() string { return "unanswered" }
+
 // Event implements Event.
 func (SiteConfirmed) Event() string { return "heard" }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -127,9 +127,14 @@
 	// never written in place.
 	DepartureVersions map[string]int64
 	ReadyVersions     map[string]int64
-	// RepeatUntil is the time until which heartbeats go to all peers at each tick,
-	// to repeat recent changes.
+	// NewsAt is when the last change came up that all peers need to learn of from this
+	// instance. Until RepeatUntil, each tick sends a heartbeat to the peers that have
+	// not answered one since then.
+	NewsAt      time.Time
 	RepeatUntil time.Time
+	// RecentEntries holds the registry entries that changed a short while ago and that
+	// this instance read itself. Invariant: the slice is never written in place.
+	RecentEntries []RecentEntry
 	// PendingWeights holds the changes of engines' weights that are still to be sent
 	// to the peers. Invariant: the slice is never written in place.
 	PendingWeights []EngineWeights
@@ -139,6 +144,8 @@
 	// Peers holds the other instances. Invariant: the slice is never written in
 	// place.
 	Peers []member.Node
+	// PeerHeardAt is when the last heartbeat of a peer arrived.
+	PeerHeardAt time.Time
 	// Ranks holds the order of the instances for each endpoint whose cache events are
 	// followed.
 	Ranks Ranks
@@ -146,6 +153,15 @@
 	Poison poison.Tracker
 }
 
+// RecentEntry is a registry entry that changed a short while ago.
+type RecentEntry struct {
+	// Entry is the entry, and Version the registry version in which it was read.
+	Entry   member.RegistryEntry
+	Version int64
+	// ReadAt is when this instance read it; zero if a peer did.
+	ReadAt time.Time
+}
+
 // NewerSite is a newer configuration that a peer has.
 type NewerSite struct {
 	// Version is the version of that configuration.
@@ -163,6 +179,9 @@
 	Epoch string
 	// LastAnswered is when the last call that the peer answered was sent.
 	LastAnswered time.Time
+	// FailedSince is when the first of the calls failed that the peer has not answered
+	// since its last heartbeat; zero if there was none.
+	FailedSince time.Time
 	// SummarySeq is the sequence number of its last summary.
 	SummarySeq uint64
 }
@@ -255,6 +274,16 @@
 	return s
 }
 
+// WithNews returns a copy of s with a change at now that all peers need to learn of,
+// which is repeated for d to those that do not answer.
+func (s State) WithNews(now time.Time, d time.Duration) State {
+	s.Routing.NewsAt = now
+	if until := now.Add(d); until.After(s.Routing.RepeatUntil) {
+		s.Routing.RepeatUntil = until
+	}
+	return s
+}
+
 // WithMembers returns a copy of s with m.
 func (s State) WithMembers(m member.Set) State {
 	s.Members = m
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -15,8 +15,9 @@
 	// between two reads of a rival.
 	defaultRenewInterval = 2 * time.Second
 	// maxRivalsAhead caps the number of rivals ahead that count, and with it how much
-	// less often a rival reads the row.
-	maxRivalsAhead = 20
+	// less often a rival reads the row and how long it waits before it takes a released
+	// lease. If all rivals ahead end at once, the lease stays free for that long.
+	maxRivalsAhead = 100
 	// Margin is how long a rival waits after the lease's expiry before it takes over.
 	Margin = 1 * time.Second
 	// takeoverDelay is how much longer each rival waits than the one ahead of it
