watch, relay: six instances wait for operators' changes, the others learn from them

Change: after a wait in vain an instance pauses, at random and as long as keeps six waiting on average; configurations are fetched from peers at once in fleets of more than six. There is no pause while the store or the peers are not heard.

--- a/internal/ctrl/sites.go
+++ b/internal/ctrl/sites.go
@@ -8,10 +8,17 @@
 	"github.com/baobabtally/baobabtally/pkg/invar"
 )
 
-// fetchDelay is how long the store has to deliver a configuration that peers already
-// have, and the minimum time between two fetches from peers. A configuration may
-// have 100 KB and links 10 Mbit/s; the platform allows two seconds in all.
-const fetchDelay = 400 * time.Millisecond
+const (
+	// fetchDelay is how long the store has to deliver a configuration that peers
+	// already have, and the minimum time between two fetches from peers. A
+	// configuration may have 100 KB and links 10 Mbit/s; the platform allows two
+	// seconds in all.
+	fetchDelay = 400 * time.Millisecond
+	// storePeers is the number of peers up to which all instances follow the
+	// operators' table. In a larger fleet most of them get configurations from peers,
+	// and fetch them at once.
+	storePeers = 5
+)
 
 // Sites tracks the newest forwarding configuration and makes it and its policies
 // effective.
@@ -59,7 +66,7 @@
 		newer.From = from.Node
 	}
 	s.Routing.NewerSite = newer
-	if first && !s.Routing.StoreReachable {
+	if first && (!s.Routing.StoreReachable || len(s.Routing.Peers) > storePeers) {
 		return s, c.fetchAction(s)
 	}
 	return c.fetchOverdue(s, now)
--- a/internal/relay/interval_test.go
+++ b/internal/relay/interval_test.go
@@ -57,3 +57,29 @@
 		require.LessOrEqual(t, registryReadInterval(lost, begin), drain)
 	}
 }
+
+// However many instances there are, some must wait for changes of the operators' table
+// at any time, and a change must not return the waits of hundreds.
+func TestWaitsForOperatorsByFleetSize(t *testing.T) {
+	for _, n := range []int{1, 2, 6, 8, 23, 63, 88, 295, 340, 1000} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			pause := operatorPause(calmState(n), begin)
+			waiting := float64(n) * operatorLongPoll.Seconds() / (operatorLongPoll + pause).Seconds()
+			require.GreaterOrEqual(t, waiting, min(float64(n), operatorReaders)-0.01)
+			if n <= 340 {
+				require.LessOrEqual(t, waiting, 22.0)
+			}
+			require.LessOrEqual(t, pause, maxOperatorPause)
+		})
+	}
+}
+
+// An instance that may miss the news of its peers must wait for changes without a pause.
+func TestOperatorsAreFollowedWhereNewsMayBeMissed(t *testing.T) {
+	lonely := calmState(295)
+	lonely.Routing.PeerHeardAt = begin.Add(-time.Minute)
+	require.Zero(t, operatorPause(lonely, begin))
+	lost := calmState(295)
+	lost.Routing.StoreReachable = false
+	require.Zero(t, operatorPause(lost, begin))
+}
--- a/internal/relay/join.go
+++ b/internal/relay/join.go
@@ -58,7 +58,7 @@
 // rejoinIntervalOf returns the time between two discoveries of an instance with the
 // given number of peers.
 func rejoinIntervalOf(peers int) time.Duration {
-	return min(rejoinInterval*time.Duration((peers+smallFleet)/smallFleet), maxRejoinInterval)
+	return min(rejoinInterval*time.Duration((peers+registryReaders)/registryReaders), maxRejoinInterval)
 }
 
 // register reads the rows of all instances and writes the instance's own row if
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,8 +33,15 @@
 	// leaseRenewInterval is how often the holder renews the lease.
 	leaseRenewInterval = 700 * time.Millisecond
 	// operatorLongPoll is how long a read of the operators' table waits at the
-	// store for changes. The store allows up to 30 s.
+	// store for changes. The store allows up to 30 s, which a quarter more stays below.
 	operatorLongPoll = 20 * time.Second
+	// operatorReaders is how many instances wait for changes of the operators' table at
+	// any time, however many there are. The others learn of a change from them, in two
+	// or three hops. Several wait, since one may be paused, cut off or about to end, and
+	// since their waits overlap only on average. maxOperatorPause limits the mean pause
+	// of one instance between two waits.
+	operatorReaders  = 6
+	maxOperatorPause = 5 * time.Minute
 	// registryInterval is how often an instance without peers reads the registry. It
 	// is a fraction of the time after which a departing endpoint must get no more
 	// requests. Instances with peers divide the reads: one that finds changes sends
@@ -223,7 +230,7 @@
 		gate:    gate,
 		operators: watch.New(p.Store, operators, operatorSink{
 			controlSink: newSink("operators"),
-		}, watch.WithLongPoll(operatorLongPoll)),
+		}, watch.WithLongPoll(operatorLongPoll), watch.WithPause(func() time.Duration { return operatorPause(loop.View(), p.Now()) })),
 		registry: watch.New(p.Store, registry, registrySink{
 			controlSink: newSink("registry"),
 		}, watch.WithLongPoll(registryLongPoll), watch.WithInterval(func() time.Duration { return registryReadInterval(loop.View(), p.Now()) })),
@@ -243,6 +250,16 @@
 	return min(registryInterval*time.Duration(share), maxRegistryInterval)
 }
 
+// operatorPause returns the mean pause between two waits for changes of the operators'
+// table at now. There is none where the news of peers can't be relied on.
+func operatorPause(s *state.State, now time.Time) time.Duration {
+	instances := len(s.Routing.Peers) + 1
+	if instances <= operatorReaders || !s.Routing.StoreReachable || isolated(s, now) {
+		return 0
+	}
+	return min(operatorLongPoll*time.Duration(instances-operatorReaders)/operatorReaders, maxOperatorPause)
+}
+
 // isolated reports whether no heartbeat has come from a peer for longer than the
 // rotation explains.
 func isolated(s *state.State, now time.Time) bool {
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -22,6 +22,8 @@
 	// responseTimeout is how long a read may take in addition to the time that
 	// it asks the store to wait.
 	responseTimeout = 1500 * time.Millisecond
+	// pauseCheck is how often the end of a pause is reconsidered.
+	pauseCheck = time.Second
 )
 
 // source is the store.
@@ -48,13 +50,18 @@
 	sink     Sink
 	longPoll time.Duration
 	interval func() time.Duration
+	// pause returns the mean pause after a read that found no change; nil if there is
+	// none.
+	pause func() time.Duration
 	// version is the version of the newest change read, and rows the version of
 	// each row.
 	version int64
 	rows    map[string]int64
 	// synced is true if the next read can request the changes after version.
 	synced bool
-	done   chan struct{}
+	// changed is whether the last read returned any row.
+	changed bool
+	done    chan struct{}
 }
 
 // Option configures a Table.
@@ -71,6 +78,14 @@
 	return func(t *Table) { t.interval = interval }
 }
 
+// WithPause makes the table pause after a read that waited for a change in vain, so
+// that at any time only some of many instances wait for the same change. The function
+// returns the mean pause; once it returns 0, the pause ends. Pauses and waits are drawn
+// at random, since instances that start together would otherwise pause together.
+func WithPause(pause func() time.Duration) Option {
+	return func(t *Table) { t.pause = pause }
+}
+
 // New returns a table that is started by Run.
 func New(s source, name string, sink Sink, opts ...Option) *Table {
 	t := &Table{
@@ -111,6 +126,23 @@
 		if delay > 0 && retry.Wait(ctx, delay) != nil {
 			return nil
 		}
+		if err == nil && !t.changed && t.rest(ctx) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// rest waits for the pause after a read that found no change.
+func (t *Table) rest(ctx context.Context) error {
+	if t.pause == nil {
+		return nil
+	}
+	end := time.Now().Add(rand.N(2*t.pause() + 1))
+	for left := time.Until(end); left > 0 && t.pause() > 0; left = time.Until(end) {
+		if err := retry.Wait(ctx, min(left, pauseCheck)); err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -139,9 +171,13 @@
 	if !t.synced {
 		return t.readAll(ctx)
 	}
-	limited, cancel := context.WithTimeout(ctx, t.longPoll+responseTimeout)
+	wait := t.longPoll
+	if t.pause != nil {
+		wait = withJitter(wait)
+	}
+	limited, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
-	b, err := t.source.Changes(limited, t.name, t.version, t.longPoll)
+	b, err := t.source.Changes(limited, t.name, t.version, wait)
 	if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrMalformed) {
 		// Malformed changes would be returned again after the same version.
 		t.synced = false
@@ -193,7 +229,8 @@
 		delete(t.rows, key)
 	}
 	t.version = max(t.version, b.Version)
-	if b.Complete || len(b.Rows)+len(b.Removed) > 0 {
+	t.changed = b.Complete || len(b.Rows)+len(b.Removed) > 0
+	if t.changed {
 		t.sink.HandleBatch(ctx, b)
 	}
 }
--- a/internal/watch/table_test.go
+++ b/internal/watch/table_test.go
@@ -246,3 +246,61 @@
 	require.ErrorContains(t, got.errs[0], "odd row")
 	require.Equal(t, []store.Batch{rows(9, true, "c")}, got.batches)
 }
+
+// callsOf returns how many calls s has had.
+func callsOf(s *fakeStore) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.calls)
+}
+
+// A table must pause only after a wait in vain, for about the given time, and must wait
+// again at once when the pause is lifted.
+func TestPauseFollowsWaitsInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{
+			responses: []response{
+				{
+					batch: store.Batch{
+						Version: 1,
+					},
+				},
+			},
+		}
+		for v := range int64(5) {
+			s.responses = append(s.responses, response{
+				batch: store.Batch{
+					Version: v + 2,
+					Rows: []store.Row{
+						{
+							Key:     "a",
+							Version: v + 2,
+						},
+					},
+				},
+			})
+		}
+		var mu sync.Mutex
+		pause := 100 * time.Second
+		tab := watch.New(s, "op", &recordingSink{}, watch.WithLongPoll(20*time.Second), watch.WithPause(func() time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			return pause
+		}))
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = tab.Run(ctx) }()
+		time.Sleep(time.Second)
+		require.Equal(t, 7, callsOf(s), "one read of all rows, one for each change and one that waits")
+		time.Sleep(time.Hour)
+		calls := callsOf(s)
+		require.Greater(t, calls, 15)
+		require.Less(t, calls, 60, "a wait of about 20 s and a pause of about 100 s: 30 an hour")
+		mu.Lock()
+		pause = 0
+		mu.Unlock()
+		time.Sleep(2 * time.Minute)
+		require.GreaterOrEqual(t, callsOf(s)-calls, 4)
+		cancel()
+		<-tab.Done()
+	})
+}
