relay: looks reach more engines the hotter a prefix is, and an overload scatters less

Three looks in turn reach three engines, while a hot key may need a dozen.

Change: all requests up to 0.6 of the slots, none from 1.25 on; each look may skip twice as many engines as the one before; if none takes it, the first engine keeps the request.

--- a/internal/relay/look.go
+++ b/internal/relay/look.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,16 +16,20 @@
 	// digestLife is how old the news of a peer's calls may be to count: as long as
 	// load.Table keeps a digest.
 	digestLife = 3 * time.Second
-	// maxLooks is how many engines are asked for their load before one is chosen. The
-	// load of a few is almost as good as that of all, and each look costs a probe.
-	maxLooks = 3
+	// maxLooks is how many engines are asked for their load before one is chosen. Each
+	// look costs a probe, and each but the first skips twice as many engines as the one
+	// before may, so that four looks reach the first 15.
+	maxLooks = 4
 	// lookTimeout bounds a look. An engine that takes longer is left for the next one.
 	lookTimeout = 150 * time.Millisecond
-	// calmShare is the share of its slots up to which an engine takes each request that
-	// is meant for it. Beyond, it takes the fewer the fewer slots are free, so that
-	// instances that see the same load, some hundred milliseconds old, do not all send
-	// there or all stay away.
-	calmShare = 0.5
+	// fullShare is the load, as calls for each of its slots, up to which an engine takes
+	// all requests that are meant for it, and noShare that from which it takes none.
+	// Between the two it takes the fewer the more calls it has, so that instances that
+	// see the same load, some hundred milliseconds old, do not all send there or all stay
+	// away. An engine that is full but has no long queue keeps most of its requests: in an
+	// overload the others are full as well, and would read the prefix again.
+	fullShare = 0.6
+	noShare   = 1.25
 )
 
 // blind reports whether most of what peers send of their calls has expired before their
@@ -40,40 +46,49 @@
 // instance sees only its own few calls, and all of them together fill the one engine
 // that they prefer, while others idle. The engines after the preferred one are the next
 // by rendezvous hashing, which are the same at all instances, so that a hot prefix gets
-// as many engines as it needs and no more. If no engine has room, the one with the
-// fewest calls is chosen. In calm it costs one probe, on the connection that the
-// request uses next.
+// as many engines as it needs and no more. If no engine has room, the first one keeps the
+// request. In calm it costs one probe, on the connection that the request uses next.
 func (p prompt) withRoom(ctx context.Context, best choice, pool []member.Endpoint) choice {
 	if !p.blind() {
 		return best
 	}
-	least, leastCalls := best, -1
-	for look := range maxLooks {
+	// first is the first engine that answers, or else the last one that was tried.
+	first, answered := best, false
+	for look := 0; ; look++ {
 		calls, ok := p.look(ctx, best.endpoint.Node)
-		switch {
-		case ok && p.accepts(best, calls):
+		if ok && p.accepts(best, calls) {
 			return best
-		case ok && (leastCalls < 0 || calls < leastCalls):
-			least, leastCalls = best, calls
+		}
+		if !answered {
+			first, answered = best, ok
 		}
 		if look == maxLooks-1 || ctx.Err() != nil {
-			break
+			return first
 		}
-		name := best.endpoint.Node.Name
-		pool = slices.DeleteFunc(slices.Clone(pool), func(e member.Endpoint) bool { return e.Node.Name == name })
-		if len(pool) == 0 {
-			break
+		rest := p.beyond(best, pool, look+1)
+		if len(rest) == 0 {
+			return first
 		}
-		next, found := p.newPrompt(pool).lowestCost(pool)
+		next, found := p.newPrompt(rest).lowestCost(rest)
 		if !found {
-			break
-		}
-		best = next
-		if leastCalls < 0 {
-			least = best
+			return first
 		}
+		best, pool = next, rest
+	}
+}
+
+// beyond returns the engines of pool for a look after one at the engine of last: without
+// that engine and without some of the next ones by rendezvous hashing, one of 2^look
+// numbers drawn for the request. The hotter a prefix, the more engines share it, although
+// each request looks at few.
+func (p prompt) beyond(last choice, pool []member.Endpoint, look int) []member.Endpoint {
+	rest := slices.DeleteFunc(slices.Clone(pool), func(e member.Endpoint) bool { return e.Node.Name == last.endpoint.Node.Name })
+	skip := int(drawn(p.request.ID, strconv.Itoa(look)) * float64(int(1)<<look))
+	if skip == 0 || skip >= len(rest) {
+		return rest
 	}
-	return least
+	slices.SortFunc(rest, func(a, b member.Endpoint) int { return cmp.Compare(b.Weight(p.key), a.Weight(p.key)) })
+	return rest[skip:]
 }
 
 // look returns how many calls an engine has, or false if it does not say in time.
@@ -104,13 +119,13 @@
 // acceptance returns the share of the requests meant for an engine that it takes while
 // it has the given number of calls.
 func acceptance(calls, slots int) float64 {
-	free := 1 - float64(calls)/float64(slots)
-	return min(max(free/(1-calmShare), 0), 1)
+	share := float64(calls) / float64(slots)
+	return min(max((noShare-share)/(noShare-fullShare), 0), 1)
 }
 
-// drawn returns a number from 0 to 1, excluding 1, that is drawn for a request at an
-// engine and always the same for both.
-func drawn(request, engine string) float64 {
-	const digits = 1 << 20
-	return float64(xxhash.Sum64String(request+"/"+engine)%digits) / digits
+// drawn returns a number from 0 to 1, excluding 1, that is drawn for a request and a
+// purpose and always the same for both.
+func drawn(request, purpose string) float64 {
+	const steps = 1 << 20
+	return float64(xxhash.Sum64String(request+"/"+purpose)%steps) / steps
 }
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -58,6 +58,8 @@
 	// and sharedTokens is their total.
 	shared       []prefix.Part
 	sharedTokens int
+	// key orders the engines by rendezvous hashing.
+	key uint64
 	// preferred is the engine that rendezvous hashing selects for the shared
 	// parts.
 	preferred string
@@ -137,6 +139,7 @@
 		picker:       p,
 		shared:       shared,
 		sharedTokens: prefix.TotalTokens(shared),
+		key:          key,
 		preferred:    preferredEngine(key, pool),
 		store:        p.preferredStore(key),
 		caches:       map[int64]cacheView{},
