--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -41,15 +41,7 @@
 			Ordered: w.Ordered,
 		})
 	}
-	for _, recent := range r.Entries {
-		// An entry that was read can be written.
-		if data, err := json.Marshal(recent.Entry); err == nil {
-			m.Entries = append(m.Entries, &rpcapi.Entry{
-				Listing: recent.Version,
-				Data:    data,
-			})
-		}
-	}
+	m.Entries = encodeEntries(r.Entries)
 	for _, name := range slices.Sorted(maps.Keys(r.DepartureVersions)) {
 		m.Leavers = append(m.Leavers, &rpcapi.Leaver{
 			Name:    name,
@@ -104,18 +96,7 @@
 			Ordered: w.GetOrdered(),
 		})
 	}
-	for _, recent := range m.GetEntries() {
-		// A peer of another release may send one that this release refuses; the store
-		// has it as well.
-		var entry member.RegistryEntry
-		if json.Unmarshal(recent.GetData(), &entry) != nil || entry.Validate() != nil {
-			continue
-		}
-		r.Entries = append(r.Entries, state.RecentEntry{
-			Entry:   entry,
-			Version: recent.GetListing(),
-		})
-	}
+	r.Entries = decodeEntries(m.GetEntries())
 	for _, l := range m.GetLeavers() {
 		if r.DepartureVersions == nil {
 			r.DepartureVersions = map[string]int64{}
@@ -155,6 +136,38 @@
 	return r
 }
 
+// encodeEntries returns registry entries as messages.
+func encodeEntries(entries []state.RecentEntry) []*rpcapi.Entry {
+	var out []*rpcapi.Entry
+	for _, recent := range entries {
+		// What was read from the store can be encoded.
+		if data, err := json.Marshal(recent.Entry); err == nil {
+			out = append(out, &rpcapi.Entry{
+				Listing: recent.Version,
+				Data:    data,
+			})
+		}
+	}
+	return out
+}
+
+// decodeEntries returns the registry entries of messages. A peer of another release may
+// send one that this release refuses; it is left out, since the store has it as well.
+func decodeEntries(messages []*rpcapi.Entry) []state.RecentEntry {
+	var out []state.RecentEntry
+	for _, m := range messages {
+		var entry member.RegistryEntry
+		if json.Unmarshal(m.GetData(), &entry) != nil || entry.Validate() != nil {
+			continue
+		}
+		out = append(out, state.RecentEntry{
+			Entry:   entry,
+			Version: m.GetListing(),
+		})
+	}
+	return out
+}
+
 // ageOf returns an age in milliseconds as a duration within its range.
 func ageOf(ms int64) time.Duration {
 	return time.Duration(min(max(ms, 0), maxAge.Milliseconds())) * time.Millisecond
--- a/internal/peer/relay_test.go
+++ b/internal/peer/relay_test.go
@@ -223,3 +223,37 @@
 		member.Set{}.WithRegistry(nodes)
 	})
 }
+
+// Registry entries must come back as they were sent, and one that names no endpoint must
+// not hide the others.
+func TestHeartbeatCarriesRegistryEntries(t *testing.T) {
+	entry := func(name, addr string) state.RecentEntry {
+		return state.RecentEntry{
+			Entry: member.RegistryEntry{
+				Node: member.Node{
+					Name:   name,
+					Role:   member.Engine,
+					Addr:   addr,
+					Models: []string{"llm"},
+					Start:  "7",
+				},
+				Weights: map[string]int64{
+					"m": 3,
+				},
+			},
+			Version: 12,
+		}
+	}
+	sent := state.Heartbeat{
+		Name: "n1",
+		Relay: state.Relay{
+			Entries: []state.RecentEntry{entry("e1", "10.0.0.1:80"), entry("e2", "no address"), entry("e3", "10.0.0.3:80")},
+		},
+	}
+	m := EncodeHeartbeat(sent)
+	m.Relay.Entries = append(m.Relay.Entries, &rpcapi.Entry{
+		Data: []byte("{"),
+	}, nil)
+	got := DecodeHeartbeat(m)
+	require.Equal(t, []state.RecentEntry{sent.Relay.Entries[0], sent.Relay.Entries[2]}, got.Relay.Entries)
+}
