--- a/internal/peer/relay_test.go
+++ b/internal/peer/relay_test.go
@@ -247,6 +247,7 @@
 	sent := state.Heartbeat{
 		Name: "n1",
 		Relay: state.Relay{
+			Addr:    "10.0.0.9:7000",
 			Entries: []state.RecentEntry{entry("e1", "10.0.0.1:80"), entry("e2", "no address"), entry("e3", "10.0.0.3:80")},
 		},
 	}
