ctrl: an instance makes itself known to the peers it discovers over four seconds

Cause (suspected, by reading): where all instances start at once, each sent a heartbeat to all others at the moment it had read their rows; 88 x 87 calls of half a millisecond are half a second of a machine with a fifth of a core.

Change: 1 + n/20 at each tick, not to those that were heard meanwhile.

--- a/internal/ctrl/fleetnews_test.go
+++ b/internal/ctrl/fleetnews_test.go
@@ -281,7 +281,10 @@
 		c.state.Routing.Peers = c.state.Routing.Peers[:38]
 	}
 	last.state.Routing.Peers = nil
+	f.sent = 0
 	f.step(39, found)
+	require.LessOrEqual(t, f.sent, 5, "a machine that starts has other work")
+	f.advance(5 * time.Second)
 	for i, c := range f.instances {
 		require.Len(t, c.state.Routing.Peers, 39, "instance %d", i)
 	}
--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -28,6 +28,9 @@
 	// peerTTL is for how long an instance that does not answer still receives
 	// changes.
 	peerTTL = 30 * time.Second
+	// announceTicks is the number of ticks over which an instance makes itself known to
+	// peers that it discovered.
+	announceTicks = 20
 )
 
 // Registry tracks the endpoints of the registry and the other instances.
@@ -40,11 +43,16 @@
 		s, actions := c.expireNodes(s, now)
 		s = forgetRecentEntries(s, now)
 		s, repeated := c.repeatHeartbeats(s, now)
-		return s, append(actions, repeated...)
+		if len(repeated) > 0 {
+			// These go to all that may not know this instance, too.
+			return s, append(actions, repeated...)
+		}
+		s, announced := c.announceSelf(s)
+		return s, append(actions, announced...)
 	case state.RegistrySnapshot:
 		return c.handleSnapshot(s, e, now)
 	case state.PeersFound:
-		return c.handlePeersFound(s, e, now)
+		return c.handlePeersFound(s, e, now), nil
 	case state.HeartbeatFailed:
 		return c.handleHeartbeatFailed(s, e, now), nil
 	case state.Heartbeat:
@@ -107,19 +115,41 @@
 	return s, actions
 }
 
-// handlePeersFound adds peers that were discovered and makes this instance known to
+// handlePeersFound adds peers that were discovered. This instance makes itself known to
 // those that it did not know: in a large fleet the rotation of heartbeats takes many
 // minutes, and until a peer knows this instance it sends it no news.
-func (c Registry) handlePeersFound(s state.State, e state.PeersFound, now time.Time) (state.State, []state.Action) {
+func (c Registry) handlePeersFound(s state.State, e state.PeersFound, now time.Time) state.State {
 	before := s.Routing.Peers
 	s = c.addPeers(s, e.Peers, now)
-	var found []string
+	unannounced := slices.Clone(s.Routing.Unannounced)
 	for _, p := range e.Peers {
 		if indexOfPeer(before, p.Name) < 0 && indexOfPeer(s.Routing.Peers, p.Name) >= 0 {
-			found = append(found, p.Name)
+			unannounced = append(unannounced, p.Name)
+		}
+	}
+	s.Routing.Unannounced = unannounced
+	return s
+}
+
+// announceSelf sends heartbeats to some of the peers that may not know this instance. They
+// are spread over announceTicks, since all instances may start at once and a small
+// machine takes a tenth of a second for some dozens. Those that have exchanged a heartbeat
+// with this instance meanwhile know it.
+func (Registry) announceSelf(s state.State) (state.State, []state.Action) {
+	left := s.Routing.Unannounced
+	if len(left) == 0 {
+		return s, nil
+	}
+	limit := 1 + len(s.Routing.Peers)/announceTicks
+	var names []string
+	for len(left) > 0 && len(names) < limit {
+		if name := left[0]; s.Peer(name).Epoch == "" && indexOfPeer(s.Routing.Peers, name) >= 0 {
+			names = append(names, name)
 		}
+		left = left[1:]
 	}
-	return s, heartbeatsTo(s, found)
+	s.Routing.Unannounced = left
+	return s, heartbeatsTo(s, names)
 }
 
 // handleHeartbeatFailed records that a peer did not answer.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -132,6 +132,9 @@
 	// not answered one since then.
 	NewsAt      time.Time
 	RepeatUntil time.Time
+	// Unannounced names the discovered peers that may not know this instance yet.
+	// Invariant: the slice is never written in place.
+	Unannounced []string
 	// RecentEntries holds the registry entries that changed a short while ago and that
 	// this instance read itself. Invariant: the slice is never written in place.
 	RecentEntries []RecentEntry
