ctrl: the first read of the registry after a start is no news

Cause: news was told from a first read by whether any node was known. An instance knows its peers before its first read of the registry, so that it took all entries for news: where a whole fleet restarts, each instance sent 64 entries (26 KB) to all others, again and again for half a second, over links of 10 Mbit/s.

Change: a read is a first one while the registry's version is not known. A restarted instance, whose row in the store is as it was, does not announce itself.

TestFirstReadOfTheRegistryIsNoNews fails before.

--- a/internal/ctrl/fleetnews_test.go
+++ b/internal/ctrl/fleetnews_test.go
@@ -38,7 +38,7 @@
 			Addr:   fleetPeer(i).Addr,
 			Domain: fleetPeer(i).Domain,
 		}
-		c.state.Routing.Peers = nil
+		c.state.Routing.Peers, c.state.Routing.Unannounced = nil, nil
 		for k := range size.instances {
 			if k != i {
 				c.state.Routing.Peers = append(c.state.Routing.Peers, fleetPeer(k))
@@ -289,3 +289,51 @@
 		require.Len(t, c.state.Routing.Peers, 39, "instance %d", i)
 	}
 }
+
+// An instance that has restarted must not call all peers, which know it: where a whole
+// fleet restarts, that takes the processor from the first requests.
+func TestRestartedInstanceDoesNotAnnounceItself(t *testing.T) {
+	f := newMeshFleet(fleetSize{
+		instances: 88,
+		engines:   5,
+	})
+	f.instances[5].state.Routing.Peers = nil
+	found := state.PeersFound{
+		Known: true,
+	}
+	for i := range f.instances {
+		if i != 5 {
+			found.Peers = append(found.Peers, fleetPeer(i))
+		}
+	}
+	f.step(5, found)
+	sent := 0
+	for range 10 {
+		f.instances[5].advance(ctrl.ForwardInterval)
+		for _, a := range f.instances[5].actions {
+			if _, ok := a.(state.SendHeartbeat); ok {
+				sent++
+			}
+		}
+	}
+	require.LessOrEqual(t, sent, 4, "the rotation alone")
+	require.Len(t, f.instances[5].state.Routing.Peers, 87)
+}
+
+// The first read of the registry after a start is no news: where a whole fleet restarts,
+// each instance would send all entries to all others before it serves.
+func TestFirstReadOfTheRegistryIsNoNews(t *testing.T) {
+	c := newTestInstance()
+	var found state.PeersFound
+	for i := range 88 {
+		found.Peers = append(found.Peers, fleetPeer(i+1))
+	}
+	c.step(found)
+	c.step(state.StoreStatus{
+		OK: true,
+	})
+	c.step(fullSnapshot(7, "e1", "e2", "e3"))
+	require.Empty(t, c.actions)
+	require.Empty(t, ctrl.HeartbeatOf(c.state).Relay.Entries)
+	require.Len(t, c.pool(), 3)
+}
--- a/internal/ctrl/news.go
+++ b/internal/ctrl/news.go
@@ -22,7 +22,8 @@
 // this instance before. All instances read each change at some time: if each of them
 // sent it to all others, a change would cost the square of their number.
 func withRegistryNews(before, s state.State, e state.RegistrySnapshot, removed []string, now time.Time) (state.State, bool) {
-	if !before.Members.RegistryLoaded() {
+	if before.Routing.RegistryVersion == 0 {
+		// The first read after a start shows what all others know.
 		return s, false
 	}
 	news := false
@@ -71,7 +72,7 @@
 		name := recent.Entry.Node.Name
 		old, known := s.Members.Find(name)
 		switch {
-		case !s.Members.RegistryLoaded(), recent.Version <= s.Routing.ReadyVersions[name], recent.Version < s.Routing.DepartureVersions[name]:
+		case s.Routing.RegistryVersion == 0, recent.Version <= s.Routing.ReadyVersions[name], recent.Version < s.Routing.DepartureVersions[name]:
 			continue
 		case known && !old.Report.Departing && reflect.DeepEqual(old.Node, recent.Entry.Node):
 			continue
--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -28,8 +28,8 @@
 	// peerTTL is for how long an instance that does not answer still receives
 	// changes.
 	peerTTL = 30 * time.Second
-	// announceTicks is the number of ticks over which an instance makes itself known to
-	// peers that it discovered.
+	// announceTicks is the number of ticks over which an instance that joins makes itself
+	// known to peers that it discovered.
 	announceTicks = 20
 )
 
@@ -117,10 +117,15 @@
 
 // handlePeersFound adds peers that were discovered. This instance makes itself known to
 // those that it did not know: in a large fleet the rotation of heartbeats takes many
-// minutes, and until a peer knows this instance it sends it no news.
+// minutes, and until a peer knows this instance it sends it no news. An instance that has
+// restarted is known: where a whole fleet restarts, its small machines have no time for
+// calls to all others before they serve.
 func (c Registry) handlePeersFound(s state.State, e state.PeersFound, now time.Time) state.State {
 	before := s.Routing.Peers
 	s = c.addPeers(s, e.Peers, now)
+	if e.Known {
+		return s
+	}
 	unannounced := slices.Clone(s.Routing.Unannounced)
 	for _, p := range e.Peers {
 		if indexOfPeer(before, p.Name) < 0 && indexOfPeer(s.Routing.Peers, p.Name) >= 0 {
@@ -132,8 +137,7 @@
 }
 
 // announceSelf sends heartbeats to some of the peers that may not know this instance. They
-// are spread over announceTicks, since all instances may start at once and a small
-// machine takes a tenth of a second for some dozens. Those that have exchanged a heartbeat
+// are spread over announceTicks, since many instances may join at once. Those that have exchanged a heartbeat
 // with this instance meanwhile know it.
 func (Registry) announceSelf(s state.State) (state.State, []state.Action) {
 	left := s.Routing.Unannounced
--- a/internal/relay/join.go
+++ b/internal/relay/join.go
@@ -43,9 +43,9 @@
 	if err := i.Loop.Tell(ctx, seeds); err != nil {
 		return errors.Trace(err)
 	}
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; first = false {
 		interval := rejoinIntervalOf(len(i.Loop.View().Routing.Peers))
-		if err := i.register(ctx); err != nil {
+		if err := i.register(ctx, first); err != nil {
 			i.parts.Log.Debug().Str("event", "join").Err(err).Send()
 			interval = joinRetryDelay
 		}
@@ -62,8 +62,8 @@
 }
 
 // register reads the rows of all instances and writes the instance's own row if
-// it differs.
-func (i *Relay) register(ctx context.Context) error {
+// it differs. First is whether this instance has not registered since its start.
+func (i *Relay) register(ctx context.Context, first bool) error {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	b, err := i.parts.Store.Rows(ctx, instancesTable)
@@ -92,14 +92,16 @@
 			Domain: m.Domain,
 		})
 	}
-	if err := i.Loop.Tell(ctx, found); err != nil {
-		return errors.Trace(err)
-	}
 	value, err := json.Marshal(peerRow{
 		Addr:   self.Addr,
 		Domain: self.Domain,
 	})
-	if err != nil || string(value) == string(own.Value) {
+	if err != nil {
+		return errors.Trace(err)
+	}
+	registered := string(value) == string(own.Value)
+	found.Known = first && registered
+	if err := i.Loop.Tell(ctx, found); err != nil || registered {
 		return errors.Trace(err)
 	}
 	own.Value = value
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -239,6 +239,9 @@
 type PeersFound struct {
 	// Peers holds the discovered instances.
 	Peers []member.Node
+	// Known is set if the peers know this instance: it has restarted, and its row in
+	// the store is the same as before.
+	Known bool
 }
 
 // StoreStatus is the outcome of a read of the platform's store.
