--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -137,8 +137,8 @@
 }
 
 // announceSelf sends heartbeats to some of the peers that may not know this instance. They
-// are spread over announceTicks, since many instances may join at once. Those that have exchanged a heartbeat
-// with this instance meanwhile know it.
+// are spread over announceTicks, since many instances may join at once. Those that have
+// exchanged a heartbeat with this instance meanwhile know it.
 func (Registry) announceSelf(s state.State) (state.State, []state.Action) {
 	left := s.Routing.Unannounced
 	if len(left) == 0 {
--- a/internal/triage/script_test.go
+++ b/internal/triage/script_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -51,7 +52,12 @@
 	write := func(name, text string) {
 		name = filepath.Join(dir, name)
 		require.NoError(t, os.MkdirAll(filepath.Dir(name), 0o755))
-		require.NoError(t, os.WriteFile(name, []byte(text), 0o755))
+		// Another case that forks while the file is open for writing would pass the
+		// descriptor on to its child, and the file could not be executed: "text file busy".
+		syscall.ForkLock.RLock()
+		err := os.WriteFile(name, []byte(text), 0o755)
+		syscall.ForkLock.RUnlock()
+		require.NoError(t, err)
 	}
 	for _, name := range []string{"Makefile", ".ci/run", "scripts/test.sh"} {
 		text, err := os.ReadFile(filepath.Join("../..", name))
