grace: requests that continue without their callers end with the grace period

What callers saw: a non-idempotent request in flight at the end of the grace period got no response, though an endpoint had run it. Idempotent requests and streams got 502 with the detail that the caller had left.

Cause: the end of the grace period reached a request only by the context of its caller. relay.forwarder and filter.Dispatch detach non-idempotent requests from that context, since they must continue without their callers, and so detached them from the end of the instance, too. Nobody was left to answer within abortTime.

Change: grace.Signal carries the end of the grace period on its own. Detach separates a request from its caller but not from the signal, and both front ends use it. A claim whose call was ended by the signal is not recorded as unknown before its caller has the answer: a claim whose owner is gone counts as unknown anyway. The detail says that the instance stopped.

TestEndOfGracePeriodEndsCalls checks the own front end's calls.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,6 +17,7 @@
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/claim"
+	"github.com/baobabtally/baobabtally/pkg/grace"
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/policy"
@@ -96,6 +97,8 @@
 	Now func() time.Time
 	// NewID returns a new unique id on each call; random UUIDs by default.
 	NewID func() string
+	// Grace tells requests that the instance stops; by default it never does.
+	Grace *grace.Signal
 }
 
 // Core is an instance without its sockets.
@@ -147,6 +150,9 @@
 	if p.NewID == nil {
 		p.NewID = uuid.NewString
 	}
+	if p.Grace == nil {
+		p.Grace = grace.New()
+	}
 	o := options{
 		controllers: ctrl.Controllers(),
 		chooser:     route.Best{},
@@ -183,7 +189,8 @@
 		filter.WithDistance(p.Distance),
 		filter.WithClock(p.Now),
 		filter.WithChooser(o.chooser),
-		filter.WithLog(x.log))
+		filter.WithLog(x.log),
+		filter.WithGrace(p.Grace))
 	liveness := livenessView{
 		loop: loop,
 		now:  p.Now,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/setup"
 	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/grace"
 	"github.com/baobabtally/baobabtally/pkg/invar"
 	"github.com/baobabtally/baobabtally/pkg/stream"
 )
@@ -48,6 +49,7 @@
 	core     *core.Core
 	server   *httpd.Server
 	meter    *meter.Meter
+	grace    *grace.Signal
 	// closers are the clients whose idle connections are closed when the
 	// instance stops.
 	closers []closer
@@ -72,10 +74,12 @@
 	table, object, list := plat.NewTable(s.Table, admin.ConfigKey), plat.NewObjectStore(s.Object), plat.NewList(s.List)
 	peers := peer.NewClient(secret)
 	endpoints := client.New(client.WithChunkTimeout(time.Duration(s.Gap)), client.WithFirstChunkTimeout(time.Duration(s.First)))
+	signal := grace.New()
 	i := &Instance{
 		settings: s,
 		log:      log,
 		meter:    m,
+		grace:    signal,
 		done:     make(chan struct{}),
 		closers:  []closer{table, object, list, peers, endpoints},
 		core: core.New(core.Parts{
@@ -93,6 +97,7 @@
 			Meter:     m,
 			Log:       log,
 			Distance:  time.Duration(s.Distance),
+			Grace:     signal,
 		}),
 	}
 	i.server = i.newServer(secret)
@@ -176,6 +181,7 @@
 	return httpd.New(e,
 		httpd.WithLog(i.log),
 		httpd.WithMeter(i.meter),
+		httpd.WithGrace(i.grace),
 		httpd.WithFailure(front.WriteFailure),
 		httpd.WithIdleTimeout(func() time.Duration { return idleTimeout }),
 		httpd.WithHeaderTimeout(readHeaderTimeout),
--- a/internal/filter/claim.go
+++ b/internal/filter/claim.go
@@ -13,6 +13,7 @@
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/claim"
 	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/grace"
 )
 
 const (
@@ -66,7 +67,13 @@
 		Writer: w,
 	}
 	result, err := next.Handle(ctx, r, recorder)
-	f.finish(ctx, r, ticket, recorder.outcome(err))
+	outcome := recorder.outcome(err)
+	if outcome.State == claim.Unknown && grace.Ended(ctx) {
+		// A claim whose owner is gone counts as unknown, too, and the caller has to get
+		// its answer before the process ends.
+		return result, err
+	}
+	f.finish(ctx, r, ticket, outcome)
 	return result, err
 }
 
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/grace"
 	"github.com/baobabtally/baobabtally/pkg/invar"
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/member"
@@ -43,6 +44,12 @@
 	Choose(q route.Query, pool []member.Endpoint, v route.View) (route.Choice, bool)
 }
 
+// detacher separates requests from their callers, but not from the end of the grace
+// period.
+type detacher interface {
+	Detach(ctx context.Context) (context.Context, context.CancelFunc)
+}
+
 // Dispatch selects endpoints and forwards requests to them. It is the last handler
 // of the chain.
 type Dispatch struct {
@@ -56,6 +63,7 @@
 	newID    func() string
 	distance time.Duration
 	log      zerolog.Logger
+	grace    detacher
 }
 
 // DispatchOption configures a Dispatch.
@@ -81,6 +89,11 @@
 	return func(f *Dispatch) { f.log = l }
 }
 
+// WithGrace sets the signal that ends requests when the instance stops.
+func WithGrace(g *grace.Signal) DispatchOption {
+	return func(f *Dispatch) { f.grace = g }
+}
+
 // controlThread is the interface of the control thread to the traffic threads.
 type controlThread interface {
 	viewer
@@ -100,6 +113,7 @@
 		now:     time.Now,
 		newID:   newID,
 		log:     zerolog.Nop(),
+		grace:   grace.New(),
 	}
 	for _, o := range opts {
 		o(&f)
@@ -211,6 +225,9 @@
 			WithRun(run).WithRetry(unavailableRetry)
 	}
 	if err := retry.WaitBackoff(ctx, n-1); err != nil {
+		if grace.Ended(ctx) {
+			return grace.Fault(run == fault.Unknown)
+		}
 		return fault.New(fault.Unavailable, "the caller left after %v: send it again", last).WithRun(run)
 	}
 	return nil
--- a/internal/filter/generate.go
+++ b/internal/filter/generate.go
@@ -9,6 +9,7 @@
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/grace"
 	"github.com/baobabtally/baobabtally/pkg/invar"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/prefix"
@@ -232,11 +233,11 @@
 	if fault.From(err).Kind == fault.Lost && ctx.Err() == nil {
 		return err
 	}
-	if ctx.Err() != nil {
-		return callerDisconnected(ctx.Err())
-	}
 	failure := failureOf(err)
 	g.maybeSent = g.maybeSent || failure.MaybeSent
+	if ctx.Err() != nil {
+		return g.contextError(ctx)
+	}
 	g.log.Warn().Str("event", "fail").Str("request", g.request.ID).Str("endpoint", a.Endpoint.Node.Name).
 		Str("cause", failure.Cause.String()).Int("offset", g.position.Next()).Err(err).Send()
 	if failure.Cause == call.Rejected {
@@ -261,13 +262,22 @@
 		// The retry budget bounds only requests that have not started. A
 		// started stream is always continued.
 		if err := retry.WaitBackoff(ctx, len(g.failedEndpoints)); err != nil {
-			return callerDisconnected(err)
+			return g.contextError(ctx)
 		}
 		return nil
 	}
 	return g.withUnknownRun(g.backOff(ctx, g.attempts, err))
 }
 
+// contextError returns the error of a request whose caller has left or whose instance
+// has stopped.
+func (g *generation) contextError(ctx context.Context) error {
+	if grace.Ended(ctx) {
+		return grace.Fault(g.maybeSent || g.started)
+	}
+	return callerDisconnected(ctx.Err())
+}
+
 // rejection returns the error for a request that the engine finds invalid. That
 // engine did not run it, but an earlier attempt may have run.
 func (g *generation) rejection(failure call.Failure) error {
--- a/internal/filter/service.go
+++ b/internal/filter/service.go
@@ -6,6 +6,7 @@
 	"github.com/baobabtally/baobabtally/internal/call"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/grace"
 	"github.com/baobabtally/baobabtally/pkg/invar"
 )
 
@@ -15,7 +16,9 @@
 	if !r.Idempotent {
 		// The call continues if its caller disconnects, so that its outcome
 		// is recorded.
-		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), nonIdempotentTimeout)
+		detached, release := f.grace.Detach(ctx)
+		defer release()
+		limited, cancel := context.WithTimeout(detached, nonIdempotentTimeout)
 		defer cancel()
 		ctx = limited
 	}
@@ -38,6 +41,9 @@
 		}
 		f.log.Warn().Str("event", "fail").Str("request", r.ID).Str("endpoint", choice.Endpoint.Node.Name).
 			Str("cause", failure.Cause.String()).Bool("sent", failure.MaybeSent).Err(err).Send()
+		if grace.Ended(ctx) {
+			return chain.Result{}, grace.Fault(sentAttempts > 0)
+		}
 		if failure.MaybeSent && !r.Idempotent {
 			return chain.Result{}, fault.New(fault.Lost, "the answer of %s was lost (%v): look the result up before you send it again", choice.Endpoint.Node.Name, err).WithRun(fault.Unknown)
 		}
--- a/internal/filter/service_test.go
+++ b/internal/filter/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -12,6 +13,7 @@
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/grace"
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/policy"
@@ -74,3 +76,72 @@
 		require.Equal(t, fault.Unknown, fault.From(err).Run, "%v", err)
 	}
 }
+
+// silentEndpoints never answer.
+type silentEndpoints struct {
+	opened chan struct{}
+}
+
+func (e silentEndpoints) Open(ctx context.Context, _ call.Attempt) (call.Reply, error) {
+	close(e.opened)
+	<-ctx.Done()
+	return nil, call.Failure{
+		Cause:     call.Broken,
+		MaybeSent: true,
+		Detail:    ctx.Err().Error(),
+	}
+}
+
+// A call that continues without its caller must still end with the grace period, so that
+// its caller gets an answer before the process ends.
+func TestEndOfGracePeriodEndsCalls(t *testing.T) {
+	t.Parallel()
+	for name, r := range map[string]chain.Request{
+		"not idempotent": {
+			Kind: chain.Service,
+		},
+		"idempotent": {
+			Kind:       chain.Service,
+			Idempotent: true,
+		},
+		"generation": {
+			Kind: chain.Chat,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r.ID, r.Model = "r", "desk"
+			var s state.State
+			s.Members = s.Members.WithRegistry([]member.Node{
+				{
+					Name:   "s0",
+					Role:   member.Service,
+					Addr:   "s0:1",
+					Models: []string{"desk"},
+				},
+			})
+			signal := grace.New()
+			e := silentEndpoints{
+				opened: make(chan struct{}),
+			}
+			d := filter.NewDispatch(fixedControl{
+				state: s,
+			}, e, &load.Gauge{}, func() string { return "id" }, filter.WithGrace(signal))
+			ended := make(chan error, 1)
+			go func() {
+				_, err := d.Handle(signal.Context(), r, nil)
+				ended <- err
+			}()
+			<-e.opened
+			signal.End()
+			select {
+			case err := <-ended:
+				require.Equal(t, fault.Lost, fault.From(err).Kind)
+				require.Equal(t, fault.Unknown, fault.From(err).Run)
+				require.Contains(t, fault.From(err).Detail, "stopped")
+			case <-time.After(100 * time.Millisecond):
+				require.Fail(t, "the call did not end")
+			}
+		})
+	}
+}
--- a/internal/httpd/cut.go
+++ b/internal/httpd/cut.go
@@ -9,6 +9,8 @@
 	"runtime"
 	"strings"
 	"time"
+
+	"github.com/baobabtally/baobabtally/pkg/grace"
 )
 
 // reason is why a request ended without a complete response.
@@ -49,7 +51,7 @@
 // the context of the request ended, if it did.
 func abortReason(cause error) reason {
 	switch {
-	case errors.Is(cause, errStopped):
+	case errors.Is(cause, grace.ErrEnded):
 		return graceEnded
 	case cause != nil:
 		return callerLeft
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/baobabtally/baobabtally/pkg/grace"
 )
 
 const (
@@ -30,10 +32,6 @@
 	abortTime = 150 * time.Millisecond
 )
 
-// errStopped is the cause with which requests are canceled at the end of the grace
-// period.
-var errStopped = errors.New("the instance stopped before the request ended")
-
 // meter counts requests that ended without a complete response, by reason.
 type meter interface {
 	Cut(reason string)
@@ -55,8 +53,8 @@
 	// stopping once connections without a request are closed.
 	draining atomic.Bool
 	stopping atomic.Bool
-	// cancel ends the contexts of all requests.
-	cancel context.CancelCauseFunc
+	// grace ends the contexts of all requests.
+	grace *grace.Signal
 	// serving counts the calls of Serve and the sweeper.
 	serving sync.WaitGroup
 	sweep   sync.Once
@@ -77,6 +75,10 @@
 // WithLog logs the errors of connections and the requests that are cut.
 func WithLog(l zerolog.Logger) Option { return func(s *Server) { s.log = l } }
 
+// WithGrace makes the server end the grace period of g, and with it the remaining
+// requests, when Stop runs out of time.
+func WithGrace(g *grace.Signal) Option { return func(s *Server) { s.grace = g } }
+
 // WithMeter counts the requests that are cut.
 func WithMeter(m meter) Option { return func(s *Server) { s.meter = m } }
 
@@ -111,14 +113,13 @@
 		idle:          func() time.Duration { return 0 },
 		fail:          func(w http.ResponseWriter, _ string) { w.WriteHeader(http.StatusBadGateway) },
 		headerTimeout: defaultHeaderTimeout,
+		grace:         grace.New(),
 		conns:         map[*conn]struct{}{},
 		done:          make(chan struct{}),
 	}
-	ctx, cancel := context.WithCancelCause(context.Background())
-	s.cancel = cancel
 	s.inner = &http.Server{
 		DisableGeneralOptionsHandler: true,
-		BaseContext:                  func(net.Listener) context.Context { return ctx },
+		BaseContext:                  func(net.Listener) context.Context { return s.grace.Context() },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
@@ -225,14 +226,14 @@
 // abort cancels the remaining requests and cuts those that don't end in time. It
 // returns an error if there are any.
 func (s *Server) abort() error {
-	s.cancel(errStopped)
+	s.grace.End()
 	ctx, cancel := context.WithTimeout(context.Background(), abortTime)
 	defer cancel()
 	s.waitEmpty(ctx)
 	var err error
 	for _, c := range s.connections() {
 		if c.inRequest() {
-			err = errStopped
+			err = grace.ErrEnded
 			c.cut(graceEnded, err)
 			c.markIncomplete()
 		}
@@ -246,7 +247,7 @@
 	s.stopping.Store(true)
 	s.mu.Unlock()
 	s.end.Do(func() { close(s.done) })
-	s.cancel(errStopped)
+	s.grace.End()
 	err := s.inner.Close()
 	s.serving.Wait()
 	return err
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/grace"
 	"github.com/baobabtally/baobabtally/pkg/invar"
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/poison"
@@ -428,11 +429,14 @@
 	return x.budgets.takeRetry(x.request.Service, x.instanceCount(), x.now())
 }
 
-// contextError returns the error of a request whose deadline has passed or
-// whose caller has disconnected.
+// contextError returns the error of a request whose deadline has passed, whose
+// caller has disconnected or whose instance has stopped.
 func (x *exchange) contextError(ctx context.Context) error {
-	if errors.Is(context.Cause(ctx), errDeadline) {
+	switch {
+	case errors.Is(context.Cause(ctx), errDeadline):
 		return x.withRunState(errDeadline)
+	case grace.Ended(ctx):
+		return grace.Fault(x.maybeSent)
 	}
 	return callerDisconnectedError(ctx.Err())
 }
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -14,6 +14,7 @@
 	"github.com/baobabtally/baobabtally/internal/call"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/chain"
+	"github.com/baobabtally/baobabtally/pkg/grace"
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/site"
 )
@@ -70,6 +71,7 @@
 			log:       zerolog.Nop(),
 			links:     newStoreLinks(),
 			meter:     discardMeter{},
+			grace:     grace.New(),
 			bounds: Bounds{
 				StaleWeightsLimit: bound,
 			},
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -45,6 +45,12 @@
 	Post(e state.Event) bool
 }
 
+// detacher separates requests from their callers, but not from the end of the grace
+// period.
+type detacher interface {
+	Detach(ctx context.Context) (context.Context, context.CancelFunc)
+}
+
 // forwarder is the last handler of the chain. It has endpoints serve requests.
 type forwarder struct {
 	control   control
@@ -57,6 +63,7 @@
 	served    *poison.Served
 	links     *storeLinks
 	meter     meter
+	grace     detacher
 }
 
 func newForwarder(x *executor, p Parts) forwarder {
@@ -71,6 +78,7 @@
 		served:    x.served,
 		links:     newStoreLinks(),
 		meter:     p.Meter,
+		grace:     p.Grace,
 	}
 }
 
@@ -91,7 +99,9 @@
 		// The attempt continues after the caller disconnects: its effect can't be
 		// undone, and reading the response to its end lets the connection be
 		// reused.
-		ctx = context.WithoutCancel(ctx)
+		detached, release := f.grace.Detach(ctx)
+		defer release()
+		ctx = detached
 	}
 	if until := r.EffectiveDeadline(); !until.IsZero() {
 		// The deadline is in time since boot, which counts suspended time,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/internal/watch"
 	"github.com/baobabtally/baobabtally/pkg/chain"
+	"github.com/baobabtally/baobabtally/pkg/grace"
 	"github.com/baobabtally/baobabtally/pkg/lease"
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/member"
@@ -163,6 +164,8 @@
 	Now func() time.Time
 	// Bounds are the limits that the platform sets.
 	Bounds Bounds
+	// Grace tells requests that the instance stops.
+	Grace *grace.Signal
 }
 
 // Bounds are the limits that the platform sets.
