filter: a stopping instance refuses requests that may outlast its grace period

Cause: what is left of the grace period and how long requests of a route run are known when a request comes, and nobody compared them.

Change: grace.Signal has the end of the period from the start of the stop on, and filter.Late, in both chains, refuses what may take longer: 503, not run, with the shortest Retry-After, since other instances can serve it at once. The estimate is the longest of the last 32 requests of the route, else the route's timeout, limited by the request's deadline.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -201,6 +201,7 @@
 		filter.NewReady(loop, p.Now),
 		filter.NewMatch(loop),
 		filter.NewAccount(x.tally, p.Meter),
+		filter.NewLate(p.Grace, p.Now),
 		filter.NewLimit(loop, p.Now),
 		filter.NewClaim(claims, x.log),
 		filter.NewGate(loop, x.tally, p.Now, x.log),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -146,6 +146,9 @@
 // notice, and waits for the in-flight requests.
 func (i *Instance) drain() error {
 	begin := time.Now()
+	i.grace.Begin(grace.Period{
+		End: begin.Add(drainTimeout),
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	if err := i.core.Loop.Tell(ctx, state.Stopping{}); err != nil {
--- /dev/null
+++ b/internal/filter/late.go
@@ -0,0 +1,77 @@
+package filter
+
+import (
+	"context"
+	"time"
+
+	"github.com/baobabtally/baobabtally/pkg/chain"
+	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/grace"
+)
+
+// defaultLength is how long a request is assumed to run if its route has neither served
+// requests nor a timeout.
+const defaultLength = 30 * time.Second
+
+// periodSource returns the grace period of a stopping instance.
+type periodSource interface {
+	Period() grace.Period
+}
+
+// Late refuses requests that a stopping instance could not complete. Its callers can have
+// other instances serve them at once, while a request that is cut may have run.
+type Late struct {
+	grace   periodSource
+	lengths *grace.Lengths
+	now     clock
+}
+
+// NewLate returns a filter that refuses requests as the period of g requires.
+func NewLate(g periodSource, now func() time.Time) Late {
+	return Late{
+		grace:   g,
+		lengths: &grace.Lengths{},
+		now:     now,
+	}
+}
+
+// Filter passes r on and records how long it ran, or refuses it.
+func (f Late) Filter(ctx context.Context, r chain.Request, w chain.Writer, next chain.Handler) (chain.Result, error) {
+	begin := f.now()
+	if p := f.grace.Period(); p.Active() {
+		length := f.expectedLength(r, begin)
+		if !p.Admits(length, begin) {
+			return chain.Result{}, fault.New(fault.Unavailable, "the instance stops in %s and the request may take %s: send it to another instance",
+				p.Left(begin).Round(time.Millisecond), length.Round(time.Millisecond)).WithRetry(grace.RetryAfter)
+		}
+	}
+	result, err := next.Handle(ctx, r, w)
+	if err == nil || fault.From(err).Kind == fault.Late {
+		f.lengths.Record(lengthName(r), f.now().Sub(begin))
+	}
+	return result, err
+}
+
+// expectedLength returns how long r may run from now on. A request ends at its deadline
+// at the latest.
+func (f Late) expectedLength(r chain.Request, now time.Time) time.Duration {
+	length, ok := f.lengths.Longest(lengthName(r))
+	if !ok {
+		length = defaultLength
+		if r.Route.Timeout > 0 {
+			length = r.Route.Timeout
+		}
+	}
+	if deadline := r.EffectiveDeadline(); !deadline.IsZero() {
+		length = min(length, deadline.Sub(now))
+	}
+	return length
+}
+
+// lengthName returns the name under which the lengths of requests like r are recorded.
+func lengthName(r chain.Request) string {
+	if r.Kind == chain.Relayed {
+		return r.Route.Name
+	}
+	return r.Kind.String() + " " + r.Model
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -283,6 +283,7 @@
 		x.logRefusals(teamFilter{
 			view: x.loop,
 		}),
+		x.logRefusals(filter.NewLate(p.Grace, p.Now)),
 		x.logRefusals(poisonFilter{
 			view: x.loop,
 			now:  p.Now,
--- a/pkg/grace/doc.go
+++ b/pkg/grace/doc.go
@@ -5,7 +5,11 @@
 // second, so that a request that continues without its caller still ends in time for a
 // response.
 //
+// While an instance stops, it accepts only requests that it can complete: Lengths
+// estimates how long a request runs, and a Period tells what is left.
+//
 //	signal := grace.New()
-//	ctx, release := signal.Detach(r.Context())
-//	defer release()
+//	signal.Begin(grace.Period{End: now.Add(8 * time.Second)})
+//	if !signal.Period().Admits(lengths.Longest("charge"), now) { refuse }
+//	time.AfterFunc(8*time.Second, signal.End)
 package grace
--- a/pkg/grace/grace.go
+++ b/pkg/grace/grace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,11 +15,32 @@
 // other instances can serve them at once. It is the shortest that is sent to callers.
 const RetryAfter = 10 * time.Millisecond
 
+// Period is the time that a stopping instance leaves its requests. The zero value is
+// that of an instance that does not stop.
+type Period struct {
+	// End is when the remaining requests are canceled; zero if the instance does not
+	// stop.
+	End time.Time
+}
+
+// Active reports whether the instance stops.
+func (p Period) Active() bool { return !p.End.IsZero() }
+
+// Left returns the time until the end of an active period.
+func (p Period) Left(now time.Time) time.Duration { return p.End.Sub(now) }
+
+// Admits reports whether a request that begins at now and runs for length ends in time.
+func (p Period) Admits(length time.Duration, now time.Time) bool {
+	return !p.Active() || length <= p.Left(now)
+}
+
 // Signal tells requests that their instance stops. It is created by New and safe for
 // concurrent use.
 type Signal struct {
-	ended context.Context
-	end   context.CancelCauseFunc
+	// period is nil until Begin was called.
+	period atomic.Pointer[Period]
+	ended  context.Context
+	end    context.CancelCauseFunc
 }
 
 // New returns the signal of an instance that does not stop.
@@ -30,6 +52,17 @@
 	}
 }
 
+// Begin begins the grace period. Only the first call has an effect.
+func (s *Signal) Begin(p Period) { s.period.CompareAndSwap(nil, &p) }
+
+// Period returns the grace period, or the zero value before Begin was called.
+func (s *Signal) Period() Period {
+	if p := s.period.Load(); p != nil {
+		return *p
+	}
+	return Period{}
+}
+
 // End cancels the remaining requests with ErrEnded.
 func (s *Signal) End() { s.end(ErrEnded) }
 
