halt: a delayed control thread or a short grace period leaves requests time to end

What callers would see: all requests in flight cut at once, found by reading. With a grace period shorter than the linger period the requests in flight got no time either.

Measured: TestStopLeavesTimeForRequestsInFlight. It uses what did not exist, so it was not run on the code before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/baobabtally/baobabtally/internal/client"
 	"github.com/baobabtally/baobabtally/internal/core"
 	"github.com/baobabtally/baobabtally/internal/front"
+	"github.com/baobabtally/baobabtally/internal/halt"
 	"github.com/baobabtally/baobabtally/internal/httpd"
 	"github.com/baobabtally/baobabtally/internal/meter"
 	"github.com/baobabtally/baobabtally/internal/peer"
@@ -145,19 +146,15 @@
 // drain makes the instance not ready, leaves load balancers the linger time to
 // notice, and waits for the in-flight requests.
 func (i *Instance) drain() error {
-	begin := time.Now()
-	i.grace.Begin(grace.Period{
-		End: begin.Add(drainTimeout),
+	err := halt.Stop(halt.Parts{
+		Server:  i.server,
+		Control: i.core.Loop,
+		Signal:  i.grace,
+		Log:     i.log,
+		Now:     time.Now,
+		Linger:  time.Duration(i.settings.Linger),
+		Grace:   drainTimeout,
 	})
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	if err := i.core.Loop.Tell(ctx, state.Stopping{}); err != nil {
-		return nil
-	}
-	i.server.Drain()
-	time.Sleep(time.Duration(i.settings.Linger))
-	err := i.server.Stop(ctx)
-	i.log.Info().Str("event", "drained").Stringer("took", time.Since(begin).Round(time.Millisecond)).AnErr("error", err).Send()
 	return errors.Annotatef(err, "in-flight requests were cut after the drain timeout of %s: stop earlier or raise the timeout", drainTimeout)
 }
 
--- /dev/null
+++ b/internal/halt/halt.go
@@ -0,0 +1,84 @@
+// Package halt stops an instance gracefully.
+//
+// A stop has three parts: load balancers and peers learn of it while the instance still
+// accepts connections, the listener closes and the requests in flight end, and what
+// remains at the end of the grace period is canceled. Requests learn of each part by a
+// grace.Signal.
+//
+//	err := halt.Stop(halt.Parts{Server: s, Control: loop, Signal: g, Grace: 8 * time.Second, ...})
+package halt
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/grace"
+	"github.com/baobabtally/baobabtally/pkg/retry"
+)
+
+const (
+	// controlTimeout bounds the time to pass the stop to the control thread, so that a
+	// delayed control thread does not use up the grace period.
+	controlTimeout = time.Second
+	// maxLingerShare is the share of the grace period that an instance accepts
+	// connections for at the most. The rest is for the requests in flight.
+	maxLingerShare = 0.5
+)
+
+// server serves the requests of callers.
+type server interface {
+	// Drain makes each response ask its caller to close the connection.
+	Drain()
+	// Stop returns when no request is in flight, or cuts those that are when ctx ends.
+	Stop(ctx context.Context) error
+}
+
+// control is the control thread.
+type control interface {
+	Tell(ctx context.Context, e state.Event) error
+}
+
+// Parts are the parts of an instance that a stop concerns.
+type Parts struct {
+	Server  server
+	Control control
+	// Signal tells requests that the instance stops.
+	Signal *grace.Signal
+	Log    zerolog.Logger
+	// Now is the clock of requests.
+	Now func() time.Time
+	// Linger is how long the instance still accepts connections, unless that is too
+	// much of Grace, the time until the remaining requests are canceled.
+	Linger time.Duration
+	Grace  time.Duration
+}
+
+// Stop stops an instance. It returns an error if requests were cut.
+func Stop(p Parts) error {
+	begin := time.Now()
+	p.Signal.Begin(grace.Period{
+		End: p.Now().Add(p.Grace),
+	})
+	p.Server.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), p.Grace)
+	defer cancel()
+	p.tellControl(ctx)
+	linger := min(p.Linger, time.Duration(maxLingerShare*float64(p.Grace)))
+	// The time that the control thread took counts as well.
+	_ = retry.Wait(ctx, linger-time.Since(begin))
+	err := p.Server.Stop(ctx)
+	p.Log.Info().Str("event", "drained").Stringer("took", time.Since(begin).Round(time.Millisecond)).AnErr("error", err).Send()
+	return err
+}
+
+// tellControl passes the stop to the control thread, which passes it to peers.
+func (p Parts) tellControl(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	if err := p.Control.Tell(ctx, state.Stopping{}); err != nil {
+		p.Log.Warn().Str("event", "stopping").Str("reason", "the control thread did not take the stop: peers learn of it when this instance does not answer").Err(err).Send()
+	}
+}
--- /dev/null
+++ b/internal/halt/halt_test.go
@@ -0,0 +1,93 @@
+package halt_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabtally/baobabtally/internal/halt"
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/grace"
+)
+
+// recordingServer records what is left of the grace period when it stops.
+type recordingServer struct {
+	draining bool
+	left     time.Duration
+}
+
+func (s *recordingServer) Drain() { s.draining = true }
+
+func (s *recordingServer) Stop(ctx context.Context) error {
+	end, _ := ctx.Deadline()
+	s.left = time.Until(end)
+	return nil
+}
+
+// controlThread takes events once it is released.
+type controlThread struct {
+	events chan state.Event
+}
+
+func (c controlThread) Tell(ctx context.Context, e state.Event) error {
+	select {
+	case c.events <- e:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Neither a control thread that takes no events nor a grace period that is shorter than
+// the linger period may leave the requests in flight without time to end.
+func TestStopLeavesTimeForRequestsInFlight(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		takes  int
+		linger time.Duration
+		grace  time.Duration
+		left   time.Duration
+	}{
+		"usual": {
+			takes:  1,
+			linger: 200 * time.Millisecond,
+			grace:  time.Second,
+			left:   800 * time.Millisecond,
+		},
+		"short grace period": {
+			takes:  1,
+			linger: time.Minute,
+			grace:  time.Second,
+			left:   500 * time.Millisecond,
+		},
+		"delayed control thread": {
+			linger: 200 * time.Millisecond,
+			grace:  4 * time.Second,
+			left:   3 * time.Second,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := &recordingServer{}
+			signal := grace.New()
+			begin := time.Now()
+			require.NoError(t, halt.Stop(halt.Parts{
+				Server: s,
+				Control: controlThread{
+					events: make(chan state.Event, c.takes),
+				},
+				Signal: signal,
+				Log:    zerolog.Nop(),
+				Now:    time.Now,
+				Linger: c.linger,
+				Grace:  c.grace,
+			}))
+			require.True(t, s.draining)
+			require.InDelta(t, c.left.Seconds(), s.left.Seconds(), 0.15)
+			require.WithinDuration(t, begin.Add(c.grace), signal.Period().End, 100*time.Millisecond)
+		})
+	}
+}
