grace: estimates compare requests of similar size and need long enough observation

What callers saw: with the longest of the last 32 requests of a route as the estimate, short requests of a route with long streams were refused in a stop, and streams were cut whose instance had started a few seconds before its stop, since only short ones had ended by then.

Change: only requests whose output is at most twice as large are compared, with a margin that shrinks with their number. An estimate counts only if the route has been served for longer than what is left of the grace period. A request of which nothing is known is accepted while the listener is open, and must end by its timeout in time afterwards.

--- a/internal/filter/late.go
+++ b/internal/filter/late.go
@@ -9,8 +9,8 @@
 	"github.com/baobabtally/baobabtally/pkg/grace"
 )
 
-// defaultLength is how long a request is assumed to run if its route has neither served
-// requests nor a timeout.
+// defaultLength is how long a request is assumed to run if neither similar requests nor
+// a timeout of its route are known.
 const defaultLength = 30 * time.Second
 
 // periodSource returns the grace period of a stopping instance.
@@ -39,7 +39,7 @@
 func (f Late) Filter(ctx context.Context, r chain.Request, w chain.Writer, next chain.Handler) (chain.Result, error) {
 	begin := f.now()
 	if p := f.grace.Period(); p.Active() {
-		length := f.expectedLength(r, begin)
+		length := f.expectedLength(r, p, begin)
 		if !p.Admits(length, begin) {
 			return chain.Result{}, fault.New(fault.Unavailable, "the instance stops in %s and the request may take %s: send it to another instance",
 				p.Left(begin).Round(time.Millisecond), length.Round(time.Millisecond)).WithRetry(grace.RetryAfter)
@@ -47,20 +47,25 @@
 	}
 	result, err := next.Handle(ctx, r, w)
 	if err == nil || fault.From(err).Kind == fault.Late {
-		f.lengths.Record(lengthName(r), f.now().Sub(begin))
+		f.lengths.Record(lengthName(r), r.Output, begin, f.now())
 	}
 	return result, err
 }
 
-// expectedLength returns how long r may run from now on. A request ends at its deadline
-// at the latest.
-func (f Late) expectedLength(r chain.Request, now time.Time) time.Duration {
-	length, ok := f.lengths.Longest(lengthName(r))
-	if !ok {
+// expectedLength returns how long r may run from now on. A request of which nothing is
+// known gets the benefit of the doubt until the listener closes, since load balancers
+// still choose the instance and a refused caller may reach another one that stops.
+// Afterwards it is assumed to run until its timeout.
+func (f Late) expectedLength(r chain.Request, p grace.Period, now time.Time) time.Duration {
+	length, ok := f.lengths.Estimate(lengthName(r), r.Output, p.Left(now), now)
+	switch {
+	case ok:
+	case now.Before(p.Closed):
+		return 0
+	case r.Route.Timeout > 0:
+		length = r.Route.Timeout
+	default:
 		length = defaultLength
-		if r.Route.Timeout > 0 {
-			length = r.Route.Timeout
-		}
 	}
 	if deadline := r.EffectiveDeadline(); !deadline.IsZero() {
 		length = min(length, deadline.Sub(now))
--- a/internal/filter/late_test.go
+++ b/internal/filter/late_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,26 +28,46 @@
 func TestLateRequestIsRefusedBeforeItRuns(t *testing.T) {
 	t.Parallel()
 	begin := time.Unix(1000, 0)
+	usual := slices.Repeat([]time.Duration{time.Second}, 50)
 	for name, c := range map[string]struct {
 		lengths  []time.Duration
+		output   int
 		timeout  time.Duration
 		deadline time.Duration
+		linger   time.Duration
 		left     time.Duration
 		admitted bool
 	}{
 		"the instance does not stop": {
-			lengths:  []time.Duration{time.Hour},
+			lengths:  slices.Repeat([]time.Duration{time.Hour}, 50),
 			admitted: true,
 		},
 		"short route": {
-			lengths:  []time.Duration{time.Second, 2 * time.Second},
+			lengths:  usual,
 			left:     2 * time.Second,
 			admitted: true,
 		},
 		"one of the route's requests took longer": {
-			lengths: []time.Duration{3 * time.Second, time.Second},
+			lengths: append(usual, 3*time.Second),
 			left:    2 * time.Second,
 		},
+		"long route, listener open": {
+			lengths: slices.Repeat([]time.Duration{3 * time.Second}, 50),
+			linger:  time.Second,
+			left:    2 * time.Second,
+		},
+		"smaller than the long ones": {
+			lengths:  append(usual, 3*time.Second),
+			output:   -1,
+			left:     2 * time.Second,
+			admitted: true,
+		},
+		"unknown route, listener open": {
+			timeout:  time.Minute,
+			linger:   time.Second,
+			left:     2 * time.Second,
+			admitted: true,
+		},
 		"unknown route with a short timeout": {
 			timeout:  time.Second,
 			left:     time.Second,
@@ -59,13 +81,13 @@
 			left: 20 * time.Second,
 		},
 		"deadline before the end": {
-			lengths:  []time.Duration{3 * time.Second},
+			lengths:  slices.Repeat([]time.Duration{3 * time.Second}, 50),
 			deadline: time.Second,
 			left:     2 * time.Second,
 			admitted: true,
 		},
 		"the grace period is over": {
-			lengths: []time.Duration{time.Millisecond},
+			lengths: usual,
 			left:    -time.Second,
 		},
 	} {
@@ -80,10 +102,12 @@
 					Name:    "charge",
 					Timeout: c.timeout,
 				},
-				Arrived: begin,
 			}
 			for _, length := range c.lengths {
-				now = begin
+				now = begin.Add(-time.Minute)
+				r.Arrived = now
+				// The size of a request is in proportion to its length.
+				r.Output = int(100 * length.Seconds())
 				_, err := f.Filter(t.Context(), r, nil, handlerFunc(func() error {
 					now = now.Add(length)
 					return nil
@@ -91,9 +115,14 @@
 				require.NoError(t, err)
 			}
 			now = begin
+			r.Arrived = begin
+			if c.output < 0 {
+				r.Output = 100
+			}
 			if c.left != 0 {
 				signal.Begin(grace.Period{
-					End: begin.Add(c.left),
+					Closed: begin.Add(c.linger),
+					End:    begin.Add(c.left),
 				})
 			}
 			if c.deadline > 0 {
@@ -113,21 +142,46 @@
 	}
 }
 
-// Requests that ran long ago and routes beyond the limit must not grow the memory of
-// lengths.
-func TestLengthsAreBounded(t *testing.T) {
+// A route that has served few requests must not be taken for a short one.
+func TestFewRequestsAreAnUncertainEstimate(t *testing.T) {
 	t.Parallel()
-	var l grace.Lengths
-	l.Record("charge", time.Hour)
-	for range 100 {
-		l.Record("charge", time.Second)
+	begin := time.Unix(1000, 0)
+	for count, most := range map[int]time.Duration{
+		1:   5 * time.Second,
+		64:  1100 * time.Millisecond,
+		200: 1100 * time.Millisecond,
+	} {
+		var l grace.Lengths
+		for range count {
+			l.Record("charge", 0, begin, begin.Add(time.Second))
+		}
+		got, ok := l.Estimate("charge", 0, time.Second, begin.Add(time.Minute))
+		require.True(t, ok)
+		require.LessOrEqual(t, got, most)
+		require.Equal(t, count == 1, got >= 2*time.Second, "%d: %s", count, got)
 	}
-	longest, ok := l.Longest("charge")
+}
+
+// An instance that has just started has seen only short requests end.
+func TestLengthIsUnknownAfterStart(t *testing.T) {
+	t.Parallel()
+	var l grace.Lengths
+	begin := time.Unix(1000, 0)
+	l.Record("charge", 0, begin, begin.Add(time.Second))
+	_, ok := l.Estimate("charge", 0, 5*time.Second, begin.Add(2*time.Second))
+	require.False(t, ok)
+	_, ok = l.Estimate("charge", 0, 5*time.Second, begin.Add(5*time.Second))
 	require.True(t, ok)
-	require.Equal(t, time.Second, longest)
+}
+
+// Requests of ever new names must not use up the memory.
+func TestNamesOfLengthsAreBounded(t *testing.T) {
+	t.Parallel()
+	var l grace.Lengths
+	begin := time.Unix(1000, 0)
 	for n := range 2000 {
-		l.Record(string(rune(n+1000)), time.Second)
+		l.Record(fmt.Sprint(n), 0, begin, begin)
 	}
-	_, ok = l.Longest(string(rune(2999)))
+	_, ok := l.Estimate("1999", 0, 0, begin)
 	require.False(t, ok)
 }
--- a/internal/halt/halt.go
+++ b/internal/halt/halt.go
@@ -59,14 +59,15 @@
 // Stop stops an instance. It returns an error if requests were cut.
 func Stop(p Parts) error {
 	begin := time.Now()
+	linger := min(p.Linger, time.Duration(maxLingerShare*float64(p.Grace)))
 	p.Signal.Begin(grace.Period{
-		End: p.Now().Add(p.Grace),
+		Closed: p.Now().Add(linger),
+		End:    p.Now().Add(p.Grace),
 	})
 	p.Server.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), p.Grace)
 	defer cancel()
 	p.tellControl(ctx)
-	linger := min(p.Linger, time.Duration(maxLingerShare*float64(p.Grace)))
 	// The time that the control thread took counts as well.
 	_ = retry.Wait(ctx, linger-time.Since(begin))
 	err := p.Server.Stop(ctx)
--- a/pkg/grace/doc.go
+++ b/pkg/grace/doc.go
@@ -10,6 +10,6 @@
 //
 //	signal := grace.New()
 //	signal.Begin(grace.Period{End: now.Add(8 * time.Second)})
-//	if !signal.Period().Admits(lengths.Longest("charge"), now) { refuse }
+//	if !signal.Period().Admits(estimate, now) { refuse }
 //	time.AfterFunc(8*time.Second, signal.End)
 package grace
--- a/pkg/grace/grace.go
+++ b/pkg/grace/grace.go
@@ -18,6 +18,8 @@
 // Period is the time that a stopping instance leaves its requests. The zero value is
 // that of an instance that does not stop.
 type Period struct {
+	// Closed is when the instance accepts no connections any more.
+	Closed time.Time
 	// End is when the remaining requests are canceled; zero if the instance does not
 	// stop.
 	End time.Time
--- a/pkg/grace/length.go
+++ b/pkg/grace/length.go
@@ -1,64 +1,93 @@
 package grace
 
 import (
-	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// samples is how many requests of a name are remembered. One request in that many
-	// runs longer than all of them.
-	samples = 32
+	// samples is how many requests of a name are remembered.
+	samples = 64
 	// maxNames bounds the names that are remembered. Names beyond it are not estimated.
 	maxNames = 1000
+	// similarSize is how much larger than a request those may be that it is compared to.
+	similarSize = 2
+	// uncertainty divided by the number of similar requests is the margin of an
+	// estimate, as a share of it: a few requests say little of the next.
+	uncertainty = 2
 )
 
-// Lengths estimates how long requests run from the last requests of the same name. The
-// zero value is ready to use. It is safe for concurrent use.
+// Lengths estimates how long requests run from the last requests of the same name and a
+// similar size. The zero value is ready to use. It is safe for concurrent use.
 type Lengths struct {
 	mu sync.Mutex
-	// recent holds the last lengths by name, at most samples of each, with next as the
-	// index of the oldest.
-	recent map[string]*window
+	// known is what is known by name. Invariant: at most maxNames.
+	known map[string]*window
 }
 
-// window is a ring buffer of lengths.
+// window is what is known of the requests of a name.
 type window struct {
-	lengths []time.Duration
-	next    int
+	// first is when the first request began.
+	first time.Time
+	// ended is a ring buffer of the last requests, at most samples, and next the index of
+	// the oldest once it is full.
+	ended []sample
+	next  int
 }
 
-// Record adds a request that ran for length.
-func (l *Lengths) Record(name string, length time.Duration) {
+// sample is a request that has ended.
+type sample struct {
+	size   int
+	length time.Duration
+}
+
+// Record adds a request of the given name and size that ran from begin to end. The unit
+// of sizes is the caller's; 0 is an unknown size.
+func (l *Lengths) Record(name string, size int, begin, end time.Time) {
+	s := sample{
+		size:   size,
+		length: end.Sub(begin),
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w := l.recent[name]
+	w := l.known[name]
 	switch {
-	case w == nil && len(l.recent) >= maxNames:
+	case w == nil && len(l.known) >= maxNames:
 	case w == nil:
-		if l.recent == nil {
-			l.recent = map[string]*window{}
+		if l.known == nil {
+			l.known = map[string]*window{}
 		}
-		l.recent[name] = &window{
-			lengths: []time.Duration{length},
+		l.known[name] = &window{
+			first: begin,
+			ended: []sample{s},
 		}
-	case len(w.lengths) < samples:
-		w.lengths = append(w.lengths, length)
+	case len(w.ended) < samples:
+		w.ended = append(w.ended, s)
 	default:
-		w.lengths[w.next] = length
+		w.ended[w.next] = s
 		w.next = (w.next + 1) % samples
 	}
 }
 
-// Longest returns the length of the longest of the last requests of a name. It returns
-// false if there was none.
-func (l *Lengths) Longest(name string) (time.Duration, bool) {
+// Estimate returns how long a request of the given name and size may run. It returns false
+// if that can't be told from lengths of limit: no similar request has ended, or the first
+// of the name began less than limit ago, so that longer ones still run.
+func (l *Lengths) Estimate(name string, size int, limit time.Duration, now time.Time) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w := l.recent[name]
-	if w == nil {
+	w := l.known[name]
+	if w == nil || now.Sub(w.first) < limit {
+		return 0, false
+	}
+	similar, longest := 0, time.Duration(0)
+	for _, s := range w.ended {
+		if size == 0 || s.size <= similarSize*size {
+			similar++
+			longest = max(longest, s.length)
+		}
+	}
+	if similar == 0 {
 		return 0, false
 	}
-	return slices.Max(w.lengths), true
+	return longest + longest*uncertainty/time.Duration(similar), true
 }
