httpd: connections closed between requests are logged, and so are requests that cross

What callers saw: requests on kept connections that ended without an answer and left no line. A connection that the server closed between requests left no line either, so that a request that crossed the close could not be told from one that was read.

Change: each connection that is closed between requests counts in closed_connections, by reason (stop, idle, unused), and leaves event=closed: at info level for a stop and at debug level for the frequent other reasons. The server closes the write side first and looks for 50 ms whether a request arrives, which is then event=crossed and counts in crossed_requests. The bytes are not read, so that the caller still gets the reset of an unread request, and nothing else waits: the goroutine that reads the connection ends it, and a caller that closes its side ends the wait. The fixture of the tests logs at info level, as an instance does.

--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -21,13 +21,19 @@
 	reading
 	// handling means that the header was read and the response is not complete.
 	handling
+	// leaving means that the write side was closed between requests.
+	leaving
 	// closed means that the connection is closed.
 	closed
 )
 
+// crossTime bounds the wait for a request that was sent before its caller could notice
+// that the connection is closed: about a round trip.
+const crossTime = 50 * time.Millisecond
+
 // String returns the name of the phase in logs.
 func (p phase) String() string {
-	return [...]string{"waiting", "reading", "handling", "closed"}[p%4]
+	return [...]string{"waiting", "reading", "handling", "leaving", "closed"}[p%5]
 }
 
 // expired is a deadline in the past, which interrupts a pending read.
@@ -35,7 +41,8 @@
 
 // conn is a connection that is closed between requests only: a decision to end it
 // interrupts the read of the next request, and the reader closes it if no byte has
-// arrived.
+// arrived. A request that its caller sends at that moment crosses the close. Such
+// requests are logged, but not read, so that the caller may send them again.
 type conn struct {
 	net.Conn
 	server *Server
@@ -47,9 +54,9 @@
 	since time.Time
 	// kept is true from the first response on.
 	kept bool
-	// ending is true if the connection is to be closed unless a request has
-	// arrived.
-	ending bool
+	// ending is why the connection is to be closed unless a request has arrived, or
+	// open.
+	ending ending
 	// ahead is true if the first byte of the next request was read before the
 	// current one ended.
 	ahead bool
@@ -87,15 +94,31 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if !c.noteRead(n, len(p), err) {
-			return n, err
+		next := c.noteRead(n, len(p), err)
+		if next == readOn {
+			continue
+		}
+		if next == leave {
+			c.leave()
 		}
+		return n, err
 	}
 }
 
-// noteRead records the result of a read into size bytes. It reports whether to read
-// again: the read was interrupted, but a request has arrived since.
-func (c *conn) noteRead(n, size int, err error) bool {
+// step is what follows a read.
+type step uint8
+
+const (
+	// pass returns the result to http.Server.
+	pass step = iota
+	// readOn reads again: the read was interrupted, but a request has arrived since.
+	readOn
+	// leave closes the connection.
+	leave
+)
+
+// noteRead records the result of a read into size bytes.
+func (c *conn) noteRead(n, size int, err error) step {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
@@ -107,19 +130,35 @@
 			// http.Server reads single bytes to notice that the caller left.
 			c.ahead = true
 		}
-		return false
+		return pass
 	}
 	if c.phase == waiting && errors.Is(err, os.ErrDeadlineExceeded) {
 		if hasInput(c.Conn) {
-			c.ending = false
+			c.ending = open
 			_ = c.applyDeadline()
-			return true
+			return readOn
+		}
+		if c.ending != open {
+			return leave
 		}
-		// http.Server closes the connection too, but a request may arrive until then.
-		_ = c.Conn.Close()
 	}
 	c.readErr = err
-	return false
+	return pass
+}
+
+// leave closes the connection. It closes the write side first, so that requests that
+// cross the close are noticed.
+func (c *conn) leave() {
+	c.mu.Lock()
+	s, why, kept := c.state(), c.ending, c.kept
+	c.setPhase(leaving)
+	c.mu.Unlock()
+	c.server.logClosed(s, why, kept)
+	if c.CloseWrite() == nil && awaitInput(c.Conn, crossTime) {
+		c.server.logCrossed(s, why)
+	}
+	// http.Server closes the connection, too.
+	_ = c.Conn.Close()
 }
 
 // Write writes to the connection.
@@ -160,7 +199,7 @@
 func (c *conn) applyDeadline() error {
 	var t time.Time
 	switch {
-	case c.phase == waiting && c.ending:
+	case c.phase == waiting && c.ending != open:
 		t = expired
 	case c.phase == reading:
 		t = c.since.Add(c.server.headerTimeout)
@@ -193,7 +232,10 @@
 	}
 	c.ahead, c.kept, c.id = false, true, ""
 	c.served, c.logged = false, false
-	c.ending = c.server.stopping.Load()
+	c.ending = open
+	if c.server.stopping.Load() {
+		c.ending = stopped
+	}
 	c.setPhase(next)
 }
 
@@ -209,14 +251,14 @@
 func (c *conn) endIfIdle(idle, first time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	limit := first
+	limit, why := first, unused
 	if c.kept {
-		limit = idle
+		limit, why = idle, idled
 	}
-	if c.phase != waiting || c.ending || limit <= 0 || time.Since(c.since) < limit {
+	if c.phase != waiting || c.ending != open || limit <= 0 || time.Since(c.since) < limit {
 		return
 	}
-	c.ending = true
+	c.ending = why
 	_ = c.applyDeadline()
 }
 
@@ -226,7 +268,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == waiting && c.kept {
-		c.ending = true
+		c.ending = stopped
 		_ = c.applyDeadline()
 	}
 }
@@ -316,36 +358,59 @@
 
 // hasInput reports whether bytes have arrived on c that were not read.
 func hasInput(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
+	raw, ok := rawConn(c)
 	if !ok {
 		return false
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
+	found := false
+	// Control works after the read deadline, unlike Read.
+	err := raw.Control(func(fd uintptr) { found, _ = peek(fd) })
+	return err == nil && found
+}
+
+// awaitInput waits for bytes on c for limit, until the peer closes it or c is closed. It
+// reports whether any have arrived, and leaves them unread.
+func awaitInput(c net.Conn, limit time.Duration) bool {
+	raw, ok := rawConn(c)
+	if !ok || c.SetReadDeadline(time.Now().Add(limit)) != nil {
 		return false
 	}
 	found := false
-	// Control works after the read deadline, unlike Read.
-	err = raw.Control(func(fd uintptr) {
-		var buf [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		found = err == nil && n > 0
+	err := raw.Read(func(fd uintptr) bool {
+		var pending bool
+		found, pending = peek(fd)
+		return !pending
 	})
 	return err == nil && found
 }
 
-// hasBacklog reports whether l has connections that were not accepted.
-func hasBacklog(l net.Listener) bool {
-	sc, ok := l.(syscall.Conn)
+// peek reports whether a socket has bytes that were not read, and else whether some may
+// still arrive.
+func peek(fd uintptr) (found, pending bool) {
+	var buf [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	again := errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
+	return err == nil && n > 0, again
+}
+
+// rawConn returns the socket of c, if it has one.
+func rawConn(c any) (syscall.RawConn, bool) {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return nil, false
 	}
 	raw, err := sc.SyscallConn()
-	if err != nil {
+	return raw, err == nil
+}
+
+// hasBacklog reports whether l has connections that were not accepted.
+func hasBacklog(l net.Listener) bool {
+	raw, ok := rawConn(l)
+	if !ok {
 		return false
 	}
 	n := 0
-	err = raw.Control(func(fd uintptr) {
+	err := raw.Control(func(fd uintptr) {
 		n, _ = unix.Poll([]unix.PollFd{
 			{
 				Fd:     int32(fd),
--- a/internal/httpd/cut.go
+++ b/internal/httpd/cut.go
@@ -72,6 +72,45 @@
 		Str("peer", c.peer).AnErr("detail", err).Send()
 }
 
+// ending is why a connection is closed between requests.
+type ending uint8
+
+const (
+	// open means that the connection stays open.
+	open ending = iota
+	// idled means that it was idle for longer than the limit.
+	idled
+	// unused means that its first request did not come in time.
+	unused
+	// stopped means that the server stops.
+	stopped
+)
+
+// String returns the name of the reason in logs and metrics.
+func (e ending) String() string {
+	return [...]string{"open", "idle", "unused", "stop"}[e%4]
+}
+
+// logClosed logs and counts a connection that is closed between requests. If it is kept,
+// its caller did not ask for the close and may be sending a request.
+func (s *Server) logClosed(c state, why ending, kept bool) {
+	s.meter.Closed(why.String())
+	line := s.log.Debug()
+	if why == stopped {
+		line = s.log.Info()
+	}
+	line.Str("event", "closed").Stringer("reason", why).Bool("kept", kept).
+		Stringer("quiet", c.quiet.Round(time.Millisecond)).Str("peer", c.peer).Send()
+}
+
+// logCrossed logs and counts a request that arrived after its connection was closed. It
+// was not read.
+func (s *Server) logCrossed(c state, why ending) {
+	s.meter.Crossed(why.String())
+	s.log.Warn().Str("event", "crossed").Stringer("reason", why).
+		Stringer("quiet", c.quiet.Round(time.Millisecond)).Str("peer", c.peer).Send()
+}
+
 // connKey is the key of the connection in the context of a request.
 type connKey struct{}
 
--- a/internal/httpd/httpd_test.go
+++ b/internal/httpd/httpd_test.go
@@ -38,9 +38,9 @@
 
 // recorder records log lines and counts.
 type recorder struct {
-	mu   sync.Mutex
-	buf  bytes.Buffer
-	cuts map[string]int
+	mu     sync.Mutex
+	buf    bytes.Buffer
+	counts map[string]int
 }
 
 func (r *recorder) Write(p []byte) (int, error) {
@@ -50,17 +50,25 @@
 }
 
 // Cut counts a cut request.
-func (r *recorder) Cut(reason string) {
+func (r *recorder) Cut(reason string) { r.add(reason) }
+
+// Closed counts a connection that was closed between requests.
+func (r *recorder) Closed(reason string) { r.add("closed " + reason) }
+
+// Crossed counts a request that crossed a close.
+func (r *recorder) Crossed(reason string) { r.add("crossed " + reason) }
+
+func (r *recorder) add(reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cuts[reason]++
+	r.counts[reason]++
 }
 
 // count returns how many requests were cut for a reason.
 func (r *recorder) count(reason string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cuts[reason]
+	return r.counts[reason]
 }
 
 // lines returns the log.
@@ -88,7 +96,7 @@
 func newFixture(t *testing.T, wrap func(net.Listener) net.Listener, options ...httpd.Option) *fixture {
 	f := &fixture{
 		recorder: &recorder{
-			cuts: map[string]int{},
+			counts: map[string]int{},
 		},
 		t:       t,
 		entered: make(chan string, 100),
@@ -102,7 +110,7 @@
 		l = wrap(l)
 	}
 	options = append([]httpd.Option{
-		httpd.WithLog(zerolog.New(f)),
+		httpd.WithLog(zerolog.New(f).Level(zerolog.InfoLevel)),
 		httpd.WithMeter(f),
 		httpd.WithIdleTimeout(func() time.Duration { return time.Duration(f.idle.Load()) }),
 	}, options...)
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -32,9 +32,14 @@
 	abortTime = 150 * time.Millisecond
 )
 
-// meter counts requests that ended without a complete response, by reason.
+// meter counts by reason.
 type meter interface {
+	// Cut counts requests that ended without a complete response.
 	Cut(reason string)
+	// Closed counts connections that were closed between requests.
+	Closed(reason string)
+	// Crossed counts requests that arrived after their connection was closed.
+	Crossed(reason string)
 }
 
 // Server serves HTTP/1.1 until Stop or Close is called. Use New to create one.
@@ -79,7 +84,8 @@
 // requests, when Stop runs out of time.
 func WithGrace(g *grace.Signal) Option { return func(s *Server) { s.grace = g } }
 
-// WithMeter counts the requests that are cut.
+// WithMeter counts the requests that are cut, and the connections that are closed between
+// requests.
 func WithMeter(m meter) Option { return func(s *Server) { s.meter = m } }
 
 // WithIdleTimeout closes connections that are idle for longer than limit returns at
@@ -140,6 +146,12 @@
 // Cut does nothing.
 func (noMeter) Cut(string) {}
 
+// Closed does nothing.
+func (noMeter) Closed(string) {}
+
+// Crossed does nothing.
+func (noMeter) Crossed(string) {}
+
 // connStateChanged follows the requests of a connection.
 func connStateChanged(nc net.Conn, to http.ConnState) {
 	c, ok := nc.(*conn)
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -41,6 +41,8 @@
 	failedAttempts  metric.Int64Counter
 	refusals        metric.Int64Counter
 	cuts            metric.Int64Counter
+	closes          metric.Int64Counter
+	crossings       metric.Int64Counter
 	unreadableRows  metric.Int64Counter
 	signals         metric.Int64Counter
 	admissionWait   metric.Float64Histogram
@@ -100,6 +102,8 @@
 	m.failedAttempts = counter("failed_attempts", "attempts that failed, by cause")
 	m.refusals = counter("refusals", "requests that were refused before an endpoint was asked, by reason")
 	m.cuts = counter("cut_requests", "requests that ended without a complete response of their handler, by reason")
+	m.closes = counter("closed_connections", "callers' connections that were closed between requests, by reason")
+	m.crossings = counter("crossed_requests", "requests that arrived after their connection was closed and were not read, by reason")
 	m.unreadableRows = counter("unreadable_rows", "versions of rows of the store that can't be used, by table")
 	m.signals = counter("endpoint_signals", "answers in which endpoints said that they are departing or want no calls for a while, by kind")
 	m.violations = counter("invariant_breaches", "promises that did not hold, by rule")
@@ -180,6 +184,16 @@
 	m.cuts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
 
+// Closed counts a caller's connection that was closed between requests.
+func (m *Meter) Closed(reason string) {
+	m.closes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
+// Crossed counts a request that arrived after its connection was closed.
+func (m *Meter) Crossed(reason string) {
+	m.crossings.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
 // Unreadable counts a version of a row of the platform's store that can't be used, by
 // table.
 func (m *Meter) Unreadable(table string) {
