httpd: a stopping server keeps connections open while requests are in flight

What callers saw: a request on a kept connection ended without an answer around a stop, most often right after a long response of the same connection, and left no line.

Cause: a response that began before Drain has no "Connection: close". When it ended after Stop had begun, the connection was closed at once, and its caller's next request crossed the close. Stop also closed all waiting kept connections, though the process went on for seconds with the requests in flight and could have answered on them.

Change: kept connections are closed only once no request is in flight and settleTime (0.1 s) has passed since the last response that did not announce the close. What comes on them until then reaches the handler, and its response announces the close. When the time of Stop ends, the same holds for the first 0.1 s of abortTime, with canceled requests; then connections without a request are ended, so that a request either is answered or was not read. The server counts the connections with a request; a closed connection stays closed in that count.

--- a/internal/httpd/close_test.go
+++ b/internal/httpd/close_test.go
@@ -1,7 +1,9 @@
 package httpd_test
 
 import (
+	"context"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -109,3 +111,93 @@
 	require.Equal(t, 20, f.count("closed stop"))
 	require.Contains(t, f.lines(), `"event":"closed","reason":"stop"`)
 }
+
+// wireTime is how long a request is on its way in tests.
+const wireTime = 10 * time.Millisecond
+
+// A response that began before a stop does not announce the close, so that its caller's
+// next request must be answered, too.
+func TestStopAnswersRequestAfterBegunResponse(t *testing.T) {
+	f := newFixture(t, nil)
+	c := f.dial()
+	c.write("GET /begun HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Equal(t, "begun", <-f.entered)
+	_, err := c.r.Peek(1)
+	require.NoError(t, err, "the response must begin before the stop")
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.server.Stop(t.Context()) }()
+	require.ErrorIs(t, <-f.served, http.ErrServerClosed)
+	close(f.release)
+	resp, body, err := c.read()
+	require.NoError(t, err)
+	require.Equal(t, "answer of begun", body)
+	require.False(t, resp.Close)
+	time.Sleep(wireTime)
+	c.write(request)
+	require.True(t, c.requireAnswer().Close)
+	c.requireClosed()
+	require.NoError(t, <-stopped)
+	require.Zero(t, f.count("closed stop"))
+}
+
+// Kept connections must stay usable while a stop waits for a request, and after it until
+// the callers' next requests have arrived.
+func TestStopKeepsConnectionsWhileRequestsAreInFlight(t *testing.T) {
+	f := newFixture(t, nil)
+	held, early, late := f.dial(), f.dial(), f.dial()
+	for _, c := range []*caller{held, early, late} {
+		c.write(request)
+		c.requireAnswer()
+		require.Equal(t, "ok", <-f.entered)
+	}
+	held.write("GET /begun HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Equal(t, "begun", <-f.entered)
+	_, err := held.r.Peek(1)
+	require.NoError(t, err, "the response must begin before the stop")
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.server.Stop(t.Context()) }()
+	require.ErrorIs(t, <-f.served, http.ErrServerClosed)
+	time.Sleep(idleTimeout)
+	early.write(request)
+	require.True(t, early.requireAnswer().Close)
+	early.requireClosed()
+	close(f.release)
+	_, _, err = held.read()
+	require.NoError(t, err)
+	time.Sleep(wireTime)
+	late.write(request)
+	require.True(t, late.requireAnswer().Close)
+	require.NoError(t, <-stopped)
+	require.Equal(t, 1, f.count("closed stop"))
+}
+
+// A request that arrives on a kept connection when the time of a stop is over must still
+// get a response.
+func TestEndOfGracePeriodAnswersLateRequests(t *testing.T) {
+	f := newFixture(t, nil)
+	stuck, kept, idle, fresh := f.dial(), f.dial(), f.dial(), f.dial()
+	stuck.write("GET /stuck HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Equal(t, "stuck", <-f.entered)
+	for _, c := range []*caller{kept, idle} {
+		c.write(request)
+		c.requireAnswer()
+	}
+	kept.write(request[:9])
+	fresh.write(request[:9])
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.server.Stop(ctx) }()
+	require.ErrorIs(t, <-f.served, http.ErrServerClosed)
+	cancel()
+	time.Sleep(wireTime)
+	for _, c := range []*caller{kept, fresh} {
+		c.write(request[9:])
+		c.requireAnswer()
+	}
+	idle.write(request)
+	idle.requireAnswer()
+	close(f.release)
+	_, _, err := stuck.read()
+	require.NoError(t, err)
+	require.NoError(t, <-stopped)
+}
--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -27,6 +27,10 @@
 	closed
 )
 
+// busy reports whether a request was read, at least in part, whose response is not
+// complete.
+func (p phase) busy() bool { return p == reading || p == handling }
+
 // crossTime bounds the wait for a request that was sent before its caller could notice
 // that the connection is closed: about a round trip.
 const crossTime = 50 * time.Millisecond
@@ -209,8 +213,12 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// setPhase begins a phase. The caller holds mu.
+// setPhase begins a phase, unless the connection is closed. The caller holds mu.
 func (c *conn) setPhase(p phase) {
+	if c.phase == closed {
+		return
+	}
+	c.server.countBusy(c.phase.busy(), p.busy())
 	c.phase, c.since = p, time.Now()
 	_ = c.applyDeadline()
 }
@@ -233,7 +241,7 @@
 	c.ahead, c.kept, c.id = false, true, ""
 	c.served, c.logged = false, false
 	c.ending = open
-	if c.server.stopping.Load() {
+	if c.server.aborting.Load() {
 		c.ending = stopped
 	}
 	c.setPhase(next)
@@ -262,17 +270,25 @@
 	_ = c.applyDeadline()
 }
 
-// endIfKept closes the connection unless a request has arrived or it is still to
-// send its first one.
-func (c *conn) endIfKept() {
+// end closes the connection unless a request has arrived. It spares one that is still to
+// send its first request, unless unsent is true.
+func (c *conn) end(unsent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == waiting && c.kept {
+	if c.phase == waiting && (c.kept || unsent) {
 		c.ending = stopped
 		_ = c.applyDeadline()
 	}
 }
 
+// lastResponse returns when the last response on the connection was complete. It returns
+// false unless the caller may send another request.
+func (c *conn) lastResponse() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since, c.phase == waiting && c.kept
+}
+
 // markServed records that the handler has the current request, and whether the
 // caller's version of the protocol has chunks.
 func (c *conn) markServed(chunks bool) {
@@ -308,14 +324,14 @@
 func (c *conn) Close() error {
 	err := c.Conn.Close()
 	c.mu.Lock()
-	unread := !c.served && !c.answered && (c.phase == reading || c.phase == handling)
+	unread := !c.served && !c.answered && c.phase.busy()
 	readErr := c.readErr
 	c.mu.Unlock()
 	if unread {
 		c.cut(unreadReason(readErr), readErr)
 	}
 	c.mu.Lock()
-	c.phase = closed
+	c.setPhase(closed)
 	c.mu.Unlock()
 	c.server.remove(c)
 	return err
@@ -326,7 +342,7 @@
 func (c *conn) inRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase == reading || c.phase == handling
+	return c.phase.busy()
 }
 
 // state is what is logged about a connection.
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -27,6 +27,9 @@
 	// drainLimit bounds the time until a stopping server closes its listener, in case
 	// connections keep arriving.
 	drainLimit = 500 * time.Millisecond
+	// settleTime is how long a stopping server keeps a connection open after a response
+	// that did not announce the close, since the caller's next request may be on its way.
+	settleTime = 100 * time.Millisecond
 	// abortTime is how long handlers have to respond after the end of the grace
 	// period has canceled their requests.
 	abortTime = 150 * time.Millisecond
@@ -54,10 +57,15 @@
 	// anything.
 	fail          func(w http.ResponseWriter, id string)
 	headerTimeout time.Duration
-	// draining is true once responses ask callers to close their connections, and
-	// stopping once connections without a request are closed.
+	// draining is true once responses ask callers to close their connections, stopping
+	// once no more connections are accepted, and aborting once no more requests are.
 	draining atomic.Bool
 	stopping atomic.Bool
+	aborting atomic.Bool
+	// busy is the number of connections with a request.
+	busy atomic.Int64
+	// quiet has a value if busy has fallen to 0.
+	quiet chan struct{}
 	// grace ends the contexts of all requests.
 	grace *grace.Signal
 	// serving counts the calls of Serve and the sweeper.
@@ -121,6 +129,7 @@
 		headerTimeout: defaultHeaderTimeout,
 		grace:         grace.New(),
 		conns:         map[*conn]struct{}{},
+		quiet:         make(chan struct{}, 1),
 		done:          make(chan struct{}),
 	}
 	s.inner = &http.Server{
@@ -213,9 +222,10 @@
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Stop stops accepting connections and returns when each request that was read has
-// its response. Connections without a request are closed; a new one may still send
-// its first request within the header timeout. When ctx ends, the remaining requests
-// are canceled, and those that still have no response are cut.
+// its response. Kept connections stay usable while a request is in flight and for
+// settleTime after their last response. A new connection may send its first request
+// within the header timeout. When ctx ends, the remaining requests are canceled, and
+// those that still have no response are cut.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Drain()
 	s.mu.Lock()
@@ -225,23 +235,74 @@
 	for _, l := range listeners {
 		l.drain()
 	}
-	for _, c := range s.connections() {
-		c.endIfKept()
-	}
 	var err error
-	if !s.waitEmpty(ctx) {
+	if !s.finish(ctx) {
 		err = s.abort()
 	}
 	return errors.Join(err, s.Close())
 }
 
+// finish ends kept connections whenever no request is in flight and none is expected. It
+// returns when all connections are closed, or false if ctx ends before.
+func (s *Server) finish(ctx context.Context) bool {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	empty := s.emptied()
+	for {
+		select {
+		case <-empty:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-s.quiet:
+		case <-t.C:
+		}
+		if s.busy.Load() > 0 {
+			continue
+		}
+		conns := s.connections()
+		if wait := settling(conns); wait > 0 {
+			t.Reset(wait)
+			continue
+		}
+		for _, c := range conns {
+			c.end(false)
+		}
+	}
+}
+
+// settling returns how long the next request of a caller may still be on its way, if its
+// last response did not announce the close.
+func settling(conns []*conn) time.Duration {
+	var longest time.Duration
+	for _, c := range conns {
+		if last, ok := c.lastResponse(); ok {
+			longest = max(longest, settleTime-time.Since(last))
+		}
+	}
+	return longest
+}
+
 // abort cancels the remaining requests and cuts those that don't end in time. It
-// returns an error if there are any.
+// returns an error if there are any. Requests that arrive until the last moment reach
+// the handler, canceled.
 func (s *Server) abort() error {
 	s.grace.End()
 	ctx, cancel := context.WithTimeout(context.Background(), abortTime)
 	defer cancel()
-	s.waitEmpty(ctx)
+	arrival, stopArrival := context.WithTimeout(ctx, abortTime-crossTime)
+	defer stopArrival()
+	if s.finish(arrival) {
+		return nil
+	}
+	s.aborting.Store(true)
+	for _, c := range s.connections() {
+		c.end(true)
+	}
+	select {
+	case <-s.emptied():
+	case <-ctx.Done():
+	}
 	var err error
 	for _, c := range s.connections() {
 		if c.inRequest() {
@@ -265,24 +326,31 @@
 	return err
 }
 
-// waitEmpty waits until all connections are closed. It returns false if ctx ends
-// before.
-func (s *Server) waitEmpty(ctx context.Context) bool {
+// emptied returns a channel that is closed when all connections are.
+func (s *Server) emptied() <-chan struct{} {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if len(s.conns) == 0 {
-		s.mu.Unlock()
-		return true
+		none := make(chan struct{})
+		close(none)
+		return none
 	}
 	if s.empty == nil {
 		s.empty = make(chan struct{})
 	}
-	empty := s.empty
-	s.mu.Unlock()
-	select {
-	case <-empty:
-		return true
-	case <-ctx.Done():
-		return false
+	return s.empty
+}
+
+// countBusy follows the connections with a request.
+func (s *Server) countBusy(before, after bool) {
+	switch {
+	case after && !before:
+		s.busy.Add(1)
+	case before && !after && s.busy.Add(-1) == 0:
+		select {
+		case s.quiet <- struct{}{}:
+		default:
+		}
 	}
 }
 
