soak: LOST excuses the end of a grace period by the work of the endpoint

The check was wrong in both directions. It took every run for one that was still being executed, also if the endpoint had sent its whole response before, so that a response held back until the end of the grace period did not count.

Endpoints report when they end their work on a request, and the exception applies before SIGHUPs are looked at.

Measured: the cases of TestCheckDetectsEachViolation for the end of the grace period fail before (the endpoint was done: nothing found; beside a reload: LOST) and pass now.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -83,7 +83,9 @@
 	oracle      Oracle
 	attemptByID map[string]Attempt
 	runsByID    map[string][]Run
-	violations  []Violation
+	// endsByRun maps endpoint and attempt ID to the last end of such a run.
+	endsByRun  map[[2]string]time.Time
+	violations []Violation
 }
 
 // Check returns the violations. No attempts may be in flight.
@@ -96,6 +98,7 @@
 		oracle:      oracle,
 		attemptByID: map[string]Attempt{},
 		runsByID:    map[string][]Run{},
+		endsByRun:   map[[2]string]time.Time{},
 		violations:  append([]Violation(nil), recorder.reported...),
 	}
 	sort.Slice(recorder.runs, func(i, j int) bool { return recorder.runs[i].At.Before(recorder.runs[j].At) })
@@ -106,6 +109,11 @@
 	for _, r := range recorder.runs {
 		c.runsByID[r.ID] = append(c.runsByID[r.ID], r)
 	}
+	for _, e := range recorder.ends {
+		if key := [2]string{e.Endpoint, e.ID}; e.At.After(c.endsByRun[key]) {
+			c.endsByRun[key] = e.At
+		}
+	}
 	for _, a := range recorder.attempts {
 		c.checkResponse(a)
 		c.checkOnce(a)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -102,6 +102,27 @@
 	a.Done, a.ConnError = at(20800), "reset"
 }
 
+// recordCutAtEndOfGrace records a run whose connection is cut 7 s after SIGTERM.
+func recordCutAtEndOfGrace(rec *soak.Recorder) {
+	rec.RecordConfig(soak.Config{
+		Version: 2,
+		Routes: map[string]string{
+			"/r/": "s",
+		},
+		Keys: map[string]string{
+			"k": "t",
+		},
+		Timeouts: map[string]time.Duration{
+			"/r/": 10 * time.Second,
+		},
+	}, at(100))(at(101))
+	rec.RecordEvent(soak.Stop, "n", 0, at(19400))
+	recordAttempt(rec, func(a *soak.Attempt) {
+		cutConnection(a)
+		a.Limit, a.Done = 10*time.Second, at(26400)
+	}, run)
+}
+
 // runWith returns run, modified by change.
 func runWith(change func(r *soak.Run)) soak.Run {
 	r := run
@@ -189,6 +210,26 @@
 		rec.RecordEvent(soak.Stop, "n", 0, at(19000))
 		recordAttempt(rec, cutConnection)
 	},
+	"LOST: cut at the end of the grace period after its endpoint was done": func(rec *soak.Recorder) {
+		recordCutAtEndOfGrace(rec)
+		rec.RecordRunEnd(soak.RunEnd{
+			Endpoint: "e",
+			ID:       "a",
+			At:       at(19400 + 6600),
+		})
+	},
+	"ok: cut at the end of the grace period while its endpoint executes it": func(rec *soak.Recorder) {
+		recordCutAtEndOfGrace(rec)
+		rec.RecordRunEnd(soak.RunEnd{
+			Endpoint: "e",
+			ID:       "a",
+			At:       at(19400 + 6700),
+		})
+	},
+	"ok: the same beside a reload": func(rec *soak.Recorder) {
+		recordCutAtEndOfGrace(rec)
+		rec.RecordEvent(soak.Reload, "n", 0, at(19500))
+	},
 	"ok: one connection cut": func(rec *soak.Recorder) { recordAttempt(rec, cutConnection, run) },
 	"LOST: connection cut beside a configuration": func(rec *soak.Recorder) {
 		recordSameConfig(rec)
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -82,6 +82,13 @@
 	At     time.Time `json:"At"`
 }
 
+// RunEnd is when an endpoint ended its work on a request.
+type RunEnd struct {
+	Endpoint string    `json:"End"`
+	ID       string    `json:"ID"`
+	At       time.Time `json:"At"`
+}
+
 // Order is an order that an endpoint received.
 type Order struct {
 	Endpoint     string    `json:"End"`
@@ -139,6 +146,7 @@
 	mu       sync.Mutex
 	attempts []Attempt
 	runs     []Run
+	ends     []RunEnd
 	// rejections holds the requests that endpoints rejected while they asked for quiet.
 	rejections []Rejection
 	// announced holds the periods in which endpoints announced their departure. They
@@ -171,6 +179,9 @@
 // RecordRun records a run.
 func (rec *Recorder) RecordRun(r Run) { rec.update(func() { rec.runs = append(rec.runs, r) }) }
 
+// RecordRunEnd records the end of a run.
+func (rec *Recorder) RecordRunEnd(e RunEnd) { rec.update(func() { rec.ends = append(rec.ends, e) }) }
+
 // RecordRejection records a rejection.
 func (rec *Recorder) RecordRejection(r Rejection) {
 	rec.update(func() { rec.rejections = append(rec.rejections, r) })
@@ -294,6 +305,7 @@
 	for kind, list := range map[string]any{
 		"attempts":  rec.attempts,
 		"runs":      rec.runs,
+		"ends":      rec.ends,
 		"rejected":  rec.rejections,
 		"orders":    rec.orders,
 		"configs":   rec.configs,
--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -263,22 +263,35 @@
 	if !c.faultFree(a.Instance, a.Begun, a.Done, Stop.String()) || !c.faultFree(Core, a.Begun, a.Done) {
 		return false
 	}
+	stopped := false
 	for _, m := range c.events[Stop] {
 		if m.Name != a.Instance || a.Done.Before(m.At) || a.Done.After(m.At.Add(c.bounds.Grace+time.Second)) {
 			continue
 		}
 		// A run may be cut in the last sixth of the grace period, while its
 		// endpoint is still executing it.
-		executing := len(runs) > 0 && !a.Sent.After(m.At.Add(3*time.Second)) && a.Done.After(m.At.Add(c.bounds.Grace*5/6))
-		if !executing {
-			return true
+		lastSixth := m.At.Add(c.bounds.Grace * 5 / 6)
+		if c.executingAt(runs, lastSixth) && !a.Sent.After(m.At.Add(3*time.Second)) && a.Done.After(lastSixth) {
+			return false
 		}
+		stopped = true
 	}
 	for _, m := range c.events[Reload] {
 		if m.Name == a.Instance && !a.Done.Before(m.At) && !a.Sent.After(m.At.Add(c.bounds.Apply)) {
 			return true
 		}
 	}
+	return stopped
+}
+
+// executingAt reports whether an endpoint may still have been executing one of runs at
+// a time.
+func (c *checker) executingAt(runs []Run, at time.Time) bool {
+	for _, r := range runs {
+		if end, ended := c.endsByRun[[2]string{r.Endpoint, r.ID}]; !ended || end.After(at) {
+			return true
+		}
+	}
 	return false
 }
 
