soak: planned work alone, which excuses no lost request

In the plans of the soak, faults cover most of the time, and a fault excuses the requests that it touches: a request that is lost at a planned stop hardly ever counts. SOAK_PLAN=planned plays stops, SIGHUPs and configurations in dense series that overlap, beside pauses of sound endpoints, with long requests of all kinds and callers that use their connections in different ways.

Each run prints what callers got, by when the request was sent to a stopping instance, and which requests without an answer are in no log, so that two builds can be compared.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"syscall"
 	"time"
 )
 
@@ -43,6 +44,8 @@
 	// closeRate the share of responses after which it closes the connection.
 	abortRate = 0.03
 	closeRate = 0.02
+	// minRedial is the least time between two attempts to connect.
+	minRedial = 80 * time.Millisecond
 	// maxThink bounds the time between two requests unless the caller idles.
 	maxThink = 4 * time.Second
 	// idleRate is the share of requests after which the caller idles for a random
@@ -51,6 +54,29 @@
 	maxIdleShare = 0.8
 )
 
+// Habit is how a caller uses its connections. The zero value is the usual caller.
+type Habit struct {
+	// NoThink makes the caller send its next request at once after a response.
+	NoThink bool
+	// OncePerConn makes the caller use a new connection for each request.
+	OncePerConn bool
+	// OpenDelay bounds the random time from the opening of a connection to its first
+	// request.
+	OpenDelay time.Duration
+	// IdleRate is the share of requests after which the caller idles; 0 is idleRate.
+	IdleRate float64
+	// NoticeClose makes the caller open another connection if the server has closed
+	// this one before a request is sent.
+	NoticeClose bool
+}
+
+func (h Habit) idleRate() float64 {
+	if h.IdleRate == 0 {
+		return idleRate
+	}
+	return h.IdleRate
+}
+
 // Caller sends requests, one at a time, on persistent connections.
 type Caller struct {
 	// Name is the prefix of its attempt IDs.
@@ -62,6 +88,8 @@
 	Source   Source
 	Recorder *Recorder
 	Rand     *rand.Rand
+	// Habit is how the caller differs from the usual one.
+	Habit Habit
 	// IdleRand decides when the caller idles, and IdleLimit returns the idle limit of
 	// the newest configuration. The caller closes connections that were idle for
 	// longer than maxIdleShare of it.
@@ -81,11 +109,18 @@
 		dialer := net.Dialer{
 			Timeout: dialTimeout,
 		}
+		begun := time.Now()
 		conn, err := dialer.DialContext(ctx, "tcp", addr)
 		if err != nil {
-			Sleep(ctx, c.Think)
+			if ctx.Err() == nil {
+				c.Recorder.RecordDialError(instance, begun)
+			}
+			Sleep(ctx, max(c.Think, minRedial))
 			continue
 		}
+		if c.Habit.OpenDelay > 0 {
+			Sleep(ctx, time.Duration(c.IdleRand.Int64N(int64(c.Habit.OpenDelay))))
+		}
 		c.useConn(ctx, conn, instance)
 		_ = conn.Close()
 	}
@@ -95,20 +130,26 @@
 func (c *Caller) useConn(ctx context.Context, conn net.Conn, instance string) {
 	r := bufio.NewReader(conn)
 	for prior := 0; ctx.Err() == nil; prior++ {
+		if c.Habit.NoticeClose && closedByPeer(conn) {
+			return
+		}
 		a := c.nextAttempt()
 		a.Instance, a.PriorRequests = instance, prior
 		a, wait, open := c.send(ctx, conn, r, a)
 		c.Recorder.RecordAttempt(a)
 		c.scheduleRetry(a)
 		think := max(wait, min(time.Duration(c.Rand.ExpFloat64()*float64(c.Think)), maxThink))
-		if open && c.retry == nil && c.IdleRand.Float64() < idleRate {
+		if c.Habit.NoThink {
+			think = wait
+		}
+		if open && c.retry == nil && c.IdleRand.Float64() < c.Habit.idleRate() {
 			think = max(think, time.Duration(c.IdleRand.Float64()*maxIdleShare*float64(c.IdleLimit())))
 		}
 		if !Sleep(ctx, think) {
 			return
 		}
 		// Retries use new connections.
-		if !open || float64(time.Since(a.Done)) > maxIdleShare*float64(c.IdleLimit()) || c.retry != nil || c.Rand.Float64() < closeRate {
+		if !open || c.Habit.OncePerConn || float64(time.Since(a.Done)) > maxIdleShare*float64(c.IdleLimit()) || c.retry != nil || c.Rand.Float64() < closeRate {
 			return
 		}
 	}
@@ -195,6 +236,26 @@
 	return a, wait, !resp.Close
 }
 
+// closedByPeer reports whether the other side has closed conn, or sent bytes that no
+// request asked for.
+func closedByPeer(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := true
+	err = raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = !errors.Is(err, syscall.EAGAIN)
+	})
+	return err != nil || closed
+}
+
 // failed returns a with the outcome of an error of its connection.
 func failed(a Attempt, err error) Attempt {
 	a.Done = time.Now()
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -389,3 +389,52 @@
 		require.Positive(t, kinds[soak.Limits])
 	}
 }
+
+// Planned work has no step that excuses a lost request, also in short plans.
+func TestPlannedPlanHasNoFaults(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(20) {
+		p := soak.NewPlannedPlan(seed, soak.Size{
+			Instances: 3,
+			Endpoints: 6,
+		}, 8*time.Second)
+		kinds := map[soak.Kind]int{}
+		for _, s := range p.Steps {
+			kinds[s.Kind]++
+		}
+		for _, k := range []soak.Kind{soak.Stop, soak.Reload, soak.Change, soak.Bulk, soak.EndpointPause} {
+			require.Positive(t, kinds[k], "%v of seed %d", k, seed)
+			delete(kinds, k)
+		}
+		delete(kinds, soak.Limits)
+		require.Empty(t, kinds)
+	}
+}
+
+func TestTableCountsWhatCallersGot(t *testing.T) {
+	t.Parallel()
+	rec := newRecorder()
+	rec.RecordFault("n", soak.Stop.String(), at(20050))(at(26000))
+	recordAttempt(rec, unchanged, run)
+	recordAttempt(rec, cutConnection)
+	recordAttempt(rec, func(a *soak.Attempt) {
+		a.Sent, a.Done, a.Complete, a.Stream, a.Once = at(22000), at(23000), false, true, false
+	})
+	recordAttempt(rec, func(a *soak.Attempt) {
+		a.ID, a.Sent, a.Done, a.Status, a.Complete = "b", at(24000), at(24001), 0, false
+	})
+	recordAttempt(rec, func(a *soak.Attempt) { a.Sent, a.Done, a.Status = at(26001), at(26002), 503 })
+	rec.RecordDialError("n", at(25000))
+	var got []string
+	for _, line := range strings.Split(strings.TrimSpace(soak.Table(rec, bounds)), "\n") {
+		got = append(got, strings.Join(strings.Fields(line), " "))
+	}
+	require.Equal(t, []string{
+		"sent kind answered refused failed cut in answer read, no answer not read no connection caller left",
+		"before SIGTERM not idempotent 1 0 0 0 1 0 0 0",
+		"within 3 s of SIGTERM resumable stream 0 0 0 1 0 0 0 0",
+		"later connection 0 0 0 0 0 0 1 0",
+		"later not idempotent 0 0 0 0 0 1 0 0",
+		"other times not idempotent 0 1 0 0 0 0 0 0",
+	}, got)
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -66,6 +66,8 @@
 	EndpointAnnounce
 	// EndpointQuiet makes an endpoint reject requests and ask for quiet.
 	EndpointQuiet
+	// Bulk writes a configuration with many more routes than the last, or without them.
+	Bulk
 )
 
 // seriesKinds is how many kinds addSeries draws from. Later kinds are drawn from a
@@ -75,6 +77,7 @@
 var kindNames = [...]string{
 	"stop", "kill", "pause", "reload", "link", "store-slow", "store-away", "store-part", "store-lose", "store-forget",
 	"end-crash", "end-cut", "end-late", "end-mute", "end-full", "end-fail", "end-stray", "end-leave", "end-vanish", "weights", "change", "end-pause", "limits", "end-announce", "end-quiet",
+	"bulk",
 }
 
 // String returns the name of k.
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -147,6 +147,8 @@
 	attempts []Attempt
 	runs     []Run
 	ends     []RunEnd
+	// dialErrors holds when which instance accepted no connection.
+	dialErrors []Event
 	// rejections holds the requests that endpoints rejected while they asked for quiet.
 	rejections []Rejection
 	// announced holds the periods in which endpoints announced their departure. They
@@ -182,6 +184,16 @@
 // RecordRunEnd records the end of a run.
 func (rec *Recorder) RecordRunEnd(e RunEnd) { rec.update(func() { rec.ends = append(rec.ends, e) }) }
 
+// RecordDialError records that an instance accepted no connection.
+func (rec *Recorder) RecordDialError(instance string, at time.Time) {
+	rec.update(func() {
+		rec.dialErrors = append(rec.dialErrors, Event{
+			Name: instance,
+			At:   at,
+		})
+	})
+}
+
 // RecordRejection records a rejection.
 func (rec *Recorder) RecordRejection(r Rejection) {
 	rec.update(func() { rec.rejections = append(rec.rejections, r) })
@@ -306,6 +318,7 @@
 		"attempts":  rec.attempts,
 		"runs":      rec.runs,
 		"ends":      rec.ends,
+		"dials":     rec.dialErrors,
 		"rejected":  rec.rejections,
 		"orders":    rec.orders,
 		"configs":   rec.configs,
