--- /dev/null
+++ b/internal/httpd/close_test.go
@@ -0,0 +1,203 @@
+package httpd_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabtally/baobabtally/internal/httpd"
+)
+
+// crossListener accepts connections that wait after they have closed their write side.
+type crossListener struct {
+	net.Listener
+	closed, release chan struct{}
+}
+
+func newCrossListener() *crossListener {
+	return &crossListener{
+		closed:  make(chan struct{}),
+		release: make(chan struct{}),
+	}
+}
+
+func (l *crossListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return crossConn{
+		TCPConn:  c.(*net.TCPConn),
+		listener: l,
+	}, nil
+}
+
+type crossConn struct {
+	*net.TCPConn
+	listener *crossListener
+}
+
+func (c crossConn) CloseWrite() error {
+	err := c.TCPConn.CloseWrite()
+	c.listener.closed <- struct{}{}
+	<-c.listener.release
+	return err
+}
+
+// A request that is sent while its connection is closed must leave a line, since nothing
+// else shows it.
+func TestRequestThatCrossesTheCloseIsLogged(t *testing.T) {
+	for reason, crosses := range map[string]bool{
+		"idle":   true,
+		"unused": false,
+		"stop":   true,
+	} {
+		t.Run(reason, func(t *testing.T) {
+			cross := newCrossListener()
+			f := newFixture(t, func(l net.Listener) net.Listener {
+				cross.Listener = l
+				return cross
+			}, httpd.WithHeaderTimeout(idleTimeout))
+			c := f.dial()
+			if reason != "unused" {
+				c.write(request)
+				c.requireAnswer()
+			}
+			stopped := make(chan error, 1)
+			switch reason {
+			case "idle":
+				f.idle.Store(int64(idleTimeout))
+			case "stop":
+				go func() { stopped <- f.server.Stop(t.Context()) }()
+			}
+			<-cross.closed
+			if crosses {
+				c.write(request)
+			} else {
+				require.NoError(t, c.Close())
+			}
+			close(cross.release)
+			if reason == "stop" {
+				require.NoError(t, <-stopped)
+			} else {
+				c.requireClosed()
+			}
+			require.Eventually(t, func() bool { return f.count("closed "+reason) == 1 }, waitTimeout, pollInterval)
+			if crosses {
+				require.Eventually(t, func() bool { return f.count("crossed "+reason) == 1 }, waitTimeout, pollInterval)
+				require.Contains(t, f.lines(), `"event":"crossed","reason":"`+reason+`"`)
+			}
+			require.NoError(t, f.server.Close())
+			require.Zero(t, f.count("crossed unused"))
+		})
+	}
+}
+
+// A caller that keeps its side of a closed connection open must not delay a stop.
+func TestStopDoesNotWaitForCallersToClose(t *testing.T) {
+	f := newFixture(t, nil)
+	for range 20 {
+		c := f.dial()
+		c.write(request)
+		c.requireAnswer()
+	}
+	begin := time.Now()
+	require.NoError(t, f.server.Stop(t.Context()))
+	require.Less(t, time.Since(begin), time.Second)
+	require.Equal(t, 20, f.count("closed stop"))
+	require.Contains(t, f.lines(), `"event":"closed","reason":"stop"`)
+}
+
+// wireTime is how long a request is on its way in tests.
+const wireTime = 10 * time.Millisecond
+
+// A response that began before a stop does not announce the close, so that its caller's
+// next request must be answered, too.
+func TestStopAnswersRequestAfterBegunResponse(t *testing.T) {
+	f := newFixture(t, nil)
+	c := f.dial()
+	c.write("GET /begun HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Equal(t, "begun", <-f.entered)
+	_, err := c.r.Peek(1)
+	require.NoError(t, err, "the response must begin before the stop")
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.server.Stop(t.Context()) }()
+	require.ErrorIs(t, <-f.served, http.ErrServerClosed)
+	close(f.release)
+	resp, body, err := c.read()
+	require.NoError(t, err)
+	require.Equal(t, "answer of begun", body)
+	require.False(t, resp.Close)
+	time.Sleep(wireTime)
+	c.write(request)
+	require.True(t, c.requireAnswer().Close)
+	c.requireClosed()
+	require.NoError(t, <-stopped)
+	require.Zero(t, f.count("closed stop"))
+}
+
+// Kept connections must stay usable while a stop waits for a request, and after it until
+// the callers' next requests have arrived.
+func TestStopKeepsConnectionsWhileRequestsAreInFlight(t *testing.T) {
+	f := newFixture(t, nil)
+	held, early, late := f.dial(), f.dial(), f.dial()
+	for _, c := range []*caller{held, early, late} {
+		c.write(request)
+		c.requireAnswer()
+		require.Equal(t, "ok", <-f.entered)
+	}
+	held.write("GET /begun HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Equal(t, "begun", <-f.entered)
+	_, err := held.r.Peek(1)
+	require.NoError(t, err, "the response must begin before the stop")
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.server.Stop(t.Context()) }()
+	require.ErrorIs(t, <-f.served, http.ErrServerClosed)
+	time.Sleep(idleTimeout)
+	early.write(request)
+	require.True(t, early.requireAnswer().Close)
+	early.requireClosed()
+	close(f.release)
+	_, _, err = held.read()
+	require.NoError(t, err)
+	time.Sleep(wireTime)
+	late.write(request)
+	require.True(t, late.requireAnswer().Close)
+	require.NoError(t, <-stopped)
+	require.Equal(t, 1, f.count("closed stop"))
+}
+
+// A request that arrives on a kept connection when the time of a stop is over must still
+// get a response.
+func TestEndOfGracePeriodAnswersLateRequests(t *testing.T) {
+	f := newFixture(t, nil)
+	stuck, kept, idle, fresh := f.dial(), f.dial(), f.dial(), f.dial()
+	stuck.write("GET /stuck HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Equal(t, "stuck", <-f.entered)
+	for _, c := range []*caller{kept, idle} {
+		c.write(request)
+		c.requireAnswer()
+	}
+	kept.write(request[:9])
+	fresh.write(request[:9])
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.server.Stop(ctx) }()
+	require.ErrorIs(t, <-f.served, http.ErrServerClosed)
+	cancel()
+	time.Sleep(wireTime)
+	for _, c := range []*caller{kept, fresh} {
+		c.write(request[9:])
+		c.requireAnswer()
+	}
+	idle.write(request)
+	idle.requireAnswer()
+	close(f.release)
+	_, _, err := stuck.read()
+	require.NoError(t, err)
+	require.NoError(t, <-stopped)
+}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -102,6 +102,27 @@
 	a.Done, a.ConnError = at(20800), "reset"
 }
 
+// recordCutAtEndOfGrace records a run whose connection is cut 7 s after SIGTERM.
+func recordCutAtEndOfGrace(rec *soak.Recorder) {
+	rec.RecordConfig(soak.Config{
+		Version: 2,
+		Routes: map[string]string{
+			"/r/": "s",
+		},
+		Keys: map[string]string{
+			"k": "t",
+		},
+		Timeouts: map[string]time.Duration{
+			"/r/": 10 * time.Second,
+		},
+	}, at(100))(at(101))
+	rec.RecordEvent(soak.Stop, "n", 0, at(19400))
+	recordAttempt(rec, func(a *soak.Attempt) {
+		cutConnection(a)
+		a.Limit, a.Done = 10*time.Second, at(26400)
+	}, run)
+}
+
 // runWith returns run, modified by change.
 func runWith(change func(r *soak.Run)) soak.Run {
 	r := run
@@ -189,6 +210,26 @@
 		rec.RecordEvent(soak.Stop, "n", 0, at(19000))
 		recordAttempt(rec, cutConnection)
 	},
+	"LOST: cut at the end of the grace period after its endpoint was done": func(rec *soak.Recorder) {
+		recordCutAtEndOfGrace(rec)
+		rec.RecordRunEnd(soak.RunEnd{
+			Endpoint: "e",
+			ID:       "a",
+			At:       at(19400 + 6600),
+		})
+	},
+	"ok: cut at the end of the grace period while its endpoint executes it": func(rec *soak.Recorder) {
+		recordCutAtEndOfGrace(rec)
+		rec.RecordRunEnd(soak.RunEnd{
+			Endpoint: "e",
+			ID:       "a",
+			At:       at(19400 + 6700),
+		})
+	},
+	"ok: the same beside a reload": func(rec *soak.Recorder) {
+		recordCutAtEndOfGrace(rec)
+		rec.RecordEvent(soak.Reload, "n", 0, at(19500))
+	},
 	"ok: one connection cut": func(rec *soak.Recorder) { recordAttempt(rec, cutConnection, run) },
 	"LOST: connection cut beside a configuration": func(rec *soak.Recorder) {
 		recordSameConfig(rec)
@@ -348,3 +389,52 @@
 		require.Positive(t, kinds[soak.Limits])
 	}
 }
+
+// Planned work has no step that excuses a lost request, also in short plans.
+func TestPlannedPlanHasNoFaults(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(20) {
+		p := soak.NewPlannedPlan(seed, soak.Size{
+			Instances: 3,
+			Endpoints: 6,
+		}, 8*time.Second)
+		kinds := map[soak.Kind]int{}
+		for _, s := range p.Steps {
+			kinds[s.Kind]++
+		}
+		for _, k := range []soak.Kind{soak.Stop, soak.Reload, soak.Change, soak.Bulk, soak.EndpointPause} {
+			require.Positive(t, kinds[k], "%v of seed %d", k, seed)
+			delete(kinds, k)
+		}
+		delete(kinds, soak.Limits)
+		require.Empty(t, kinds)
+	}
+}
+
+func TestTableCountsWhatCallersGot(t *testing.T) {
+	t.Parallel()
+	rec := newRecorder()
+	rec.RecordFault("n", soak.Stop.String(), at(20050))(at(26000))
+	recordAttempt(rec, unchanged, run)
+	recordAttempt(rec, cutConnection)
+	recordAttempt(rec, func(a *soak.Attempt) {
+		a.Sent, a.Done, a.Complete, a.Stream, a.Once = at(22000), at(23000), false, true, false
+	})
+	recordAttempt(rec, func(a *soak.Attempt) {
+		a.ID, a.Sent, a.Done, a.Status, a.Complete = "b", at(24000), at(24001), 0, false
+	})
+	recordAttempt(rec, func(a *soak.Attempt) { a.Sent, a.Done, a.Status = at(26001), at(26002), 503 })
+	rec.RecordDialError("n", at(25000))
+	var got []string
+	for _, line := range strings.Split(strings.TrimSpace(soak.Table(rec, bounds)), "\n") {
+		got = append(got, strings.Join(strings.Fields(line), " "))
+	}
+	require.Equal(t, []string{
+		"sent kind answered refused failed cut in answer read, no answer not read no connection caller left",
+		"before SIGTERM not idempotent 1 0 0 0 1 0 0 0",
+		"within 3 s of SIGTERM resumable stream 0 0 0 1 0 0 0 0",
+		"later connection 0 0 0 0 0 0 1 0",
+		"later not idempotent 0 0 0 0 0 1 0 0",
+		"other times not idempotent 0 1 0 0 0 0 0 0",
+	}, got)
+}
