relay: work at an engine that takes no calls leaves the room with it

What callers saw: while one engine was silent, non-urgent requests got 503 although the other engines had room.

Cause: the gate counted admitted work as one sum for all engines of a service, against a room that leaves out suspected and quiet engines. What waited at a silent engine used up the room at the others, until the silence ended.

Change: work counts at each engine at which its request has an attempt, and against all engines while it has none. The room and what uses it are sums over the same engines, those that take calls, so that work leaves and returns with its engine, whether it is suspected, quiet, departing or gone. Waiting requests are admitted within 100 ms of a change, as no request may end then.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -23,10 +23,12 @@
 	request chain.Request
 	writer  chain.Writer
 	// caller ends when the caller has left, also if the request goes on.
-	caller   context.Context
-	attempts int
-	endpoint string
-	tried    []string
+	caller context.Context
+	// admission is what the gate counts for the request; nil if it counts nothing.
+	admission *admission
+	attempts  int
+	endpoint  string
+	tried     []string
 	// maybeSent is true if an attempt may have executed the request.
 	maybeSent bool
 	// headWritten is true once the response head was written to the caller, and
@@ -116,11 +118,12 @@
 type attempt struct {
 	choice choice
 	// number is 1 for the first attempt.
-	number  int
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	counter load.Call
-	stale   *staleTimer
+	number    int
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	admission *admission
+	counter   load.Call
+	stale     *staleTimer
 	// reply is the response; nil until its head has arrived.
 	reply call.Reply
 	// first is the first part of the response if it was received before the attempt
@@ -140,12 +143,14 @@
 	invar.Check(x.request.Route.Kind != site.NonIdempotent || !x.maybeSent, invar.Once, "%s is sent again", x.request.ID)
 	invar.Check(!c.endpoint.Departing(), invar.Drain, "%s was chosen for %s and is departing", c.endpoint.Node.Name, x.request.ID)
 	x.attempts++
+	x.admission.begin(c.endpoint.Node.Name)
 	ctx, cancel := context.WithCancelCause(ctx)
 	return &attempt{
 		choice:       c,
 		number:       x.attempts,
 		ctx:          ctx,
 		cancel:       cancel,
+		admission:    x.admission,
 		counter:      x.gauge.Start(c.endpoint.Node.Name, c.uncached),
 		stale:        x.newStaleTimer(c, cancel),
 		lastReceived: x.now(),
@@ -195,6 +200,7 @@
 	}
 	a.stale.stop()
 	a.counter.End()
+	a.admission.end(a.choice.endpoint.Node.Name)
 	a.cancel(nil)
 }
 
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -90,6 +90,7 @@
 		request:   r,
 		writer:    w,
 		caller:    ctx,
+		admission: admissionOf(ctx),
 		received: position{
 			event: r.LastEventID,
 		},
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -10,7 +10,6 @@
 
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
-	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/policy"
 	"github.com/baobabtally/baobabtally/pkg/queue"
 	"github.com/baobabtally/baobabtally/pkg/site"
@@ -34,6 +33,8 @@
 	meanOutputShare = 0.5
 	// minRetryAfter is the shortest Retry-After time of a refused request.
 	minRetryAfter = 500 * time.Millisecond
+	// updateInterval is the time between two updates of the gate.
+	updateInterval = 100 * time.Millisecond
 )
 
 // gate queues non-urgent work while it fills its share of the engines' memory
@@ -56,8 +57,8 @@
 	// admitted. Invariant: exactly the items of waiting have one.
 	admitted map[uint64]chan struct{}
 	next     uint64
-	// running is the tokens of the work that was admitted and has not finished.
-	running float64
+	// running is the work that was admitted and has not finished.
+	running ledger
 	// throughput is the rate at which tokens are admitted.
 	throughput throughput
 }
@@ -83,8 +84,13 @@
 	if err := g.acquire(ctx, r, cost); err != nil {
 		return chain.Result{}, err
 	}
-	defer g.release(r, cost)
-	return next.Handle(ctx, r, w)
+	a := &admission{
+		gate:    g,
+		service: r.Service,
+		tokens:  cost,
+	}
+	defer a.release()
+	return next.Handle(withAdmission(ctx, a), r, w)
 }
 
 // memoryTokens is the memory, in tokens, that r needs at an engine of service
@@ -102,11 +108,12 @@
 func (g *gate) acquire(ctx context.Context, r chain.Request, cost float64) error {
 	limit := queueTimeout(r)
 	g.mu.Lock()
-	// A capacity from before the lock might miss a change whose update came first.
-	capacity := g.capacity(r.Service)
 	q := g.serviceQueue(r.Service)
-	if q.waiting.Len(policy.Normal) == 0 && q.running+cost <= capacity {
-		q.admit(cost, capacity, g.now())
+	// A state from before the lock might miss a change whose update came first.
+	now := g.now()
+	free := roomOf(g.view.View(), r.Service, q.running, now)
+	if q.waiting.Len(policy.Normal) == 0 && free.used+cost <= free.total {
+		q.admit(cost, free.total, now)
 		g.mu.Unlock()
 		return nil
 	}
@@ -118,7 +125,7 @@
 	}
 	q.next++
 	expected := q.expectedWait(item)
-	if expected > limit || capacity <= 0 {
+	if expected > limit || free.total <= 0 {
 		g.mu.Unlock()
 		return g.refuse(r, "expected", expected)
 	}
@@ -126,7 +133,7 @@
 	q.admitted[item.ID] = admitted
 	waiting, place := q.waiting.With(item)
 	q.waiting = waiting
-	g.admitWaiting(q, capacity)
+	g.admitWaiting(r.Service, q)
 	g.mu.Unlock()
 	begin := g.now()
 	timer := time.NewTimer(limit)
@@ -161,22 +168,27 @@
 	return fault.New(fault.Overload, "the wait (%s %s) is beyond the target: come back later or send less", reason, wait.Round(time.Millisecond)).WithRetry(max(wait, minRetryAfter))
 }
 
-// release returns r's capacity and admits waiting requests.
-func (g *gate) release(r chain.Request, cost float64) {
-	capacity := g.capacity(r.Service)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	q := g.serviceQueue(r.Service)
-	q.running -= cost
-	g.admitWaiting(q, capacity)
-}
-
-// update admits waiting requests after the capacity has changed.
+// update admits waiting requests after the room has changed.
 func (g *gate) update() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for service, q := range g.queues {
-		g.admitWaiting(q, g.capacity(service))
+		g.admitWaiting(service, q)
+	}
+}
+
+// run updates the gate until ctx ends, since room also comes from changes of the state
+// and with time, without a request that ends.
+func (g *gate) run(ctx context.Context) error {
+	ticker := time.NewTicker(updateInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			g.update()
+		case <-ctx.Done():
+			return nil
+		}
 	}
 }
 
@@ -193,49 +205,32 @@
 	return true
 }
 
-// admitWaiting admits requests while there is capacity. The caller holds mu.
-func (g *gate) admitWaiting(q *workQueue, capacity float64) {
+// admitWaiting admits requests while there is room. The caller holds mu.
+func (g *gate) admitWaiting(service string, q *workQueue) {
+	if q.waiting.Len(policy.Normal) == 0 {
+		return
+	}
+	now := g.now()
+	free := roomOf(g.view.View(), service, q.running, now)
 	for {
 		item, next, ok := q.waiting.Next(0, queue.Any)
-		if !ok || q.running > 0 && q.running+item.Cost > capacity {
+		if !ok || !free.fits(item.Cost) {
 			return
 		}
 		q.waiting = next
-		q.admit(item.Cost, capacity, g.now())
+		q.admit(item.Cost, free.total, now)
+		free.used += item.Cost
 		close(q.admitted[item.ID])
 		delete(q.admitted, item.ID)
 	}
 }
 
-// capacity is how many tokens of non-urgent work this instance may have at the
-// engines of a service. It has no bound while all engines want no calls, since the
-// forwarder refuses every request then: none has to wait for that.
-func (g *gate) capacity(service string) float64 {
-	s := g.view.View()
-	v, ok := s.Routing.Site.Service(service)
-	if !ok || v.Memory == 0 {
-		return 0
-	}
-	now := g.now()
-	if _, quiet := s.Members.QuietUntil(service, now); quiet {
-		return math.Inf(1)
-	}
-	engines := 0
-	pool := s.Members.Pool(service)
-	for i := range pool {
-		e := &pool[i]
-		if e.Node.Role == member.Engine && !e.SuspectUntil.After(now) && !e.QuietUntil.After(now) {
-			engines++
-		}
-	}
-	return nonUrgentShare * imbalanceFactor * float64(engines*v.Memory) / float64(len(s.Routing.Peers)+1)
-}
-
 func (g *gate) serviceQueue(service string) *workQueue {
 	q := g.queues[service]
 	if q == nil {
 		q = &workQueue{
 			admitted: map[uint64]chan struct{}{},
+			running:  ledger{},
 		}
 		g.queues[service] = q
 	}
@@ -245,7 +240,7 @@
 // admit counts work of the given tokens as running. Work without a bound is refused and
 // says nothing about the throughput.
 func (q *workQueue) admit(tokens, capacity float64, now time.Time) {
-	q.running += tokens
+	q.running.add("", tokens)
 	if !math.IsInf(capacity, 1) {
 		q.throughput.record(tokens, now)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -314,7 +314,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group run.Group
-	for _, actor := range []func(context.Context) error{i.Loop.Run, i.operators.Run, i.registry.Run, i.join} {
+	for _, actor := range []func(context.Context) error{i.Loop.Run, i.operators.Run, i.registry.Run, i.join, i.gate.run} {
 		group.Add(func() error {
 			err := actor(ctx)
 			if err == nil {
