httpd: requests that the server itself cuts when it closes leave a line with the reason

What operators saw: a request that ended when the server was closed at once left no line if its handler had it, or "event=cut reason=caller" at info level with "use of closed network connection" if its header was being read, as if its caller had left. The same held for a request that began between the last look at the connections at the end of a stop and the close.

Cause: conn.Close only looked for requests that no handler had, and took the error of its own close for the caller's. The error of an earlier, interrupted read could also be taken for that of the current request.

Change: once the server closes its connections, each request without a complete response is cut with reason=grace, also if the end of its response can't be written. The error of a read applies until the next byte.

--- a/internal/httpd/close_test.go
+++ b/internal/httpd/close_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -201,3 +202,32 @@
 	require.NoError(t, err)
 	require.NoError(t, <-stopped)
 }
+
+// A request that is in flight when the server is closed must be answered or leave a line.
+func TestCloseLogsRequestsInFlight(t *testing.T) {
+	f := newFixture(t, nil)
+	line, _, _ := strings.Cut(request, "Host")
+	var callers []*caller
+	for _, text := range []string{"GET /hold HTTP/1.1\r\nHost: h\r\n\r\n", "GET /stuck HTTP/1.1\r\nHost: h\r\n\r\n", line} {
+		c := f.dial()
+		c.write(request)
+		c.requireAnswer()
+		c.write(text)
+		callers = append(callers, c)
+	}
+	for range 5 {
+		<-f.entered
+	}
+	time.Sleep(wireTime)
+	require.NoError(t, f.server.Close())
+	close(f.release)
+	unanswered := 0
+	for _, c := range callers {
+		if _, _, err := c.read(); err != nil {
+			unanswered++
+		}
+	}
+	require.GreaterOrEqual(t, unanswered, 2)
+	require.Eventually(t, func() bool { return f.count("grace") == unanswered }, waitTimeout, pollInterval,
+		"%d unanswered", unanswered)
+}
--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/baobabtally/baobabtally/pkg/grace"
 )
 
 // phase is what the server does with a connection.
@@ -73,8 +75,10 @@
 	answered bool
 	// readErr is the last error of a read.
 	readErr error
-	// served is true once the handler has the current request.
-	served bool
+	// served is true once the handler has the current request, and finished once it has
+	// returned.
+	served   bool
+	finished bool
 	// chunks is true if the caller of the current request understands chunks.
 	chunks bool
 	// logged is true once the current request was logged as cut.
@@ -126,7 +130,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
-		c.lastByte, c.answered = time.Now(), false
+		c.lastByte, c.answered, c.readErr = time.Now(), false, nil
 		switch {
 		case c.phase == waiting:
 			c.setPhase(reading)
@@ -165,14 +169,19 @@
 	_ = c.Conn.Close()
 }
 
-// Write writes to the connection.
+// Write writes to the connection. It logs a response whose end can't be written since the
+// server was closed.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if n > 0 {
 		c.lastByte, c.answered = time.Now(), true
 	}
+	lost := err != nil && c.served && c.server.closing.Load()
+	c.mu.Unlock()
+	if lost {
+		c.cut(graceEnded, grace.ErrEnded)
+	}
 	return n, err
 }
 
@@ -239,7 +248,7 @@
 		next = reading
 	}
 	c.ahead, c.kept, c.id = false, true, ""
-	c.served, c.logged = false, false
+	c.served, c.finished, c.logged = false, false, false
 	c.ending = open
 	if c.server.aborting.Load() {
 		c.ending = stopped
@@ -298,6 +307,13 @@
 	c.chunks = chunks
 }
 
+// markFinished records that the handler has returned.
+func (c *conn) markFinished() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finished = true
+}
+
 // markIncomplete makes the connection end with a reset if the caller could take the
 // end of the connection for that of the response.
 func (c *conn) markIncomplete() {
@@ -320,15 +336,15 @@
 	}
 }
 
-// Close closes the connection and logs a request that was not read completely.
+// Close closes the connection and logs a request that was not read completely, or whose
+// response is not complete.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
 	c.mu.Lock()
-	unread := !c.served && !c.answered && c.phase.busy()
-	readErr := c.readErr
+	lost, why, cause := c.lostRequest()
 	c.mu.Unlock()
-	if unread {
-		c.cut(unreadReason(readErr), readErr)
+	if lost {
+		c.cut(why, cause)
 	}
 	c.mu.Lock()
 	c.setPhase(closed)
@@ -337,6 +353,22 @@
 	return err
 }
 
+// lostRequest reports whether the current request ends without a response, and why. The
+// caller holds mu.
+func (c *conn) lostRequest() (bool, reason, error) {
+	unread := !c.served && !c.answered
+	unfinished := c.served && !c.finished
+	switch {
+	case !c.phase.busy():
+		return false, 0, nil
+	case c.server.closing.Load() && (unread || unfinished):
+		return true, graceEnded, grace.ErrEnded
+	case unread:
+		return true, unreadReason(c.readErr), c.readErr
+	}
+	return false, 0, nil
+}
+
 // inRequest reports whether a request was read, at least in part, whose response is
 // not complete.
 func (c *conn) inRequest() bool {
--- a/internal/httpd/cut.go
+++ b/internal/httpd/cut.go
@@ -140,6 +140,7 @@
 		}
 	}()
 	s.handler.ServeHTTP(out, r)
+	c.markFinished()
 }
 
 // recovered ends a request whose handler panicked with p at site.
@@ -159,6 +160,7 @@
 	}
 	s.meter.Cut(handlerPanicked.String())
 	s.fail(w, c.requestID())
+	c.markFinished()
 }
 
 // panicSite returns the function and the line that panicked. It is called by the
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -58,10 +58,12 @@
 	fail          func(w http.ResponseWriter, id string)
 	headerTimeout time.Duration
 	// draining is true once responses ask callers to close their connections, stopping
-	// once no more connections are accepted, and aborting once no more requests are.
+	// once no more connections are accepted, aborting once no more requests are, and
+	// closing once connections with a request are closed.
 	draining atomic.Bool
 	stopping atomic.Bool
 	aborting atomic.Bool
+	closing  atomic.Bool
 	// busy is the number of connections with a request.
 	busy atomic.Int64
 	// quiet has a value if busy has fallen to 0.
@@ -321,6 +323,7 @@
 	s.mu.Unlock()
 	s.end.Do(func() { close(s.done) })
 	s.grace.End()
+	s.closing.Store(true)
 	err := s.inner.Close()
 	s.serving.Wait()
 	return err
