filter: canceled attempts do not make endpoints suspected

When a caller left or the instance stopped, the attempt that this canceled was reported as a failure of its endpoint, so that endpoints became suspected by the impatience of their callers and, at the end of a stop, by the stop.

The cancelation reaches the client as an error like any other. Dispatch looks at the context of the request first. A call whose own limit has passed still counts.

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -198,8 +198,12 @@
 }
 
 // reportOutcome reports to the control thread that e failed, or that e, while
-// suspected, did not.
-func (f Dispatch) reportOutcome(e member.Endpoint, err error) {
+// suspected, did not. An attempt that was canceled because the caller left or the instance
+// stops, with which ctx ends, says nothing of e.
+func (f Dispatch) reportOutcome(ctx context.Context, e member.Endpoint, err error) {
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
 	failed := false
 	var failure call.Failure
 	if errors.As(err, &failure) {
--- a/internal/filter/generate.go
+++ b/internal/filter/generate.go
@@ -97,7 +97,7 @@
 	counted := g.gauge.Start(a.Endpoint.Node.Name, g.choice.UncachedTokens)
 	defer counted.End()
 	err = g.forwardStream(ctx, a, counted.EndPrefill)
-	g.reportOutcome(a.Endpoint, err)
+	g.reportOutcome(ctx, a.Endpoint, err)
 	switch {
 	case err == nil:
 		g.reportCacheHits(a.Endpoint)
--- a/internal/filter/service.go
+++ b/internal/filter/service.go
@@ -31,7 +31,7 @@
 		}
 		invar.Check(r.Idempotent || sentAttempts == 0, invar.Once, "non-idempotent request %s is sent more than once", r.ID)
 		head, chunks, err := f.readAll(ctx, f.newAttempt(r, choice.Endpoint))
-		f.reportOutcome(choice.Endpoint, err)
+		f.reportOutcome(ctx, choice.Endpoint, err)
 		if err == nil {
 			return f.writeAnswer(r, w, choice.Endpoint.Node.Name, n, head, chunks)
 		}
--- a/internal/filter/service_test.go
+++ b/internal/filter/service_test.go
@@ -92,6 +92,72 @@
 	}
 }
 
+// recordingControl records the events that are posted to it.
+type recordingControl struct {
+	fixedControl
+	events chan state.Event
+}
+
+func (c recordingControl) Post(e state.Event) bool {
+	c.events <- e
+	return true
+}
+
+// An endpoint must not be suspected because a caller left or the instance stops.
+func TestCanceledCallIsNoFailureOfItsEndpoint(t *testing.T) {
+	t.Parallel()
+	for name, kind := range map[string]chain.Kind{
+		"call":       chain.Service,
+		"generation": chain.Chat,
+	} {
+		for reason, stops := range map[string]bool{
+			"caller left":    false,
+			"instance stops": true,
+		} {
+			t.Run(name+", "+reason, func(t *testing.T) {
+				t.Parallel()
+				var s state.State
+				s.Members = s.Members.WithRegistry([]member.Node{
+					{
+						Name:   "s0",
+						Role:   member.Service,
+						Addr:   "s0:1",
+						Models: []string{"desk"},
+					},
+				})
+				signal := grace.New()
+				ctx, leave := context.WithCancel(signal.Context())
+				defer leave()
+				e := silentEndpoints{
+					opened: make(chan struct{}),
+				}
+				control := recordingControl{
+					fixedControl: fixedControl{
+						state: s,
+					},
+					events: make(chan state.Event, 10),
+				}
+				d := filter.NewDispatch(control, e, &load.Gauge{}, func() string { return "id" }, filter.WithGrace(signal))
+				go func() {
+					<-e.opened
+					if stops {
+						signal.End()
+					}
+					leave()
+				}()
+				_, err := d.Handle(ctx, chain.Request{
+					ID:         "r",
+					Kind:       kind,
+					Model:      "desk",
+					Idempotent: true,
+				}, nil)
+				require.Error(t, err)
+				require.Empty(t, control.events)
+			})
+		}
+	}
+}
+
 // A call that continues without its caller must still end with the grace period, so that
 // its caller gets an answer before the process ends.
 func TestEndOfGracePeriodEndsCalls(t *testing.T) {
