httpd: a complete response to a request with an unread body is not logged as cut

What operators saw: at the end of a stop, "event=cut reason=grace" and an error of the drain for requests whose callers had their whole responses.

Cause: after a response to a request whose body was not read to its end, http.Server closes the write side and waits 0.5 s for the caller. The server took that for a request in flight.

Change: a connection whose write side is closed has no request in flight.

--- a/internal/httpd/close_test.go
+++ b/internal/httpd/close_test.go
@@ -231,3 +231,16 @@
 	require.Eventually(t, func() bool { return f.count("grace") == unanswered }, waitTimeout, pollInterval,
 		"%d unanswered", unanswered)
 }
+
+// A response that is complete must not be logged as cut because its caller has not sent
+// the rest of its request.
+func TestStopDoesNotCutCompleteResponse(t *testing.T) {
+	f := newFixture(t, nil)
+	c := f.dial()
+	c.write("POST /ok HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\npart")
+	c.requireAnswer()
+	ctx, cancel := context.WithTimeout(t.Context(), wireTime)
+	defer cancel()
+	require.NoError(t, f.server.Stop(ctx))
+	require.Empty(t, f.lines())
+}
--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -23,7 +23,7 @@
 	reading
 	// handling means that the header was read and the response is not complete.
 	handling
-	// leaving means that the write side was closed between requests.
+	// leaving means that the write side is closed, so that no response can follow.
 	leaving
 	// closed means that the connection is closed.
 	closed
@@ -159,7 +159,6 @@
 func (c *conn) leave() {
 	c.mu.Lock()
 	s, why, kept := c.state(), c.ending, c.kept
-	c.setPhase(leaving)
 	c.mu.Unlock()
 	c.server.logClosed(s, why, kept)
 	if c.CloseWrite() == nil && awaitInput(c.Conn, crossTime) {
@@ -186,8 +185,11 @@
 }
 
 // CloseWrite closes the write side, so that the caller can read a response to a
-// request that it has not sent completely.
+// request that it has not sent completely. The response is complete then.
 func (c *conn) CloseWrite() error {
+	c.mu.Lock()
+	c.setPhase(leaving)
+	c.mu.Unlock()
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
