httpd: a busy listener does not take the time of the last responses

What callers saw: none did as far as known. Where connections keep arriving and the time of a stop is over, as with a grace period shorter than the linger period, requests in flight were canceled up to 0.5 s late, after the process could be gone (it has 0.4 s).

Cause: the listener was drained for up to drainLimit whether the time of the stop was over or not.

Change: the drain ends with the time of the stop.

--- a/internal/httpd/close_test.go
+++ b/internal/httpd/close_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -113,6 +114,9 @@
 	require.Contains(t, f.lines(), `"event":"closed","reason":"stop"`)
 }
 
+// stopMargin is how long before SIGKILL an instance ends the time of a stop.
+const stopMargin = 400 * time.Millisecond
+
 // wireTime is how long a request is on its way in tests.
 const wireTime = 10 * time.Millisecond
 
@@ -244,3 +248,40 @@
 	require.NoError(t, f.server.Stop(ctx))
 	require.Empty(t, f.lines())
 }
+
+// busyListener has a backlog that is never empty.
+type busyListener struct {
+	*net.TCPListener
+	full *net.TCPListener
+}
+
+// SyscallConn returns a socket with a connection that nobody accepts.
+func (l busyListener) SyscallConn() (syscall.RawConn, error) { return l.full.SyscallConn() }
+
+// A listener at which connections keep arriving must not take the time that requests
+// need for their responses.
+func TestBusyListenerDoesNotDelayEndOfGracePeriod(t *testing.T) {
+	full, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = full.Close() }()
+	unaccepted, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", full.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = unaccepted.Close() }()
+	f := newFixture(t, func(l net.Listener) net.Listener {
+		return busyListener{
+			TCPListener: l.(*net.TCPListener),
+			full:        full.(*net.TCPListener),
+		}
+	})
+	held := f.dial()
+	held.write("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Equal(t, "hold", <-f.entered)
+	ctx, cancel := context.WithTimeout(t.Context(), wireTime)
+	defer cancel()
+	begin := time.Now()
+	require.NoError(t, f.server.Stop(ctx))
+	require.Less(t, time.Since(begin), stopMargin)
+	resp, _, err := held.read()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+}
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -235,7 +235,7 @@
 	listeners := s.listeners
 	s.mu.Unlock()
 	for _, l := range listeners {
-		l.drain()
+		l.drain(ctx)
 	}
 	var err error
 	if !s.finish(ctx) {
@@ -440,10 +440,11 @@
 // end records that no more connections will be accepted.
 func (l *listener) end() { l.once.Do(func() { close(l.done) }) }
 
-// drain accepts the connections in the backlog and closes the listener. When it
-// returns, all accepted connections are registered.
-func (l *listener) drain() {
+// drain accepts the connections in the backlog until ctx ends, and closes the listener.
+// When it returns, all accepted connections are registered.
+func (l *listener) drain(ctx context.Context) {
 	l.drainEnd.Store(time.Now().Add(drainLimit).UnixNano())
+	defer context.AfterFunc(ctx, func() { l.drainEnd.Store(0) })()
 	if l.setDeadline(backlogTime) {
 		<-l.done
 	}
