filter: queued requests learn that their caller left or the instance stops

When the grace period ended, callers whose requests waited in the queue got a refusal for overload with a Retry-After of up to 30 seconds, although another instance could serve them at once.

Gate.wait ends with the timer or with the context, and both counted as a wait that is too long. The end of the grace period is now answered with its own fault, and a caller that left leaves its own reason in the log.

--- a/internal/filter/gate.go
+++ b/internal/filter/gate.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/grace"
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/policy"
@@ -150,15 +151,32 @@
 	case <-ctx.Done():
 	}
 	if f.withdraw(q, place, id) {
-		return false, f.refuse(r, "waited", timeout)
+		return false, f.unadmitted(ctx, r, timeout)
 	}
 	// The request was admitted concurrently with the timeout, so it proceeds.
 	return <-admitted, nil
 }
 
-func (f Gate) refuse(r chain.Request, reason string, wait time.Duration) error {
+// unadmitted returns the reason why r was withdrawn from the queue.
+func (f Gate) unadmitted(ctx context.Context, r chain.Request, timeout time.Duration) error {
+	switch {
+	case grace.Ended(ctx):
+		f.logRefusal(r, "stopped", f.now().Sub(r.Arrived))
+		return grace.Fault(false)
+	case ctx.Err() != nil:
+		f.logRefusal(r, "left", f.now().Sub(r.Arrived))
+		return fault.New(fault.Overload, "the caller left while the request waited: send it again")
+	}
+	return f.refuse(r, "waited", timeout)
+}
+
+func (f Gate) logRefusal(r chain.Request, reason string, wait time.Duration) {
 	f.log.Info().Str("event", "refuse").Str("request", r.ID).Str("team", r.Team).
 		Str("rank", r.Policy.Rank.String()).Str("reason", reason).Stringer("wait", wait.Round(time.Millisecond)).Send()
+}
+
+func (f Gate) refuse(r chain.Request, reason string, wait time.Duration) error {
+	f.logRefusal(r, reason, wait)
 	retry := min(max(wait, time.Second), maxQueueWait)
 	return fault.New(fault.Overload, "the wait (%s %s) is beyond the target: retry later or send less", reason, wait.Round(time.Millisecond)).WithRetry(retry)
 }
