filter: a stopping instance takes nothing on an estimate once its listener is closed

Cause: since kept connections stay open in a stop, requests come until its end. The estimate let them through by the lengths of earlier ones, and the lengths of streams have a long tail: 51 had ended on the route, the longest after 3.3 s, with 4.35 s left. The size of the output does not tell them apart, where it is stated as a maximum that all requests of a route share.

Change: after the listener is closed, a request that must not be repeated, and a stream, is accepted only if its timeout or its deadline comes in time. A request that may be repeated is still accepted on an estimate, as it is answered at the end of the grace period in any case.

Measured: the new cases of TestLateRequestIsRefusedBeforeItRuns fail before.

--- a/internal/filter/late.go
+++ b/internal/filter/late.go
@@ -9,8 +9,7 @@
 	"github.com/baobabtally/baobabtally/pkg/grace"
 )
 
-// defaultLength is how long a request is assumed to run if neither similar requests nor
-// a timeout of its route are known.
+// defaultLength is how long a request without a deadline is assumed to run at the most.
 const defaultLength = 30 * time.Second
 
 // periodSource returns the grace period of a stopping instance.
@@ -52,25 +51,33 @@
 	return result, err
 }
 
-// expectedLength returns how long r may run from now on. A request of which nothing is
-// known gets the benefit of the doubt until the listener closes, since load balancers
-// still choose the instance and a refused caller may reach another one that stops.
-// Afterwards it is assumed to run until its timeout.
+// expectedLength returns how long r may run from now on. An estimate decides until the
+// listener closes, as load balancers still choose the instance and a refused caller may
+// reach another one that stops; a request of which nothing is known gets the benefit of
+// the doubt. Afterwards a request must be certain to end, unless it may be repeated: such
+// a one is answered at the end of the grace period whether it has ended or not.
 func (f Late) expectedLength(r chain.Request, p grace.Period, now time.Time) time.Duration {
+	lingering := now.Before(p.Closed)
+	longest := longestLength(r, now)
+	if !lingering && !r.Idempotent {
+		return longest
+	}
 	length, ok := f.lengths.Estimate(lengthName(r), r.Output, p.Left(now), now)
 	switch {
 	case ok:
-	case now.Before(p.Closed):
+		return min(length, longest)
+	case lingering:
 		return 0
-	case r.Route.Timeout > 0:
-		length = r.Route.Timeout
-	default:
-		length = defaultLength
 	}
+	return longest
+}
+
+// longestLength returns after which time r ends at the latest.
+func longestLength(r chain.Request, now time.Time) time.Duration {
 	if deadline := r.EffectiveDeadline(); !deadline.IsZero() {
-		length = min(length, deadline.Sub(now))
+		return deadline.Sub(now)
 	}
-	return length
+	return defaultLength
 }
 
 // lengthName returns the name under which the lengths of requests like r are recorded.
--- a/internal/filter/late_test.go
+++ b/internal/filter/late_test.go
@@ -32,6 +32,7 @@
 	for name, c := range map[string]struct {
 		lengths  []time.Duration
 		output   int
+		kind     site.Kind
 		timeout  time.Duration
 		deadline time.Duration
 		linger   time.Duration
@@ -42,13 +43,30 @@
 			lengths:  slices.Repeat([]time.Duration{time.Hour}, 50),
 			admitted: true,
 		},
+		"short route, listener open": {
+			lengths:  usual,
+			linger:   time.Second,
+			left:     2 * time.Second,
+			admitted: true,
+		},
 		"short route": {
+			lengths: usual,
+			left:    2 * time.Second,
+		},
+		"short stream": {
+			lengths: usual,
+			kind:    site.Stream,
+			left:    2 * time.Second,
+		},
+		"short idempotent route": {
 			lengths:  usual,
+			kind:     site.Idempotent,
 			left:     2 * time.Second,
 			admitted: true,
 		},
 		"one of the route's requests took longer": {
 			lengths: append(usual, 3*time.Second),
+			kind:    site.Idempotent,
 			left:    2 * time.Second,
 		},
 		"long route, listener open": {
@@ -59,6 +77,7 @@
 		"smaller than the long ones": {
 			lengths:  append(usual, 3*time.Second),
 			output:   -1,
+			linger:   time.Second,
 			left:     2 * time.Second,
 			admitted: true,
 		},
@@ -78,6 +97,7 @@
 			left:    2 * time.Second,
 		},
 		"unknown route without a timeout": {
+			kind: site.Idempotent,
 			left: 20 * time.Second,
 		},
 		"deadline before the end": {
@@ -98,11 +118,11 @@
 			f := filter.NewLate(signal, func() time.Time { return now })
 			r := chain.Request{
 				Kind: chain.Relayed,
-				Route: site.Route{
-					Name:    "charge",
-					Timeout: c.timeout,
-				},
-			}
+			}.WithRoute(site.Route{
+				Name:    "charge",
+				Kind:    c.kind,
+				Timeout: c.timeout,
+			}, "desk")
 			for _, length := range c.lengths {
 				now = begin.Add(-time.Minute)
 				r.Arrived = now
