httpd: a connection is closed before the close is logged

A writer of the log that blocks held up the close after the last look for a request, so that more requests could cross it. Found by reading; no run shows a difference, and there is no test.

--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -160,8 +160,9 @@
 	c.mu.Lock()
 	s, why, kept := c.state(), c.ending, c.kept
 	c.mu.Unlock()
+	err := c.CloseWrite()
 	c.server.logClosed(s, why, kept)
-	if c.CloseWrite() == nil && awaitInput(c.Conn, crossTime) {
+	if err == nil && awaitInput(c.Conn, crossTime) {
 		c.server.logCrossed(s, why)
 	}
 	// http.Server closes the connection, too.
