filter: the storage of an outcome ends with the grace period

At the end of the grace period a call with an idempotency key got no answer while the table did not take its outcome, even if its endpoint had answered: the answer waits for the storage, which may take 3 seconds, and connections are closed 150 ms after the end.

The outcome is stored with a context that ignores that the caller has left, and so ignored the stop, too. It now ends 50 ms after the grace period. A claim without an outcome counts as unknown.

TestEndOfGracePeriodEndsStorageOfOutcome failed for answered calls and for calls that did not run ("the answer was held up"), and passes now.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -203,7 +203,7 @@
 		filter.NewAccount(x.tally, p.Meter),
 		filter.NewLate(p.Grace, p.Now),
 		filter.NewLimit(loop, p.Now),
-		filter.NewClaim(claims, x.log),
+		filter.NewClaim(claims, p.Grace, x.log),
 		filter.NewGate(loop, x.tally, p.Now, x.log),
 	}
 	if o.filters != nil {
--- a/internal/filter/claim.go
+++ b/internal/filter/claim.go
@@ -21,6 +21,9 @@
 	claimTimeout = 1500 * time.Millisecond
 	// finishTimeout bounds the time to record an outcome.
 	finishTimeout = 3 * time.Second
+	// lastFinishTimeout bounds the time to record an outcome after the end of the grace
+	// period. The answer waits for it, and its connection is closed soon after.
+	lastFinishTimeout = 50 * time.Millisecond
 )
 
 // claimStore stores the claims and outcomes of calls.
@@ -33,13 +36,16 @@
 // once.
 type Claim struct {
 	store claimStore
+	grace detacher
 	log   zerolog.Logger
 }
 
-// NewClaim returns a filter that stores claims in s.
-func NewClaim(s claimStore, log zerolog.Logger) Claim {
+// NewClaim returns a filter that stores claims in s, until the grace period of g has
+// ended.
+func NewClaim(s claimStore, g detacher, log zerolog.Logger) Claim {
 	return Claim{
 		store: s,
+		grace: g,
 		log:   log,
 	}
 }
@@ -79,9 +85,13 @@
 
 // finish records the outcome, even if the caller has disconnected.
 func (f Claim) finish(ctx context.Context, r chain.Request, t claim.Ticket, o claim.Outcome) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
 	defer cancel()
-	err := f.store.Finish(ctx, t, o)
+	detached, release := f.grace.Detach(ctx)
+	defer release()
+	stop := context.AfterFunc(detached, func() { time.AfterFunc(lastFinishTimeout, cancel) })
+	defer stop()
+	err := f.store.Finish(limited, t, o)
 	if err != nil {
 		f.log.Warn().Str("event", "claim").Str("request", r.ID).Str("team", r.Team).
 			Str("outcome", string(o.State)).Err(err).Send()
