grace: small requests do not estimate much larger ones

A stopping instance took large requests that it then cut: the length of a request was estimated from all requests of its route that were at most twice as large, so that a route whose last requests were small made a large one look short.

Only requests of at least half the size count as similar now. Smaller ones still raise the estimate if they took long. Without a similar request the length is unknown, unless a smaller one took longer than what is left.

TestSmallRequestsDoNotEstimateLargeOnes failed (a request ten times as large as all before had an estimate), and passes now.

--- a/internal/filter/late_test.go
+++ b/internal/filter/late_test.go
@@ -162,6 +162,34 @@
 	}
 }
 
+// A request must not be taken for short because all of its route were much smaller so far.
+func TestSmallRequestsDoNotEstimateLargeOnes(t *testing.T) {
+	t.Parallel()
+	var l grace.Lengths
+	begin := time.Unix(1000, 0)
+	for range 64 {
+		l.Record("tale", 100, begin, begin.Add(time.Second))
+	}
+	now := begin.Add(time.Minute)
+	for size, want := range map[int]bool{
+		0:    true,
+		50:   true,
+		200:  true,
+		1000: false,
+	} {
+		_, ok := l.Estimate("tale", size, time.Second, now)
+		require.Equal(t, want, ok, size)
+	}
+	// Smaller requests that took longer count.
+	l.Record("tale", 100, begin, begin.Add(5*time.Second))
+	_, ok := l.Estimate("tale", 1000, 4*time.Second, now)
+	require.True(t, ok)
+	l.Record("tale", 1000, begin, begin.Add(2*time.Second))
+	got, ok := l.Estimate("tale", 1000, 10*time.Second, now)
+	require.True(t, ok)
+	require.Greater(t, got, 5*time.Second)
+}
+
 // An instance that has just started has seen only short requests end.
 func TestLengthIsUnknownAfterStart(t *testing.T) {
 	t.Parallel()
--- a/pkg/grace/length.go
+++ b/pkg/grace/length.go
@@ -10,7 +10,7 @@
 	samples = 64
 	// maxNames bounds the names that are remembered. Names beyond it are not estimated.
 	maxNames = 1000
-	// similarSize is how much larger than a request those may be that it is compared to.
+	// similarSize is the greatest ratio between the sizes of similar requests.
 	similarSize = 2
 	// uncertainty divided by the number of similar requests is the margin of an
 	// estimate, as a share of it: a few requests say little of the next.
@@ -70,8 +70,9 @@
 }
 
 // Estimate returns how long a request of the given name and size may run. It returns false
-// if that can't be told from lengths of limit: no similar request has ended, or the first
-// of the name began less than limit ago, so that longer ones still run.
+// if that can't be told from lengths of limit: no similar request has ended and no smaller
+// one took longer, or the first of the name began less than limit ago, so that longer ones
+// still run.
 func (l *Lengths) Estimate(name string, size int, limit time.Duration, now time.Time) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -81,13 +82,17 @@
 	}
 	similar, longest := 0, time.Duration(0)
 	for _, s := range w.ended {
-		if size == 0 || s.size <= similarSize*size {
+		if size > 0 && s.size > similarSize*size {
+			continue
+		}
+		// A smaller request that took long counts, but says nothing if it was short.
+		longest = max(longest, s.length)
+		if size <= similarSize*s.size || s.size == 0 {
 			similar++
-			longest = max(longest, s.length)
 		}
 	}
 	if similar == 0 {
-		return 0, false
+		return longest, longest > limit
 	}
 	return longest + longest*uncertainty/time.Duration(similar), true
 }
