filter: a panic returns the place of its request

A request whose handler panicked was answered, but kept its place in the queue's capacity. After a few of them the instance refused all requests for the model.

Gate released the place after the handler had returned. It does so deferred now.

TestPanicReturnsCapacity failed ("the request was not admitted") and passes now.

--- a/internal/filter/gate.go
+++ b/internal/filter/gate.go
@@ -93,9 +93,13 @@
 		gate:   f,
 		model:  r.Model,
 	}
-	result, err := next.Handle(ctx, r, observer)
-	observer.recordStart()
-	f.release(r, result)
+	var result chain.Result
+	// Deferred, so that a request whose handler panics does not keep its place.
+	defer func() {
+		observer.recordStart()
+		f.release(r, result)
+	}()
+	result, err = next.Handle(ctx, r, observer)
 	return result, err
 }
 
--- a/internal/filter/gate_test.go
+++ b/internal/filter/gate_test.go
@@ -77,3 +77,30 @@
 		})
 	}
 }
+
+// A request whose handler panicked must not keep its place.
+func TestPanicReturnsCapacity(t *testing.T) {
+	t.Parallel()
+	var s state.State
+	s.Members = s.Members.WithRegistry([]member.Node{
+		{
+			Name:   "e0",
+			Role:   member.Engine,
+			Addr:   "e0:1",
+			Models: []string{"small"},
+		},
+	})
+	gate := filter.NewGate(fixedControl{
+		state: s,
+	}, &filter.Tally{}, time.Now, zerolog.Nop())
+	for range 50 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		require.Panics(t, func() {
+			_, _ = gate.Filter(ctx, chain.Request{
+				Kind:  chain.Chat,
+				Model: "small",
+			}, nil, handlerFunc(func() error { panic("a fault") }))
+		}, "the request was not admitted")
+		cancel()
+	}
+}
