filter: a panic leaves an unknown outcome of its call

A call with an idempotency key whose handler panicked got 502, and each repetition got "in progress" as long as the instance ran.

The claim was settled after the handler had returned. It is settled deferred now, with an unknown outcome unless the handler returned.

TestPanicLeavesUnknownOutcome failed (no outcome was stored) and passes now.

--- a/internal/filter/claim.go
+++ b/internal/filter/claim.go
@@ -72,19 +72,23 @@
 	recorder := &answerRecorder{
 		Writer: w,
 	}
-	result, err := next.Handle(ctx, r, recorder)
-	outcome := recorder.outcome(err)
-	if outcome.State == claim.Unknown && grace.Ended(ctx) {
-		// A claim whose owner is gone counts as unknown, too, and the caller has to get
-		// its answer before the process ends.
-		return result, err
+	outcome := claim.Outcome{
+		State: claim.Unknown,
 	}
-	f.finish(ctx, r, ticket, outcome)
+	// Deferred, so that a call whose handler panics does not stay in progress.
+	defer func() { f.finish(ctx, r, ticket, outcome) }()
+	result, err := next.Handle(ctx, r, recorder)
+	outcome = recorder.outcome(err)
 	return result, err
 }
 
 // finish records the outcome, even if the caller has disconnected.
 func (f Claim) finish(ctx context.Context, r chain.Request, t claim.Ticket, o claim.Outcome) {
+	if o.State == claim.Unknown && grace.Ended(ctx) {
+		// A claim whose owner is gone counts as unknown, too, and the caller has to get
+		// its answer before the process ends.
+		return
+	}
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
 	defer cancel()
 	detached, release := f.grace.Detach(ctx)
--- a/internal/filter/claim_test.go
+++ b/internal/filter/claim_test.go
@@ -116,3 +116,31 @@
 		})
 	}
 }
+
+// outcomeClaims make claims and record the outcomes.
+type outcomeClaims struct {
+	claim.Claimer
+	outcomes chan claim.State
+}
+
+func (c outcomeClaims) Finish(_ context.Context, _ claim.Ticket, o claim.Outcome) error {
+	c.outcomes <- o.State
+	return nil
+}
+
+// A call whose handler panicked must not stay in progress while the instance runs.
+func TestPanicLeavesUnknownOutcome(t *testing.T) {
+	t.Parallel()
+	claims := outcomeClaims{
+		Claimer:  claim.New(newTable{}, nil, "owner", func() string { return "nonce" }),
+		outcomes: make(chan claim.State, 1),
+	}
+	f := filter.NewClaim(claims, grace.New(), zerolog.Nop())
+	require.Panics(t, func() {
+		_, _ = f.Filter(t.Context(), chain.Request{
+			Key: "key",
+		}, discardWriter{}, handlerFunc(func() error { panic("a fault") }))
+	})
+	require.Len(t, claims.outcomes, 1)
+	require.Equal(t, claim.Unknown, <-claims.outcomes)
+}
