relay: a silent request is kept until another engine has accepted it

What callers saw: 502 or 503 for a request whose engine was silent for a while, although that engine went on later, because all other engines were full.

Cause: an attempt whose response had not begun was canceled as soon as another one was allowed, before any engine had accepted the request.

Change: the search for another engine, so far for begun streams only, also serves requests that no engine has begun. There an engine counts as having accepted a request that it does not reject within 150 ms, so that the two engines never both work on it for 400 ms and a prompt is not read twice in an overload. If all others reject it, the request waits at its engine.

TestEventDuringInFlightQueryKeepsAttempt expected the silent attempt to be canceled at its limit without another engine. It now checks that nothing is sent before the limit, that the request is offered then, and that the attempt is kept until the offer is accepted.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -124,6 +124,10 @@
 	admission *admission
 	counter   load.Call
 	stale     *staleTimer
+	// opened is closed when an attempt that was sent beside a silent one has its
+	// reply or failed with openErr; nil for all others.
+	opened  chan struct{}
+	openErr error
 	// reply is the response; nil until its head has arrived.
 	reply call.Reply
 	// first is the first part of the response if it was received before the attempt
@@ -195,6 +199,10 @@
 
 // close releases a. Its endpoint cancels a response that has not ended.
 func (a *attempt) close() {
+	if a.opened != nil {
+		a.cancel(nil)
+		<-a.opened
+	}
 	if a.reply != nil {
 		a.reply.Close()
 	}
@@ -215,18 +223,31 @@
 
 // forward sends a, unless its response has begun, and forwards the response.
 func (x *exchange) forward(a *attempt, s *silence) error {
-	if a.reply == nil {
-		if err := x.open(a, x.headWritten, x.received); err != nil {
-			return err
-		}
+	if err := x.ensureOpen(a); err != nil {
+		return err
 	}
 	if x.request.Stream && a.reply.Head().Status == streamStatus {
 		return attemptError(a.ctx, x.forwardStream(a, s))
 	}
 	a.stale.stop()
+	if !s.stopSearch() {
+		return errIdleTimeout
+	}
 	return attemptError(a.ctx, x.forwardResponse(a, s))
 }
 
+// ensureOpen returns once a has a reply.
+func (x *exchange) ensureOpen(a *attempt) error {
+	switch {
+	case a.opened != nil:
+		<-a.opened
+		return a.openErr
+	case a.reply != nil:
+		return nil
+	}
+	return x.open(a, x.headWritten, x.received)
+}
+
 // attemptError returns the reason for which an attempt was canceled instead of
 // the error that the cancelation caused.
 func attemptError(ctx context.Context, err error) error {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -154,6 +154,12 @@
 		MaybeSent: true,
 		Detail:    "nothing came for too long",
 	}
+	// errNotOpened is the failure of an attempt whose call ended without a result.
+	errNotOpened = call.Failure{
+		Cause:     call.Broken,
+		MaybeSent: true,
+		Detail:    "the call ended without a result",
+	}
 	// errStaleWeights is the cause of an attempt that was withdrawn because its
 	// engine's weights were replaced.
 	errStaleWeights = call.Failure{
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -16,9 +16,9 @@
 // another endpoint for its request.
 //
 // A silent endpoint may still go on, so an attempt is not given up for silence
-// alone. One whose response has not begun is canceled only if another attempt may
-// follow. A begun stream is kept until an event of another endpoint continues it;
-// if none does, the stream waits for its endpoint until the request's deadline.
+// alone. One whose response has not begun is kept until another endpoint has accepted
+// the request, and a begun stream until an event of another endpoint continues it. If
+// none does, the request waits for its endpoint until its deadline.
 type silence struct {
 	exchange *exchange
 	attempt  *attempt
@@ -40,18 +40,19 @@
 	// ended is true once the attempt has ended.
 	ended bool
 	// search is the search in progress, or the one that found a replacement; nil
-	// if there is none. Invariants: it is for a begun stream; while it is in
-	// progress, it alone uses the exchange's record of attempts and nothing else of
-	// the exchange that changes.
+	// if there is none. Invariant: while it is in progress, it alone uses the
+	// exchange's record of attempts and nothing else of the exchange that changes.
 	search *search
 }
 
-// search is a search for an endpoint that continues a silent stream.
+// search is a search for an endpoint that replaces a silent one.
 type search struct {
 	ctx    context.Context
 	cancel context.CancelFunc
-	// events and received are those of the silent attempt when the search began.
+	// events, begun and received are those of the silent attempt when the search
+	// began.
 	events   int
+	begun    bool
 	received position
 	// found is the attempt that replaces the silent one; nil if there is none.
 	found *attempt
@@ -151,14 +152,13 @@
 	case !x.hasOther(s.attempt.choice.endpoint.Node.Name):
 		s.logKept("no other endpoint or no retry budget is left")
 		s.timer.Reset(s.limit)
-	case !s.begun:
-		s.attempt.cancel(errIdleTimeout)
 	default:
 		ctx, cancel := context.WithCancel(s.ctx)
 		s.search = &search{
 			ctx:      ctx,
 			cancel:   cancel,
 			events:   s.events,
+			begun:    s.begun,
 			received: s.received,
 			done:     make(chan struct{}),
 		}
@@ -183,7 +183,7 @@
 	return x.hasCandidate() && x.budgets.allowsRetry(x.request.Service, x.instanceCount(), x.now())
 }
 
-// run seeks an endpoint that continues the stream, until one does or no further
+// run seeks an endpoint that replaces the silent one, until one does or no further
 // attempt is allowed.
 func (s *silence) run(q *search) {
 	defer close(q.done)
@@ -201,7 +201,8 @@
 	}
 }
 
-// try makes one attempt to continue the stream. It returns whether to make another one.
+// try makes one attempt to replace the silent one. It returns whether to make another
+// one.
 func (s *silence) try(q *search) bool {
 	x := s.exchange
 	c, err := x.choose(q.ctx)
@@ -215,7 +216,11 @@
 			a.close()
 		}
 	}()
-	err = s.openInTime(a, q.received)
+	if q.begun {
+		err = s.openInTime(a, q.received)
+	} else {
+		err = s.offer(a, q.received)
+	}
 	if err == nil {
 		replaced = s.replace(q, a)
 		if replaced {
@@ -227,7 +232,7 @@
 		return false
 	}
 	f := failureOf(err)
-	x.recordFailure(a, f, true)
+	x.recordFailure(a, f, q.begun)
 	x.reportFailure(c.endpoint.Node.Name, f)
 	return true
 }
@@ -241,7 +246,7 @@
 	}
 	q.cancel()
 	s.search = nil
-	s.logKept("no other endpoint went on with the stream")
+	s.logKept("no other endpoint took the request over")
 	if !s.ended && s.events == q.events {
 		s.timer.Reset(s.limit)
 	}
@@ -256,6 +261,54 @@
 	}
 }
 
+// offer sends a, whose response may take long to begin. It returns once the response
+// has begun or the endpoint, which would have rejected the request at once, is taken to
+// have accepted it.
+func (s *silence) offer(a *attempt, received position) error {
+	a.opened = make(chan struct{})
+	go func() {
+		defer close(a.opened)
+		defer s.logPanic()
+		// The error stands if a panic ends the call.
+		a.openErr = errNotOpened
+		a.openErr = s.exchange.open(a, false, received)
+	}()
+	timer := time.NewTimer(acceptTimeout)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-a.opened:
+	}
+	if a.openErr != nil {
+		return a.openErr
+	}
+	if status := a.reply.Head().Status; status >= minFailureStatus {
+		return call.Failure{
+			Cause:     call.Refused,
+			MaybeSent: true,
+			Detail:    "the endpoint failed with status " + statusText(status),
+		}
+	}
+	return nil
+}
+
+// stopSearch ends the search, since the endpoint has responded. It returns false if the
+// attempt was replaced.
+func (s *silence) stopSearch() bool {
+	s.mu.Lock()
+	q := s.search
+	if q != nil && q.found == nil {
+		q.cancel()
+	}
+	s.mu.Unlock()
+	if q == nil {
+		return true
+	}
+	<-q.done
+	return q.found == nil
+}
+
 // openInTime sends a, whose first events after what the caller has received have to
 // arrive within the limit. The head alone does not show that an endpoint goes on.
 func (s *silence) openInTime(a *attempt, received position) error {
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -15,6 +15,7 @@
 	"github.com/baobabtally/baobabtally/internal/call"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/site"
 )
 
 // scriptedEvents is the number of events in the streams of scriptedEndpoints.
@@ -146,12 +147,15 @@
 // recordingWriter records the response that a caller gets.
 type recordingWriter struct {
 	heads int
-	body  strings.Builder
-	ended bool
+	// status is that of the last head.
+	status int
+	body   strings.Builder
+	ended  bool
 }
 
-func (w *recordingWriter) Begin(chain.Head) error {
+func (w *recordingWriter) Begin(h chain.Head) error {
 	w.heads++
+	w.status = h.Status
 	return nil
 }
 
@@ -353,6 +357,131 @@
 	})
 }
 
+// A silent engine whose response has not begun must not be given up before another one
+// has accepted the request.
+func TestWaitingAttemptIsKeptUntilAnotherEngineAccepts(t *testing.T) {
+	t.Parallel()
+	plain := func(x *exchange) {
+		x.request.Route.Kind = site.Idempotent
+		x.request.Stream = false
+	}
+	for name, c := range map[string]struct {
+		delay  time.Duration
+		others script
+		change func(x *exchange)
+		asked  int
+	}{
+		"all others are full": {
+			delay: 3 * time.Second,
+			others: script{
+				refuse: true,
+			},
+			asked: 4,
+		},
+		"all others fail": {
+			delay: 3 * time.Second,
+			others: script{
+				status: 500,
+			},
+			asked: 2,
+		},
+		"no stream, all others are full": {
+			delay: defaultIdleTimeout + 2*time.Second,
+			others: script{
+				refuse: true,
+			},
+			change: plain,
+			asked:  4,
+		},
+		"it responds beside another engine": {
+			delay: 1250 * time.Millisecond,
+			others: script{
+				delay: time.Minute,
+			},
+			asked: 2,
+		},
+		"no stream, it responds beside another engine": {
+			delay: defaultIdleTimeout + 50*time.Millisecond,
+			others: script{
+				delay: time.Minute,
+			},
+			change: plain,
+			asked:  2,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				e := &scriptedEndpoints{
+					scripts: []script{
+						{
+							delay: c.delay,
+						},
+						c.others,
+					},
+				}
+				w, err := serveScripted(t, e, c.change)
+				require.NoError(t, err, "got %q", w.body.String())
+				require.Equal(t, wholeStream, w.body.String())
+				require.Equal(t, 1, w.heads)
+				require.Equal(t, streamStatus, w.status)
+				require.Len(t, e.asked, c.asked)
+			})
+		})
+	}
+}
+
+// A request that no engine has begun moves to one that accepts it, which may take its
+// time, and two engines must not work on it for 400 ms.
+func TestWaitingAttemptMovesToEngineThatAccepts(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		e := &scriptedEndpoints{
+			scripts: []script{
+				{
+					delay: time.Minute,
+				},
+				{
+					refuse: true,
+				},
+				{
+					delay: 500 * time.Millisecond,
+				},
+			},
+		}
+		begin := time.Now()
+		w, err := serveScripted(t, e, nil)
+		require.NoError(t, err)
+		require.Equal(t, wholeStream, w.body.String())
+		require.Len(t, e.asked, 3)
+		require.Less(t, time.Since(begin), minCallerTimeout, "the caller would have left")
+	})
+	synctest.Test(t, func(t *testing.T) {
+		e := &blockingEndpoints{}
+		x := newWaitingExchange(fixedState{
+			state: fiveEngines(),
+		}, reportingEndpoints{
+			blockingEndpoints: e,
+		}, time.Minute)
+		x.request.Route.TargetLatency = 0
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		begin := time.Now()
+		require.Error(t, x.run(ctx))
+		require.Len(t, e.asked, 2)
+		require.Less(t, e.withdrawn[0].Sub(begin), x.idleTimeout()+400*time.Millisecond)
+	})
+}
+
+// reportingEndpoints say that they don't have any request.
+type reportingEndpoints struct {
+	*blockingEndpoints
+}
+
+func (reportingEndpoints) InFlight(context.Context, member.Node, string) (bool, error) {
+	return false, nil
+}
+
 // An engine that sends the head of a response but no event must not cost the caller the
 // rest from the silent engine.
 func TestReplacementWithoutEventDoesNotEndSilentStream(t *testing.T) {
--- a/internal/relay/timeout.go
+++ b/internal/relay/timeout.go
@@ -21,6 +21,9 @@
 	// endpoint is sought for a silent stream, so that it can still respond in
 	// time.
 	idleTimeoutShare = 0.6
+	// acceptTimeout is how long an endpoint may take to reject a request that is
+	// offered to it beside a silent one. For less than 400 ms both may work on it.
+	acceptTimeout = 150 * time.Millisecond
 	// reportTimeout limits a query of an endpoint's requests. It allows for
 	// several network round trips and the slowest responses of the store.
 	reportTimeout = 250 * time.Millisecond
--- a/internal/relay/timeout_test.go
+++ b/internal/relay/timeout_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/baobabtally/baobabtally/internal/call"
 	"github.com/baobabtally/baobabtally/pkg/member"
 )
 
@@ -17,6 +18,15 @@
 	endpoints
 	asked  chan struct{}
 	answer chan bool
+	// offered receives a value for each request that is sent.
+	offered chan struct{}
+}
+
+// Open accepts a request and does not begin it.
+func (e askedEndpoints) Open(ctx context.Context, _ call.Attempt) (call.Reply, error) {
+	e.offered <- struct{}{}
+	<-ctx.Done()
+	return nil, ctx.Err()
 }
 
 func (e askedEndpoints) InFlight(context.Context, member.Node, string) (bool, error) {
@@ -28,8 +38,9 @@
 	for _, inFlight := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			e := askedEndpoints{
-				asked:  make(chan struct{}),
-				answer: make(chan bool),
+				asked:   make(chan struct{}),
+				answer:  make(chan bool),
+				offered: make(chan struct{}, 1),
 			}
 			x := newWaitingExchange(fixedState{
 				state: fiveEngines(),
@@ -46,10 +57,17 @@
 			time.Sleep(s.limit - time.Millisecond)
 			synctest.Wait()
 			require.NoError(t, a.ctx.Err())
+			require.Empty(t, e.offered)
 			time.Sleep(2 * time.Millisecond)
 			synctest.Wait()
-			require.ErrorIs(t, context.Cause(a.ctx), errIdleTimeout, "no further event arrives")
-			require.Nil(t, s.settle(errors.New("canceled")))
+			require.Len(t, e.offered, 1, "no further event arrives")
+			require.NoError(t, a.ctx.Err(), "the other engine may reject the request")
+			time.Sleep(acceptTimeout)
+			synctest.Wait()
+			require.ErrorIs(t, context.Cause(a.ctx), errIdleTimeout)
+			next := s.settle(errors.New("canceled"))
+			require.NotNil(t, next)
+			next.close()
 		})
 	}
 }
