link: an endpoint that reads a long body late keeps its connection

Callers got 502 when a sound endpoint read a long body more than 2 s late. TCP_USER_TIMEOUT ends a connection after 2 s in which the receive window is closed, even if the endpoint acknowledges each probe of it, and the kernel may count the time of an earlier closed window.

While a long body is unacknowledged, its connection is now examined every 250 ms. The timeout is extended as long as acknowledgements arrive, and the connection ends if a probe or retransmission has been unanswered for 1 s and nothing was acknowledged for 2 s. A connection whose timeout was extended is not reused. Short requests are left to TCP_USER_TIMEOUT as before.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -64,6 +64,8 @@
 	limited *limitedReader
 	r       *bufio.Reader
 	w       *bufio.Writer
+	// guard keeps the connection while the endpoint reads a long body late.
+	guard *unackedGuard
 	// sent is true once any byte of the current request may have been sent.
 	sent bool
 	// writeDone receives the result of writing the current request.
@@ -94,6 +96,7 @@
 		limited: limited,
 		r:       bufio.NewReaderSize(limited, bufferSize),
 		w:       bufio.NewWriterSize(nc, bufferSize),
+		guard:   newUnackedGuard(nc),
 	}
 }
 
@@ -146,17 +149,23 @@
 	if len(req.Body) > bufferSize/2 {
 		// Written concurrently, because an endpoint may respond before it has
 		// read the complete body.
-		go func() { c.writeDone <- c.writeRequest(req) }()
+		c.guard.beginWrite()
+		go func() {
+			err := c.writeRequest(req)
+			c.guard.endWrite()
+			c.writeDone <- err
+		}()
 	} else {
 		c.writeDone <- c.writeRequest(req)
 	}
 	resp, err := c.readResponse(req)
 	if err != nil {
 		stop()
-		return nil, errors.Trace(contextCause(ctx, err))
+		return nil, errors.Trace(contextCause(ctx, c.guard.cause(err)))
 	}
 	resp.Body = &responseBody{
 		ReadCloser: resp.Body,
+		guard:      c.guard,
 		ctx:        ctx,
 		stop:       stop,
 	}
@@ -241,7 +250,7 @@
 // reusable reports whether the connection can take another request: the last
 // request was written completely and no unread bytes are pending.
 func (c *Conn) reusable() bool {
-	if c.r.Buffered() > 0 {
+	if c.r.Buffered() > 0 || !c.guard.reusable() {
 		return false
 	}
 	if c.writeDone != nil && !c.writeOK {
@@ -295,8 +304,9 @@
 // ends.
 type responseBody struct {
 	io.ReadCloser
-	ctx  context.Context
-	stop func() bool
+	guard *unackedGuard
+	ctx   context.Context
+	stop  func() bool
 	// complete is true if EOF was reached before the context ended.
 	complete bool
 }
@@ -311,7 +321,7 @@
 		return n, io.EOF
 	}
 	if err != nil {
-		err = contextCause(b.ctx, err)
+		err = contextCause(b.ctx, b.guard.cause(err))
 	}
 	return n, err
 }
