halt: the margin before the kill is a share of a short grace period

Cause: requests were canceled 0.4 s before the kill, whatever the length of the grace period.

Change: the margin is at most an eighth of the time until the kill, from which halt.Stop computes the linger period and the end.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -152,8 +152,8 @@
 		Signal:  i.grace,
 		Log:     i.log,
 		Now:     time.Now,
+		Kill:    drainTimeout,
 		Linger:  time.Duration(i.settings.Linger),
-		Grace:   drainTimeout,
 	})
 	return errors.Annotatef(err, "in-flight requests were cut after the drain timeout of %s: stop earlier or raise the timeout", drainTimeout)
 }
--- a/internal/halt/halt.go
+++ b/internal/halt/halt.go
@@ -5,7 +5,7 @@
 // remains at the end of the grace period is canceled. Requests learn of each part by a
 // grace.Signal.
 //
-//	err := halt.Stop(halt.Parts{Server: s, Control: loop, Signal: g, Grace: 8 * time.Second, ...})
+//	err := halt.Stop(halt.Parts{Server: s, Control: loop, Signal: g, Kill: 8 * time.Second, ...})
 package halt
 
 import (
@@ -26,6 +26,9 @@
 	// maxLingerShare is the share of the grace period that an instance accepts
 	// connections for at the most. The rest is for the requests in flight.
 	maxLingerShare = 0.5
+	// maxMarginShare is the share of the time until the process is killed that is kept
+	// for its end at the most.
+	maxMarginShare = 0.125
 )
 
 // server serves the requests of callers.
@@ -50,22 +53,32 @@
 	Log    zerolog.Logger
 	// Now is the clock of requests.
 	Now func() time.Time
+	// Kill is the time until the process is killed. The remaining requests are canceled
+	// earlier by Margin, in which they get responses, unless that is too much of Kill.
+	Kill   time.Duration
+	Margin time.Duration
 	// Linger is how long the instance still accepts connections, unless that is too
-	// much of Grace, the time until the remaining requests are canceled.
+	// much of the time until requests are canceled.
 	Linger time.Duration
-	Grace  time.Duration
+}
+
+// period returns the time until no more connections are accepted and the time until the
+// remaining requests are canceled.
+func (p Parts) period() (linger, end time.Duration) {
+	end = p.Kill - min(p.Margin, time.Duration(maxMarginShare*float64(p.Kill)))
+	return min(p.Linger, time.Duration(maxLingerShare*float64(end))), end
 }
 
 // Stop stops an instance. It returns an error if requests were cut.
 func Stop(p Parts) error {
 	begin := time.Now()
-	linger := min(p.Linger, time.Duration(maxLingerShare*float64(p.Grace)))
+	linger, end := p.period()
 	p.Signal.Begin(grace.Period{
 		Closed: p.Now().Add(linger),
-		End:    p.Now().Add(p.Grace),
+		End:    p.Now().Add(end),
 	})
 	p.Server.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), p.Grace)
+	ctx, cancel := context.WithTimeout(context.Background(), end)
 	defer cancel()
 	p.tellControl(ctx)
 	// The time that the control thread took counts as well.
--- a/internal/halt/halt_test.go
+++ b/internal/halt/halt_test.go
@@ -48,24 +48,39 @@
 	for name, c := range map[string]struct {
 		takes  int
 		linger time.Duration
-		grace  time.Duration
+		kill   time.Duration
+		margin time.Duration
 		left   time.Duration
 	}{
 		"usual": {
 			takes:  1,
 			linger: 200 * time.Millisecond,
-			grace:  time.Second,
+			kill:   time.Second,
 			left:   800 * time.Millisecond,
 		},
 		"short grace period": {
 			takes:  1,
 			linger: time.Minute,
-			grace:  time.Second,
+			kill:   time.Second,
+			left:   500 * time.Millisecond,
+		},
+		"margin": {
+			takes:  1,
+			linger: 200 * time.Millisecond,
+			kill:   4 * time.Second,
+			margin: 400 * time.Millisecond,
+			left:   3400 * time.Millisecond,
+		},
+		"margin that is most of the grace period": {
+			takes:  1,
+			linger: 200 * time.Millisecond,
+			kill:   800 * time.Millisecond,
+			margin: 400 * time.Millisecond,
 			left:   500 * time.Millisecond,
 		},
 		"delayed control thread": {
 			linger: 200 * time.Millisecond,
-			grace:  4 * time.Second,
+			kill:   4 * time.Second,
 			left:   3 * time.Second,
 		},
 	} {
@@ -73,7 +88,6 @@
 			t.Parallel()
 			s := &recordingServer{}
 			signal := grace.New()
-			begin := time.Now()
 			require.NoError(t, halt.Stop(halt.Parts{
 				Server: s,
 				Control: controlThread{
@@ -82,12 +96,13 @@
 				Signal: signal,
 				Log:    zerolog.Nop(),
 				Now:    time.Now,
+				Kill:   c.kill,
+				Margin: c.margin,
 				Linger: c.linger,
-				Grace:  c.grace,
 			}))
 			require.True(t, s.draining)
 			require.InDelta(t, c.left.Seconds(), s.left.Seconds(), 0.15)
-			require.WithinDuration(t, begin.Add(c.grace), signal.Period().End, 100*time.Millisecond)
+			require.InDelta(t, s.left.Seconds(), time.Until(signal.Period().End).Seconds(), 0.15)
 		})
 	}
 }
