httpd: events are counted once their line is written

TestCutRequestIsLogged and TestRequestThatCrossesTheCloseIsLogged read the log after they had read the counter, which was counted first. TestStopKeepsConnectionsWhileRequestsAreInFlight failed with an EOF: its caller, which waits for 10 ms after a response, was scheduled after the settle time of 0.1 s.

Change: lines are written before their counters, so that who sees a count finds the line. The settle time is an option; the tests of requests that are on their way set 1 s.

--- a/internal/httpd/close_test.go
+++ b/internal/httpd/close_test.go
@@ -123,7 +123,7 @@
 // A response that began before a stop does not announce the close, so that its caller's
 // next request must be answered, too.
 func TestStopAnswersRequestAfterBegunResponse(t *testing.T) {
-	f := newFixture(t, nil)
+	f := newFixture(t, nil, httpd.WithSettleTime(time.Second))
 	c := f.dial()
 	c.write("GET /begun HTTP/1.1\r\nHost: h\r\n\r\n")
 	require.Equal(t, "begun", <-f.entered)
@@ -148,7 +148,7 @@
 // Kept connections must stay usable while a stop waits for a request, and after it until
 // the callers' next requests have arrived.
 func TestStopKeepsConnectionsWhileRequestsAreInFlight(t *testing.T) {
-	f := newFixture(t, nil)
+	f := newFixture(t, nil, httpd.WithSettleTime(time.Second))
 	held, early, late := f.dial(), f.dial(), f.dial()
 	for _, c := range []*caller{held, early, late} {
 		c.write(request)
--- a/internal/httpd/cut.go
+++ b/internal/httpd/cut.go
@@ -61,7 +61,6 @@
 
 // logCut logs and counts a request that ended without a complete response.
 func (s *Server) logCut(c state, why reason, err error) {
-	s.meter.Cut(why.String())
 	line := s.log.Warn()
 	if why == callerLeft {
 		line = s.log.Info()
@@ -70,6 +69,7 @@
 		Stringer("quiet", c.quiet.Round(time.Millisecond)).
 		Stringer("took", time.Since(c.since).Round(time.Millisecond)).
 		Str("peer", c.peer).AnErr("detail", err).Send()
+	s.meter.Cut(why.String())
 }
 
 // ending is why a connection is closed between requests.
@@ -94,21 +94,21 @@
 // logClosed logs and counts a connection that is closed between requests. If it is kept,
 // its caller did not ask for the close and may be sending a request.
 func (s *Server) logClosed(c state, why ending, kept bool) {
-	s.meter.Closed(why.String())
 	line := s.log.Debug()
 	if why == stopped {
 		line = s.log.Info()
 	}
 	line.Str("event", "closed").Stringer("reason", why).Bool("kept", kept).
 		Stringer("quiet", c.quiet.Round(time.Millisecond)).Str("peer", c.peer).Send()
+	s.meter.Closed(why.String())
 }
 
 // logCrossed logs and counts a request that arrived after its connection was closed. It
 // was not read.
 func (s *Server) logCrossed(c state, why ending) {
-	s.meter.Crossed(why.String())
 	s.log.Warn().Str("event", "crossed").Stringer("reason", why).
 		Stringer("quiet", c.quiet.Round(time.Millisecond)).Str("peer", c.peer).Send()
+	s.meter.Crossed(why.String())
 }
 
 // connKey is the key of the connection in the context of a request.
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -27,9 +27,8 @@
 	// drainLimit bounds the time until a stopping server closes its listener, in case
 	// connections keep arriving.
 	drainLimit = 500 * time.Millisecond
-	// settleTime is how long a stopping server keeps a connection open after a response
-	// that did not announce the close, since the caller's next request may be on its way.
-	settleTime = 100 * time.Millisecond
+	// defaultSettleTime is the settle time unless another is set.
+	defaultSettleTime = 100 * time.Millisecond
 	// abortTime is how long handlers have to respond after the end of the grace
 	// period has canceled their requests.
 	abortTime = 150 * time.Millisecond
@@ -57,6 +56,7 @@
 	// anything.
 	fail          func(w http.ResponseWriter, id string)
 	headerTimeout time.Duration
+	settleTime    time.Duration
 	// draining is true once responses ask callers to close their connections, stopping
 	// once no more connections are accepted, aborting once no more requests are, and
 	// closing once connections with a request are closed.
@@ -111,6 +111,10 @@
 // the time that a new connection may take to send its first byte.
 func WithHeaderTimeout(d time.Duration) Option { return func(s *Server) { s.headerTimeout = d } }
 
+// WithSettleTime sets how long a stopping server keeps a connection open after a response
+// that did not announce the close, since the caller's next request may be on its way.
+func WithSettleTime(d time.Duration) Option { return func(s *Server) { s.settleTime = d } }
+
 // WithReadTimeout limits the time to read a complete request.
 func WithReadTimeout(d time.Duration) Option { return func(s *Server) { s.inner.ReadTimeout = d } }
 
@@ -129,6 +133,7 @@
 		idle:          func() time.Duration { return 0 },
 		fail:          func(w http.ResponseWriter, _ string) { w.WriteHeader(http.StatusBadGateway) },
 		headerTimeout: defaultHeaderTimeout,
+		settleTime:    defaultSettleTime,
 		grace:         grace.New(),
 		conns:         map[*conn]struct{}{},
 		quiet:         make(chan struct{}, 1),
@@ -225,7 +230,7 @@
 
 // Stop stops accepting connections and returns when each request that was read has
 // its response. Kept connections stay usable while a request is in flight and for
-// settleTime after their last response. A new connection may send its first request
+// the settle time after their last response. A new connection may send its first request
 // within the header timeout. When ctx ends, the remaining requests are canceled, and
 // those that still have no response are cut.
 func (s *Server) Stop(ctx context.Context) error {
@@ -263,7 +268,7 @@
 			continue
 		}
 		conns := s.connections()
-		if wait := settling(conns); wait > 0 {
+		if wait := s.settling(conns); wait > 0 {
 			t.Reset(wait)
 			continue
 		}
@@ -275,11 +280,11 @@
 
 // settling returns how long the next request of a caller may still be on its way, if its
 // last response did not announce the close.
-func settling(conns []*conn) time.Duration {
+func (s *Server) settling(conns []*conn) time.Duration {
 	var longest time.Duration
 	for _, c := range conns {
 		if last, ok := c.lastResponse(); ok {
-			longest = max(longest, settleTime-time.Since(last))
+			longest = max(longest, s.settleTime-time.Since(last))
 		}
 	}
 	return longest
