watch: pages that arrive are not cut by one limit for the whole table

A store may be slow, and a table may have many pages (the registry of 2,000 endpoints has four, the largest table nine). One limit of 1.5 s held for reading all of them, so that a sound store that takes 0.4 s for a page never delivered a table of six: each read was cut at the fourth page and began anew.

--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -19,16 +19,19 @@
 	// jitterDivisor limits the random deviation of an interval to this fraction
 	// of it: 4 means a quarter.
 	jitterDivisor = 4
-	// responseTimeout is how long a read may take in addition to the time that
+	// responseTimeout is how long a read of changes may take in addition to the time that
 	// it asks the store to wait.
 	responseTimeout = 1500 * time.Millisecond
+	// tableTimeout limits reading a whole table, which may take many calls. The
+	// largest one has nine pages of 1 MB.
+	tableTimeout = 9 * responseTimeout
 	// pauseCheck is how often the end of a pause is reconsidered.
 	pauseCheck = time.Second
 )
 
 // source is the store.
 type source interface {
-	// Rows returns all rows of table.
+	// Rows returns all rows of table. It limits the time for each of its calls.
 	Rows(ctx context.Context, table string) (store.Batch, error)
 	// Changes returns the rows that changed after a version. If there are none,
 	// it waits for the first change up to the given time.
@@ -188,7 +191,7 @@
 }
 
 func (t *Table) readAll(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, responseTimeout)
+	limited, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	b, err := t.source.Rows(limited, t.name)
 	if err != nil {
