halt: a delayed control thread still learns of the stop

An instance whose control thread was busy for over a second when its stop began passed the stop to nobody: peers did not learn of it, /readyz of the own front end stayed ready, and the lease was not released.

The event was given up after that second. Stop still waits no longer, but leaves the event to be taken until the server has stopped.

TestDelayedControlThreadLearnsOfStop failed (context deadline exceeded) and passes now.

--- a/internal/halt/halt.go
+++ b/internal/halt/halt.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// controlTimeout bounds the time to pass the stop to the control thread, so that a
+	// controlTimeout bounds the wait for the control thread to take the stop, so that a
 	// delayed control thread does not use up the grace period.
 	controlTimeout = time.Second
 	// maxLingerShare is the share of the grace period that an instance accepts
@@ -67,19 +67,30 @@
 	p.Server.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), p.Grace)
 	defer cancel()
-	p.tellControl(ctx)
+	taken := p.tellControl(ctx)
+	select {
+	case <-taken:
+	case <-time.After(controlTimeout):
+	}
 	// The time that the control thread took counts as well.
 	_ = retry.Wait(ctx, linger-time.Since(begin))
 	err := p.Server.Stop(ctx)
+	cancel()
+	<-taken
 	p.Log.Info().Str("event", "drained").Stringer("took", time.Since(begin).Round(time.Millisecond)).AnErr("error", err).Send()
 	return err
 }
 
-// tellControl passes the stop to the control thread, which passes it to peers.
-func (p Parts) tellControl(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	if err := p.Control.Tell(ctx, state.Stopping{}); err != nil {
-		p.Log.Warn().Str("event", "stopping").Str("reason", "the control thread did not take the stop: peers learn of it when this instance does not answer").Err(err).Send()
-	}
+// tellControl passes the stop to the control thread, which passes it to peers and releases
+// the lease. The channel that it returns is closed when the control thread has the stop or
+// ctx has ended.
+func (p Parts) tellControl(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := p.Control.Tell(ctx, state.Stopping{}); err != nil {
+			p.Log.Warn().Str("event", "stopping").Str("reason", "the control thread did not take the stop: peers learn of it when this instance does not answer").Err(err).Send()
+		}
+	}()
+	return done
 }
--- a/internal/halt/halt_test.go
+++ b/internal/halt/halt_test.go
@@ -91,3 +91,56 @@
 		})
 	}
 }
+
+// delayedControl takes an event only after a delay.
+type delayedControl struct {
+	delay time.Duration
+	taken chan state.Event
+}
+
+func (c delayedControl) Tell(ctx context.Context, e state.Event) error {
+	select {
+	case <-time.After(c.delay):
+		c.taken <- e
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// waitingServer stops when the control thread has taken the stop.
+type waitingServer struct {
+	taken chan state.Event
+}
+
+func (waitingServer) Drain() {}
+
+func (s waitingServer) Stop(ctx context.Context) error {
+	select {
+	case <-s.taken:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// A control thread that is late must still learn of the stop, as it passes the stop to
+// peers and releases the lease.
+func TestDelayedControlThreadLearnsOfStop(t *testing.T) {
+	t.Parallel()
+	taken := make(chan state.Event, 1)
+	require.NoError(t, halt.Stop(halt.Parts{
+		Server: waitingServer{
+			taken: taken,
+		},
+		Control: delayedControl{
+			delay: 1200 * time.Millisecond,
+			taken: taken,
+		},
+		Signal: grace.New(),
+		Log:    zerolog.Nop(),
+		Now:    time.Now,
+		Linger: 200 * time.Millisecond,
+		Grace:  3 * time.Second,
+	}))
+}
