front: a stopping instance is not ready, whatever its control thread does

While the control thread was delayed, load balancers still chose an instance that was about to close its listener, since /readyz looked at the state of that thread.

It looks at the signal of the stop now, which the filters use as well.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -174,7 +174,7 @@
 // newServer returns the HTTP server for callers, peers and operators.
 func (i *Instance) newServer(secret []byte) *httpd.Server {
 	e := echo.New()
-	front.Mount(e, i.core.Handler, i.core.Loop, stream.NewSigner(secret))
+	front.Mount(e, i.core.Handler, i.core.Loop, stream.NewSigner(secret), i.grace)
 	e.GET("/metrics", echo.WrapHandler(i.meter.Handler()))
 	e.POST(rpcapi.PeerPathPrefix+"*", echo.WrapHandler(peer.RequireSecret(secret, rpcapi.NewPeerServer(i.core.Peer))))
 	e.POST(rpcapi.AdminPathPrefix+"*", echo.WrapHandler(peer.RequireSecret(secret, rpcapi.NewAdminServer(i.core.Admin))))
--- a/internal/front/doc.go
+++ b/internal/front/doc.go
@@ -5,5 +5,5 @@
 // documents (RFC 9457) with a run member. This package only decodes and encodes;
 // all decisions are made by the filters.
 //
-//	front.Mount(e, handler, viewer, signer)
+//	front.Mount(e, handler, viewer, signer, signal)
 package front
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,7 @@
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/grace"
 	"github.com/baobabtally/baobabtally/pkg/label"
 	"github.com/baobabtally/baobabtally/pkg/stream"
 )
@@ -37,19 +38,27 @@
 	View() *state.State
 }
 
+// periodSource returns the grace period of a stopping instance.
+type periodSource interface {
+	Period() grace.Period
+}
+
 // Front decodes requests and encodes answers.
 type Front struct {
 	handler chain.Handler
 	view    viewer
 	signer  stream.Signer
+	grace   periodSource
 }
 
-// Mount registers the routes for callers on e. Requests are served by h.
-func Mount(e *echo.Echo, h chain.Handler, v viewer, s stream.Signer) {
+// Mount registers the routes for callers on e. Requests are served by h. The instance is
+// not ready once the period of g is active.
+func Mount(e *echo.Echo, h chain.Handler, v viewer, s stream.Signer, g periodSource) {
 	f := Front{
 		handler: h,
 		view:    v,
 		signer:  s,
+		grace:   g,
 	}
 	e.POST("/v1/chat/completions", f.chat)
 	e.POST("/v1/completions", f.text)
@@ -201,7 +210,7 @@
 	s := f.view.View()
 	ok, reason := s.Ready(time.Now())
 	switch {
-	case s.Stopping:
+	case f.grace.Period().Active():
 		return c.String(http.StatusServiceUnavailable, "the instance is stopping\n")
 	case !ok:
 		return c.String(http.StatusServiceUnavailable, reason+"\n")
