filter: work at an endpoint that gets no calls leaves the capacity with it

What callers saw: requests of the own front end, urgent ones too, waited until their target had passed and were refused, although an engine was free, while another one was silent, departing or gone and still held requests.

Admitted requests and those without a first chunk were counted for all endpoints of a model together. The slots of a departing endpoint left the capacity and the requests that it held did not; a suspected one kept its slots, which no request could use.

Change: requests count at the endpoint at which they have an attempt, and the capacity and what uses it are sums over the same endpoints: those that are trusted, or all if none is, as in the choice. The capacity is computed only while requests wait.

Measured: TestWorkHeldAtSilentEngineLeavesCapacityOfOthers failed in its three cases with "overload: the wait (waited 800ms) is beyond the target". Passes now; the packages filter, daemon and proof pass with the race detector.

--- a/internal/filter/gate.go
+++ b/internal/filter/gate.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
 	"github.com/baobabtally/baobabtally/pkg/load"
@@ -87,45 +89,21 @@
 		return chain.Result{}, err
 	}
 	r = r.WithDequeuedByFloor(floored)
-	observer := &firstChunkObserver{
-		Writer: w,
-		gate:   f,
-		model:  r.Model,
+	a := &admission{
+		gate:       f,
+		model:      r.Model,
+		rank:       r.Policy.Rank,
+		prefilling: 1,
 	}
-	result, err := next.Handle(ctx, r, observer)
-	observer.recordStart()
+	result, err := next.Handle(withAdmission(ctx, a), r, firstChunkObserver{
+		Writer:    w,
+		admission: a,
+	})
+	a.recordStart()
 	f.release(r, result)
 	return result, err
 }
 
-// firstChunkObserver notifies the gate when an answer starts, which shows that the
-// endpoint has processed the prompt.
-type firstChunkObserver struct {
-	chain.Writer
-	gate     Gate
-	model    string
-	recorded bool
-}
-
-// Begin records the start of the answer and passes the head on.
-func (o *firstChunkObserver) Begin(h chain.Head) error {
-	o.recordStart()
-	return o.Writer.Begin(h)
-}
-
-// recordStart counts the prompt as processed. Only the first call has an effect.
-func (o *firstChunkObserver) recordStart() {
-	if o.recorded {
-		return
-	}
-	o.recorded = true
-	o.gate.mu.Lock()
-	defer o.gate.mu.Unlock()
-	q := o.gate.queueFor(o.model)
-	q.prefilling--
-	o.gate.admitQueued(o.model, q)
-}
-
 // wait blocks until r is admitted, and reports whether it was admitted under the
 // floor, the minimum share of normal requests.
 func (f Gate) wait(ctx context.Context, r chain.Request) (bool, error) {
@@ -169,7 +147,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	q := f.queueFor(r.Model)
-	q.running[r.Policy.Rank]--
+	q.held.add("", r.Policy.Rank, -1, 0)
 	estimate := r.Cost()
 	actual := estimate
 	if result.Output > 0 {
@@ -199,14 +177,18 @@
 func (f Gate) admitQueued(model string, q *modelQueue) {
 	floor := f.view.View().Config.Document().Floor(policy.Normal)
 	q.updateUrgentDemand(f.now())
-	for limit := f.capacity(model, q); q.prefilling < limit.prefilling; {
-		item, next, ok := q.waiting.Next(floor, limit.admits(q))
+	if len(q.admissions) == 0 {
+		return
+	}
+	for limit := f.capacity(model, q); limit.used.prefilling < limit.prefilling; {
+		item, next, ok := q.waiting.Next(floor, limit.admits())
 		if !ok {
 			return
 		}
 		q.waiting = next
-		q.running[item.Rank]++
-		q.prefilling++
+		q.held.add("", item.Rank, 1, 1)
+		limit.used.running[item.Rank]++
+		limit.used.prefilling++
 		q.admissions[item.ID] <- item.Rank == policy.Normal && q.waiting.Len(policy.Urgent) > 0
 		delete(q.admissions, item.ID)
 	}
@@ -216,14 +198,17 @@
 // share of all slots or, if that is more, what it used at its last report to its
 // peers plus an equal share of what was free then. Instances see the usage of
 // their peers with a lag. If each took everything that seemed free, a burst would
-// allocate the free slots several times.
+// allocate the free slots several times. Endpoints that get no calls count neither with
+// their slots nor with the work that they hold.
 func (f Gate) capacity(model string, q *modelQueue) capacity {
 	s := f.view.View()
 	now := f.now()
 	totalSlots, normalSlots := 0, 0
 	var own, inFlight load.Work
-	pool := s.Members.Pool(model)
+	pool := callable(s, model, now)
+	used := q.held[""]
 	for _, e := range pool {
+		used = used.plus(q.held[e.Node.Name])
 		slots := e.Report.Slots
 		if slots == 0 {
 			slots = defaultSlots
@@ -247,7 +232,22 @@
 		total:      max(1, totalSlots/live, own.Calls+(totalSlots-inFlight.Calls)/live),
 		normal:     max(1, int(math.Ceil(floor*float64(totalSlots)/float64(live))), max(normalSlots/live, own.Calls+(normalSlots-inFlight.Calls)/live)-q.extraReserved(len(pool), live)),
 		prefilling: max(1, prefills),
+		used:       used,
+	}
+}
+
+// callable returns the endpoints that get calls for model: those that are trusted or, if
+// there are none, all.
+func callable(s *state.State, model string, now time.Time) []member.Endpoint {
+	pool := s.Members.Pool(model)
+	untrusted := func(e member.Endpoint) bool { return !s.Members.Trusted(e, now) }
+	if !slices.ContainsFunc(pool, untrusted) {
+		return pool
+	}
+	if trusted := slices.DeleteFunc(slices.Clone(pool), untrusted); len(trusted) > 0 {
+		return trusted
 	}
+	return pool
 }
 
 func (f Gate) queueFor(model string) *modelQueue {
@@ -255,6 +255,7 @@
 	if q == nil {
 		q = &modelQueue{
 			admissions: map[uint64]chan bool{},
+			held:       ledger{},
 		}
 		f.queues[model] = q
 	}
--- a/internal/filter/generate.go
+++ b/internal/filter/generate.go
@@ -96,6 +96,9 @@
 	g.attempts++
 	counted := g.gauge.Start(a.Endpoint.Node.Name, g.choice.UncachedTokens)
 	defer counted.End()
+	held := admissionOf(ctx)
+	held.move(a.Endpoint.Node.Name)
+	defer held.move("")
 	err = g.forwardStream(ctx, a, counted.EndPrefill)
 	g.reportOutcome(a.Endpoint, err)
 	switch {
--- a/internal/filter/queue.go
+++ b/internal/filter/queue.go
@@ -16,10 +16,8 @@
 	// reports whether the item was admitted while urgent requests were queued,
 	// under the floor of its rank.
 	admissions map[uint64]chan bool
-	// running is the number of admitted requests by rank, and prefilling the
-	// number of those that have no first chunk yet.
-	running    [policy.Ranks]int
-	prefilling int
+	// held is the work that was admitted and has not finished.
+	held ledger
 	// urgentDemand is the moving average of urgent requests, running and queued,
 	// as of urgentDemandAt.
 	urgentDemand   float64
@@ -41,7 +39,11 @@
 
 // updateUrgentDemand updates the moving average of the urgent demand.
 func (q *modelQueue) updateUrgentDemand(now time.Time) {
-	count := float64(q.running[policy.Urgent] + q.waiting.Len(policy.Urgent))
+	running := 0
+	for _, w := range q.held {
+		running += w.running[policy.Urgent]
+	}
+	count := float64(running + q.waiting.Len(policy.Urgent))
 	if !q.urgentDemandAt.IsZero() {
 		smoothing := 1 - math.Exp(-now.Sub(q.urgentDemandAt).Seconds()/urgentDemandWindow.Seconds())
 		q.urgentDemand += smoothing * (count - q.urgentDemand)
@@ -71,7 +73,7 @@
 
 // expectedWait returns the estimated time that r would spend in the queue.
 func (q *modelQueue) expectedWait(r chain.Request, limit capacity) time.Duration {
-	if q.waiting.Len(r.Policy.Rank) == 0 && q.prefilling < limit.prefilling && limit.admits(q)[r.Policy.Rank] {
+	if q.waiting.Len(r.Policy.Rank) == 0 && limit.used.prefilling < limit.prefilling && limit.admits()[r.Policy.Rank] {
 		return 0
 	}
 	if q.throughput == 0 {
@@ -112,13 +114,16 @@
 	normal int
 	// prefilling is how many of them may be without a first chunk.
 	prefilling int
+	// used is what runs at the same endpoints, or has no endpoint yet.
+	used work
 }
 
 // admits reports, by rank, whether one more request may run.
-func (c capacity) admits(q *modelQueue) [policy.Ranks]bool {
+func (c capacity) admits() [policy.Ranks]bool {
 	var out [policy.Ranks]bool
-	free := q.running[policy.Normal]+q.running[policy.Urgent] < c.total
+	running := c.used.running
+	free := running[policy.Normal]+running[policy.Urgent] < c.total
 	out[policy.Urgent] = free
-	out[policy.Normal] = free && q.running[policy.Normal] < c.normal
+	out[policy.Normal] = free && running[policy.Normal] < c.normal
 	return out
 }
--- a/internal/filter/service.go
+++ b/internal/filter/service.go
@@ -68,6 +68,9 @@
 func (f Dispatch) readAll(ctx context.Context, a call.Attempt) (chain.Head, []chain.Chunk, error) {
 	counted := f.gauge.Start(a.Endpoint.Node.Name, 0)
 	defer counted.End()
+	held := admissionOf(ctx)
+	held.move(a.Endpoint.Node.Name)
+	defer held.move("")
 	reply, err := f.client.Open(ctx, a)
 	if err != nil {
 		return chain.Head{}, nil, err
