relay: queued requests learn that their caller left or the instance stops

What callers saw: a request that waited in the gate when the grace period ended was refused for overload, with a Retry-After of its own queue limit, though another instance could serve it at once. A caller that left counted as a wait that was too long.

Change: the cause of the context decides, as in the gate of the own front end.

Measured: TestEndOfGracePeriodRefusesQueuedRequests fails before in both cases (overload; reason "waited") and passes now.

--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/grace"
 	"github.com/baobabtally/baobabtally/pkg/policy"
 	"github.com/baobabtally/baobabtally/pkg/queue"
 	"github.com/baobabtally/baobabtally/pkg/site"
@@ -149,7 +150,21 @@
 		// The request was admitted at the same moment.
 		return nil
 	}
-	g.meter.Waited(g.now().Sub(begin), false)
+	wait := g.now().Sub(begin)
+	g.meter.Waited(wait, false)
+	return g.unadmitted(ctx, r, wait, limit)
+}
+
+// unadmitted returns the reason why r was withdrawn from the queue after wait.
+func (g *gate) unadmitted(ctx context.Context, r chain.Request, wait, limit time.Duration) error {
+	switch {
+	case grace.Ended(ctx):
+		g.recordRefusal(r, "stopped", wait)
+		return grace.Fault(false)
+	case ctx.Err() != nil:
+		g.recordRefusal(r, "left", wait)
+		return fault.New(fault.Overload, "the caller left while the request waited: send it again")
+	}
 	return g.refuse(r, "waited", limit)
 }
 
@@ -162,10 +177,15 @@
 }
 
 func (g *gate) refuse(r chain.Request, reason string, wait time.Duration) error {
+	g.recordRefusal(r, reason, wait)
+	return fault.New(fault.Overload, "the wait (%s %s) is beyond the target: come back later or send less", reason, wait.Round(time.Millisecond)).WithRetry(max(wait, minRetryAfter))
+}
+
+// recordRefusal logs and counts a request that was not admitted.
+func (g *gate) recordRefusal(r chain.Request, reason string, wait time.Duration) {
 	g.meter.Refused(reason)
 	g.log.Warn().Str("event", "refuse").Str("request", r.ID).Str("team", r.Team).Str("route", r.Route.Name).
 		Str("reason", reason).Stringer("wait", wait.Round(time.Millisecond)).Send()
-	return fault.New(fault.Overload, "the wait (%s %s) is beyond the target: come back later or send less", reason, wait.Round(time.Millisecond)).WithRetry(max(wait, minRetryAfter))
 }
 
 // update admits waiting requests after the room has changed.
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -14,6 +14,7 @@
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/grace"
 	"github.com/baobabtally/baobabtally/pkg/lease"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/policy"
@@ -199,3 +200,44 @@
 	require.Equal(t, fault.Overload, fault.From(err).Kind)
 	require.Contains(t, out.String(), "event=refuse request=loom")
 }
+
+// A request that waits when the grace period ends must be sent to another instance at
+// once, and one whose caller left must not count as one that waited too long.
+func TestEndOfGracePeriodRefusesQueuedRequests(t *testing.T) {
+	t.Parallel()
+	for name, stops := range map[string]bool{
+		"caller left":    false,
+		"instance stops": true,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			log := &bytes.Buffer{}
+			g := newGate(oneEngine(), time.Now, zerolog.New(log), discardMeter{})
+			h := &blockingHandler{
+				release: make(chan struct{}),
+			}
+			var all sync.WaitGroup
+			for range 2 {
+				all.Go(func() { _, _ = g.Filter(t.Context(), promptRequest("loom", policy.Normal), nil, h) })
+			}
+			require.Eventually(t, func() bool { return h.runningNow() == 2 }, time.Second, time.Millisecond)
+			signal := grace.New()
+			ctx, leave := context.WithCancel(signal.Context())
+			time.AfterFunc(10*time.Millisecond, func() {
+				if stops {
+					signal.End()
+				}
+				leave()
+			})
+			_, err := g.Filter(ctx, promptRequest("loom", policy.Normal), nil, h)
+			require.Equal(t, fault.NotRun, fault.From(err).Run)
+			if stops {
+				require.Equal(t, fault.Unavailable, fault.From(err).Kind)
+				require.Equal(t, grace.RetryAfter, fault.From(err).Retry)
+			}
+			require.NotContains(t, log.String(), "waited")
+			close(h.release)
+			all.Wait()
+		})
+	}
+}
