httpd: a lower idle limit spares connections that were idle for longer

What callers saw: beside a change of the configuration, an EOF for a request that was not read: in process, 40 callers with a configuration each 150 ms (idle limits of 250 ms to 5 s), one in 6,300 requests, not traced further.

Cause, by reading: a lower limit closed all connections at once that had been idle for longer, within 0.2 s of its arrival, though their callers may not know it yet and use connections up to the earlier one.

Change: the time before the limit was lowered does not count.

Measured: TestLoweredIdleLimitSparesIdleConnections failed before in three of three runs and passes in three now. The trial above was not repeated.

--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -267,15 +267,19 @@
 }
 
 // endIfIdle closes the connection unless a request has arrived, if it has been idle
-// for idle, or, without a request so far, for first. 0 is no limit.
-func (c *conn) endIfIdle(idle, first time.Duration) {
+// for idle, of which the time before lowered does not count, or, without a request so
+// far, for first. 0 is no limit.
+func (c *conn) endIfIdle(idle time.Duration, lowered time.Time, first time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	limit, why := first, unused
+	limit, since, why := first, c.since, unused
 	if c.kept {
 		limit, why = idle, idled
+		if lowered.After(since) {
+			since = lowered
+		}
 	}
-	if c.phase != waiting || c.ending != open || limit <= 0 || time.Since(c.since) < limit {
+	if c.phase != waiting || c.ending != open || limit <= 0 || time.Since(since) < limit {
 		return
 	}
 	c.ending = why
--- a/internal/httpd/httpd_test.go
+++ b/internal/httpd/httpd_test.go
@@ -316,6 +316,22 @@
 	c.requireClosed()
 }
 
+// A lower idle limit must not close connections at once that were idle for longer, since
+// their callers may not know of it yet.
+func TestLoweredIdleLimitSparesIdleConnections(t *testing.T) {
+	f := newFixture(t, nil)
+	f.idle.Store(int64(time.Minute))
+	c := f.dial()
+	c.write(request)
+	c.requireAnswer()
+	time.Sleep(2 * idleTimeout)
+	f.idle.Store(int64(idleTimeout))
+	time.Sleep(idleTimeout * 4 / 5)
+	c.write(request)
+	c.requireAnswer()
+	c.requireClosed()
+}
+
 // A stop must answer a request of which a part was read before it.
 func TestStopServesRequestBeingRead(t *testing.T) {
 	f := newFixture(t, nil)
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -208,19 +208,25 @@
 }
 
 // sweepIdle ends idle connections until the server stops. It reads the limit each
-// time, so that a new one also applies to connections that are idle already.
+// time, so that a new one also applies to connections that are idle already. A lower one
+// applies to them from then on, since their callers learn of it at about the same time.
 func (s *Server) sweepIdle() {
 	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
+	limit, lowered := s.idle(), time.Time{}
 	for {
 		select {
 		case <-s.done:
 			return
 		case <-t.C:
 		}
-		idle := s.idle()
+		earlier := limit
+		limit = s.idle()
+		if limit > 0 && (earlier == 0 || limit < earlier) {
+			lowered = time.Now()
+		}
 		for _, c := range s.connections() {
-			c.endIfIdle(idle, s.headerTimeout)
+			c.endIfIdle(limit, lowered, s.headerTimeout)
 		}
 	}
 }
