relay: a request is not sent on a choice that a pause has outlasted

What callers and operators saw: a process that had been paused for some seconds acted on a permission that had run out meanwhile.

Cause: right before a request is sent, only the quiet time and the departure of its engine were checked again. A request whose deadline had passed since the choice was sent with a deadline of 1 ms, and one for replaced weights was sent after the time at which requests may begin on them. The timers that should have ended both don't count the time for which a machine is suspended, and run late after a pause of the process.

Change: the check before the sending also covers the deadline and the age of the weights, by the clock that counts suspended time. No attempt is chosen or sought after the deadline.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -68,6 +68,9 @@
 	var next *attempt
 	for {
 		if next == nil {
+			if x.deadlinePassed() {
+				return x.withRunState(errDeadline)
+			}
 			c, err := x.choose(ctx)
 			if err != nil {
 				return x.withRunState(err)
@@ -178,7 +181,7 @@
 		KVSource:       c.source,
 		KVTarget:       c.target,
 		MaxConnections: c.limit,
-		Allowed:        func() bool { return callable(x.control.View(), c.endpoint.Node, x.now()) },
+		Allowed:        func() bool { return x.allowed(c) },
 	})
 	if err != nil {
 		return attemptError(a.ctx, err)
@@ -187,6 +190,20 @@
 	return nil
 }
 
+// allowed reports whether a request may still be sent to the endpoint of c. The process
+// may have been paused since the choice.
+func (x *exchange) allowed(c choice) bool {
+	return callable(x.control.View(), c.endpoint.Node, x.now()) && !x.deadlinePassed() &&
+		(c.weights == 0 || x.startTimeLeft(c) > 0)
+}
+
+// deadlinePassed reports whether the caller has stopped waiting. The context may not have
+// ended yet, since its timer does not count the time for which the machine was suspended.
+func (x *exchange) deadlinePassed() bool {
+	until := x.request.EffectiveDeadline()
+	return !until.IsZero() && !x.now().Before(until)
+}
+
 // next returns the next part of the response.
 func (a *attempt) next() (chain.Chunk, error) {
 	if c := a.first; c != nil {
--- /dev/null
+++ b/internal/relay/paused_test.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabtally/baobabtally/internal/call"
+	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/fault"
+)
+
+// pausedClock is a clock that tests advance.
+type pausedClock struct {
+	now time.Time
+}
+
+func (c *pausedClock) read() time.Time { return c.now }
+
+// pausingEndpoints pause the process for a time when a request is about to be sent, and
+// count those that are sent then.
+type pausingEndpoints struct {
+	endpoints
+	clock *pausedClock
+	pause time.Duration
+	sent  int
+}
+
+func (e *pausingEndpoints) Open(_ context.Context, a call.Attempt) (call.Reply, error) {
+	e.clock.now = e.clock.now.Add(e.pause)
+	if !a.Allowed() {
+		return nil, call.Failure{
+			Cause: call.Withheld,
+		}
+	}
+	e.sent++
+	return nil, call.Failure{
+		Cause: call.NoCapacity,
+	}
+}
+
+// A request must not be sent on a choice that a pause of the process has outlasted, nor
+// wait for a timer that does not count the pause.
+func TestPauseBeforeRequestIsSent(t *testing.T) {
+	t.Parallel()
+	const limit = 8 * time.Second
+	for name, c := range map[string]struct {
+		change func(s state.State) state.State
+		pause  time.Duration
+		sent   int
+	}{
+		"none": {
+			sent: 2,
+		},
+		"until the deadline": {
+			pause: 2 * time.Second,
+		},
+		"until the weights are too old to begin on": {
+			change: func(s state.State) state.State {
+				s.Routing.Weights = s.Routing.Weights.WithDesired("m", 2, begin.Add(-limit+staleMargin+100*time.Millisecond))
+				return s
+			},
+			pause: 1500 * time.Millisecond,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := fiveEngines()
+			if c.change != nil {
+				s = c.change(s)
+			}
+			clock := &pausedClock{
+				now: begin,
+			}
+			e := &pausingEndpoints{
+				clock: clock,
+				pause: c.pause,
+			}
+			x := newWaitingExchange(fixedState{
+				state: s,
+			}, e, limit)
+			x.now = clock.read
+			x.request.Arrived = begin
+			x.request.Deadline = begin.Add(2 * time.Second)
+			x.request.Route.Attempts = 1
+			err := x.run(t.Context())
+			require.Error(t, err)
+			require.Equal(t, fault.NotRun, fault.From(err).Run)
+			require.Equal(t, c.sent, min(e.sent, 2))
+		})
+	}
+}
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -194,7 +194,7 @@
 		Endpoint: s.attempt.choice.endpoint.Node.Name,
 		Failed:   true,
 	})
-	for x.attemptsLeft() && x.hasCandidate() && x.takeRetry() {
+	for !x.deadlinePassed() && x.attemptsLeft() && x.hasCandidate() && x.takeRetry() {
 		if !s.try(q) {
 			return
 		}
