link: chunks in an HTTP/1.0 response are an error

Callers of platform's front got a 200 whose body began with the size of a chunk where an engine had sent Transfer-Encoding: chunked in an HTTP/1.0 response, and a cut one looked complete. net/http ignores and removes this header in HTTP/1.0, so that the chunks were taken for a body that ends with its connection. RFC 9112, 6.1 has a client treat such a message as faulty.

The head of an HTTP/1.0 response is now examined before it is parsed; other versions cost one look at the status line. The request is broken, as for any malformed response.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -40,6 +40,9 @@
 // errHeadTooLong means that a response head exceeded maxHeadBytes.
 const errHeadTooLong = errors.ConstError("the head of the answer is over 32 KB: check the endpoint")
 
+// errChunkedHTTP10 means that the framing of a response is faulty (RFC 9112, 6.1).
+const errChunkedHTTP10 = errors.ConstError("the answer has chunks, which HTTP/1.0 does not have: check the endpoint")
+
 // Request is an HTTP request. Its fields are sent unchanged.
 type Request struct {
 	// Method, Path and Host form the request line and the Host header.
@@ -218,6 +221,9 @@
 	c.limited.remaining = maxHeadBytes
 	defer func() { c.limited.remaining = math.MaxInt64 }()
 	for {
+		if c.chunkedHTTP10() {
+			return nil, errChunkedHTTP10
+		}
 		resp, err := http.ReadResponse(c.r, &http.Request{
 			Method: method,
 		})
@@ -238,6 +244,28 @@
 	}
 }
 
+// chunkedHTTP10 reports whether the next response is an HTTP/1.0 one with a
+// Transfer-Encoding, which http.ReadResponse ignores and removes. Only the part of
+// the head that fits into the read buffer is examined. Errors are left to the reads
+// that follow.
+func (c *Conn) chunkedHTTP10() bool {
+	const version = "HTTP/1.0"
+	if start, err := c.r.Peek(len(version)); err != nil || string(start) != version {
+		return false
+	}
+	for {
+		head, _ := c.r.Peek(c.r.Buffered())
+		text := strings.ToLower(strings.ReplaceAll(string(head), "\r\n", "\n"))
+		text, _, complete := strings.Cut(text, "\n\n")
+		if complete || len(head) == c.r.Size() {
+			return strings.Contains(text, "\ntransfer-encoding:")
+		}
+		if _, err := c.r.Peek(len(head) + 1); err != nil {
+			return false
+		}
+	}
+}
+
 // truncateError returns err, shortened if it quotes much of a response.
 func truncateError(err error) error {
 	text := err.Error()
