httpd: a response is sent to its end before its connection is closed

What callers saw: 109,416 of 3,145,728 bytes of a response that announced the close, and a reset.

Cause: http.Server closes the connection after such a response. With unread input, as a request that the caller sent behind the last one, the kernel resets the connection and drops what it has not sent.

Change: the write side is closed first, and input is discarded until the caller closes its side, for 0.5 s at the most. Such a request counts as one that crossed the close.

--- a/internal/httpd/close_test.go
+++ b/internal/httpd/close_test.go
@@ -1,7 +1,9 @@
 package httpd_test
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -285,3 +287,40 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 }
+
+// A long response that announces the close must reach its caller whole, also if another
+// request was sent behind its own.
+func TestCloseSendsResponseBeforePipelinedRequest(t *testing.T) {
+	body := strings.Repeat("x", 3<<20)
+	entered, release := make(chan struct{}, 2), make(chan struct{})
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := httpd.New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		entered <- struct{}{}
+		<-release
+		_, _ = io.WriteString(w, body)
+	}))
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	nc, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = nc.Close() }()
+	_, err = io.WriteString(nc, request)
+	require.NoError(t, err)
+	<-entered
+	_, err = io.WriteString(nc, request)
+	require.NoError(t, err)
+	time.Sleep(wireTime)
+	s.Drain()
+	close(release)
+	// The response does not fit into the buffers.
+	time.Sleep(wireTime)
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	require.NoError(t, err)
+	require.True(t, resp.Close)
+	got, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Len(t, got, len(body))
+	require.NoError(t, s.Stop(t.Context()))
+	require.ErrorIs(t, <-served, http.ErrServerClosed)
+}
--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -37,6 +38,10 @@
 // that the connection is closed: about a round trip.
 const crossTime = 50 * time.Millisecond
 
+// restTime bounds the wait for a caller to read the rest of a response, after which its
+// connection is closed.
+const restTime = 500 * time.Millisecond
+
 // String returns the name of the phase in logs.
 func (p phase) String() string {
 	return [...]string{"waiting", "reading", "handling", "leaving", "closed"}[p%5]
@@ -344,8 +349,9 @@
 }
 
 // Close closes the connection and logs a request that was not read completely, or whose
-// response is not complete.
+// response is not complete. A complete response is sent to its end first.
 func (c *conn) Close() error {
+	c.sendRest()
 	err := c.Conn.Close()
 	c.mu.Lock()
 	lost, why, cause := c.lostRequest()
@@ -360,6 +366,29 @@
 	return err
 }
 
+// sendRest waits until the caller has the end of a complete response. A socket that is
+// closed with unread input, such as a request that was sent behind the last one, is reset,
+// and what is still to be sent is lost.
+func (c *conn) sendRest() {
+	c.mu.Lock()
+	s := c.state()
+	complete := c.phase == handling && c.finished && !c.server.closing.Load()
+	ahead := c.ahead
+	c.mu.Unlock()
+	if !complete || !ahead && !hasInput(c.Conn) {
+		return
+	}
+	why := open
+	if c.server.draining.Load() {
+		why = stopped
+	}
+	c.server.logCrossed(s, why)
+	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(restTime)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, c.Conn)
+}
+
 // lostRequest reports whether the current request ends without a response, and why. The
 // caller holds mu.
 func (c *conn) lostRequest() (bool, reason, error) {
