relay: a retry that a pause has outlasted is taken from the budget anew

What operators saw: a process that had been paused for some seconds acted on a permission that had run out meanwhile.

Cause: a retry was taken from the budget when the attempt before had failed, and sent whenever its engine was chosen and connected. After a pause between the two, or a long look at engines, it arrived in a window in which this instance did not count it any more.

Change: the check before the sending withholds a retry that was taken longer ago than the margin by which the own window is longer than the platform's, 0.8 s of 10 s. It is sent if the budget allows it anew, and else refused.

Measured: TestPauseBeforeRetryIsSent failed with a pause of 5 s: three sent where the budget allowed one. Nothing changes without a pause or with one of 0.7 s.

--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -11,6 +11,11 @@
 	// windowMargin makes the local window longer than the platform's, because
 	// the start of a retry.Window moves in steps.
 	windowMargin = 1.2
+	// permitShare is the share of the platform's window within which a retry has to be
+	// sent. One that is sent later may be counted by the platform when this instance
+	// has already forgotten it: a retry.Window keeps it for nine tenths of its length
+	// at least.
+	permitShare = 0.9*windowMargin - 1
 	// extraRetryShare is the share of the fixed retry allowance that is used.
 	// Other instances may not know this one yet and take a larger part.
 	extraRetryShare = 0.7
@@ -46,6 +51,11 @@
 	return b.window(service).Allows(now, b.extra(instances))
 }
 
+// permitLife is for how long a retry that was taken may be sent.
+func (b *retryBudgets) permitLife() time.Duration {
+	return time.Duration(permitShare * float64(b.bounds.RetrySpan))
+}
+
 // extra is this instance's part of the fixed retry allowance.
 func (b *retryBudgets) extra(instances int) float64 {
 	return extraRetryShare * b.bounds.RetryExtra / float64(instances)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -40,6 +40,9 @@
 	received position
 	// parts are the parts of the prompt that other requests may share.
 	parts []poison.Part
+	// retryTaken is when a retry was last taken from the budget; zero before the first
+	// one.
+	retryTaken time.Time
 	// notRun counts the attempts that certainly did not execute the request.
 	notRun int
 }
@@ -193,7 +196,7 @@
 // allowed reports whether a request may still be sent to the endpoint of c. The process
 // may have been paused since the choice.
 func (x *exchange) allowed(c choice) bool {
-	return callable(x.control.View(), c.endpoint.Node, x.now()) && !x.deadlinePassed() &&
+	return callable(x.control.View(), c.endpoint.Node, x.now()) && !x.deadlinePassed() && !x.retryExpired() &&
 		(c.weights == 0 || x.startTimeLeft(c) > 0)
 }
 
@@ -406,6 +409,9 @@
 	}
 	name := a.choice.endpoint.Node.Name
 	if f.Cause == call.Withheld {
+		if x.retryExpired() && !x.takeRetry() {
+			return x.withRunState(errRetryBudget)
+		}
 		return nil
 	}
 	x.reportFailure(name, f)
@@ -470,7 +476,17 @@
 
 // takeRetry takes a retry from the budget that all instances share.
 func (x *exchange) takeRetry() bool {
-	return x.budgets.takeRetry(x.request.Service, x.instanceCount(), x.now())
+	now := x.now()
+	if !x.budgets.takeRetry(x.request.Service, x.instanceCount(), now) {
+		return false
+	}
+	x.retryTaken = now
+	return true
+}
+
+// retryExpired reports whether the retry that was taken last may not be sent any more.
+func (x *exchange) retryExpired() bool {
+	return !x.retryTaken.IsZero() && x.now().Sub(x.retryTaken) > x.budgets.permitLife()
 }
 
 // contextError returns the error of a request whose deadline has passed, whose
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -140,6 +140,8 @@
 	// errDeadline is the cause of a context that ended at the request's
 	// deadline.
 	errDeadline = fault.New(fault.Late, "the deadline passed: send the request with more time")
+	// errRetryBudget is the error of a request that was not sent again in time.
+	errRetryBudget = fault.New(fault.Unavailable, "the retry budget is spent: come back later").WithRetry(busyRetryAfter)
 	// errResponseTooLong is the failure of an attempt whose response exceeds
 	// maxResponseBytes and may have no end.
 	errResponseTooLong = call.Failure{
--- a/internal/relay/paused_test.go
+++ b/internal/relay/paused_test.go
@@ -92,3 +92,48 @@
 		})
 	}
 }
+
+// A retry must not be sent when the budget from which it was taken has forgotten it, unless
+// it is taken anew.
+func TestPauseBeforeRetryIsSent(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		pause time.Duration
+		sent  int
+	}{
+		"none": {
+			sent: 3,
+		},
+		"short": {
+			pause: 700 * time.Millisecond,
+			sent:  3,
+		},
+		"long": {
+			pause: 5 * time.Second,
+			sent:  1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			clock := &pausedClock{
+				now: begin,
+			}
+			e := &pausingEndpoints{
+				clock: clock,
+				pause: c.pause,
+			}
+			x := newWaitingExchange(fixedState{
+				state: fiveEngines(),
+			}, e, time.Minute)
+			x.now = clock.read
+			x.request.Route.Attempts = 2
+			x.budgets = newRetryBudgets(Bounds{
+				RetryExtra: 2 / extraRetryShare,
+				RetrySpan:  10 * time.Second,
+			})
+			err := x.run(t.Context())
+			require.Error(t, err)
+			require.Equal(t, c.sent, e.sent)
+		})
+	}
+}
