--- a/internal/client/headcut_test.go
+++ b/internal/client/headcut_test.go
@@ -144,8 +144,9 @@
 		require.True(t, f.MaybeSent, "%q", response[:n])
 	}
 	at.Store(int64(len(response)))
-	_, err := openAndRead(ctx, cl, addr, kind)
+	data, err := openAndRead(ctx, cl, addr, kind)
 	require.NoError(t, err)
+	require.NotEmpty(t, data)
 	return kept.Load()
 }
 
