client: a late response to a poll is not taken for one to another

Load reports and cache events of the own protocol share kept connections, and their responses have no id.

A report with events and events with running requests are errors now. Orders and resumed streams use new connections, and streams check the id of their attempt, as before.

An older report that comes late is still taken for a newer one; the next poll corrects it, since net/http closes the connection.

--- a/internal/client/poll.go
+++ b/internal/client/poll.go
@@ -19,6 +19,9 @@
 // maxPollBytes bounds the body of a poll's response.
 const maxPollBytes = 4 << 20
 
+// errOtherPoll means that a response came late: polls have no id.
+const errOtherPoll = errors.ConstError("the answer belongs to another poll")
+
 // loadReport is the encoding of an endpoint's load report.
 type loadReport struct {
 	Epoch     string  `json:"epoch"`
@@ -30,6 +33,8 @@
 	Prefill   float64 `json:"prefill"`
 	Step      float64 `json:"step"`
 	Departing bool    `json:"leaving"`
+	// Events is only in a response with cache events.
+	Events json.RawMessage `json:"events"`
 }
 
 // Load polls an endpoint for its load.
@@ -38,6 +43,9 @@
 	if err := c.poll(ctx, n, "/v1/load", &r); err != nil {
 		return member.Report{}, load.Work{}, err
 	}
+	if r.Events != nil {
+		return member.Report{}, load.Work{}, errors.Annotatef(errOtherPoll, "endpoint %s", n.Name)
+	}
 	report := member.Report{
 		Epoch:     cacheEpoch(r.Epoch, r.Version),
 		Version:   r.Version,
@@ -61,6 +69,8 @@
 		Removed bool     `json:"removed"`
 		Hashes  []uint64 `json:"hashes"`
 	} `json:"events"`
+	// Running is only in a load report.
+	Running json.RawMessage `json:"running"`
 }
 
 // Events polls an engine for the cache events whose sequence number is greater
@@ -70,6 +80,9 @@
 	if err := c.poll(ctx, n, "/v1/events?after="+strconv.FormatInt(after, 10), &b); err != nil {
 		return state.CacheEvents{}, err
 	}
+	if b.Running != nil {
+		return state.CacheEvents{}, errors.Annotatef(errOtherPoll, "endpoint %s", n.Name)
+	}
 	out := state.CacheEvents{
 		Endpoint: n.Name,
 		Epoch:    cacheEpoch(b.Epoch, b.Version),
