httpd: a lower idle limit spares connections whose callers may not know of it

What callers saw: beside a change of the configuration that lowers the idle limit, a request on a kept connection could end without an answer: the connection had been idle for longer than the new limit, and its caller followed the one before.

Cause: the server applied a lower limit at once, also to connections that were idle already.

Change: a lower limit applies once it has stood for lowerDelay (2 s); a higher one still applies at once.

--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -21,6 +21,9 @@
 	// sweepInterval is how often idle connections are checked against the current
 	// limit. A connection is kept that much longer at most.
 	sweepInterval = 200 * time.Millisecond
+	// lowerDelay is how long a lower idle limit does not apply yet, since callers may
+	// follow the higher one until they know of the new one.
+	lowerDelay = 2 * time.Second
 	// backlogTime is how long a stopping server accepts connections before it looks
 	// whether any are left in the backlog.
 	backlogTime = 20 * time.Millisecond
@@ -98,8 +101,8 @@
 // requests.
 func WithMeter(m meter) Option { return func(s *Server) { s.meter = m } }
 
-// WithIdleTimeout closes connections that are idle for longer than limit returns at
-// that time; 0 is no limit.
+// WithIdleTimeout closes connections that are idle for longer than limit returns; 0 is no
+// limit. A higher limit applies at once and a lower one after two seconds.
 func WithIdleTimeout(limit func() time.Duration) Option { return func(s *Server) { s.idle = limit } }
 
 // WithFailure sets how to respond to a request whose handler failed.
@@ -207,19 +210,48 @@
 func (s *Server) sweepIdle() {
 	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
+	l := newLimit(s.idle())
 	for {
 		select {
 		case <-s.done:
 			return
 		case <-t.C:
 		}
-		idle := s.idle()
+		l = l.WithNext(s.idle(), time.Now())
 		for _, c := range s.connections() {
-			c.endIfIdle(idle, s.headerTimeout)
+			c.endIfIdle(l.current, s.headerTimeout)
 		}
 	}
 }
 
+// limit is the limit for idle connections. A lower one applies after lowerDelay.
+type limit struct {
+	// current applies now; 0 is no limit.
+	current time.Duration
+	// next is the limit that was read last, and since when it has been the same.
+	next  time.Duration
+	since time.Time
+}
+
+func newLimit(d time.Duration) limit {
+	return limit{
+		current: d,
+		next:    d,
+	}
+}
+
+// WithNext returns the limit after d was read.
+func (l limit) WithNext(d time.Duration, now time.Time) limit {
+	if d != l.next {
+		l.next, l.since = d, now
+	}
+	lower := l.next > 0 && (l.current == 0 || l.next < l.current)
+	if !lower || now.Sub(l.since) >= lowerDelay {
+		l.current = l.next
+	}
+	return l
+}
+
 // Drain makes each response ask its caller to close the connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
