--- a/internal/httpd/doc.go
+++ b/internal/httpd/doc.go
@@ -7,7 +7,12 @@
 // goroutine that reads a connection also ends it, after it found no byte of a
 // next request.
 //
-// Each request that ends without a complete response is logged and counted.
+// Callers use connections until they are closed. A stopping server therefore closes
+// them once no request is in flight and none is expected, and answers with
+// "Connection: close" what comes before.
+//
+// Each request that ends without a complete response is logged and counted, and so is
+// each connection that is closed between requests.
 //
 //	s := httpd.New(handler, httpd.WithLog(log), httpd.WithIdleTimeout(limit))
 //	err := s.Serve(listener)
