client: chunks in an HTTP/1.0 response are an error

Callers of a plain service behind the own front got a 200 whose body began with the size of a chunk where the service had sent Transfer-Encoding: chunked in an HTTP/1.0 response, and a cut one looked complete. net/http ignores and removes this header in HTTP/1.0, as it did for the platform's endpoints.

The first response of each connection is now examined before it is parsed. Plain services get a new connection for each request. Later responses of kept connections are streams and polls, which chunk sizes make malformed.

TestChunksOfHTTP10AreAnError failed before (no error, body "5\r\nanswe\r\n6\r\nr body\r\n0\r\n\r\n") and passes now.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -100,7 +100,15 @@
 		Timeout: dialTimeout,
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			nc, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &headConn{
+				Conn: nc,
+			}, nil
+		},
 		MaxIdleConnsPerHost: maxIdleConnsPerEndpoint,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableKeepAlives:   disableKeepAlives,
--- a/internal/client/headcut_test.go
+++ b/internal/client/headcut_test.go
@@ -207,3 +207,17 @@
 		})
 	}
 }
+
+// HTTP/1.0 has no chunks, so a response that has some is malformed: their sizes must not
+// become a part of its body.
+func TestChunksOfHTTP10AreAnError(t *testing.T) {
+	response, _ := framed(cutHeads["HTTP/1.0"], "chunks", "answer body")
+	addr := serveRaw(t, func(nc net.Conn, _ *http.Request, _ int) {
+		_, _ = io.WriteString(nc, response)
+		_ = nc.Close()
+	})
+	cl := client.New()
+	defer cl.Close()
+	body, err := openAndRead(t.Context(), cl, addr, chain.Service)
+	require.Error(t, err, "%q", body)
+}
