relay: a test that pauses between the plan of an order and its sending

The lease is checked by the clock that counts suspended time right before an order is sent, after the report of the engine was read. TestPauseBeforeOrderIsSent pauses at both places; it passes on the code as it is, and fails if the validity of the lease is left out of the check.

--- a/internal/relay/paused_test.go
+++ b/internal/relay/paused_test.go
@@ -5,11 +5,18 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/baobabtally/baobabtally/internal/call"
+	"github.com/baobabtally/baobabtally/internal/ctrl"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/fault"
+	"github.com/baobabtally/baobabtally/pkg/lease"
+	"github.com/baobabtally/baobabtally/pkg/load"
+	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/store"
+	"github.com/baobabtally/baobabtally/pkg/weight"
 )
 
 // pausedClock is a clock that tests advance.
@@ -137,3 +144,87 @@
 		})
 	}
 }
+
+// pausingOrders pause the process before the report of an engine or before an order is
+// sent.
+type pausingOrders struct {
+	endpoints
+	clock         *pausedClock
+	beforeReport  time.Duration
+	beforeSending time.Duration
+	sent          int
+}
+
+func (e *pausingOrders) Load(context.Context, member.Node) (member.Report, load.Work, error) {
+	e.clock.now = e.clock.now.Add(e.beforeReport)
+	return member.Report{}, load.Work{}, nil
+}
+
+func (e *pausingOrders) Order(_ context.Context, _ member.Node, _ weight.Order, _, _ int64, allowed func() bool) (state.Outcome, error) {
+	e.clock.now = e.clock.now.Add(e.beforeSending)
+	if !allowed() {
+		return state.Unsent, nil
+	}
+	e.sent++
+	return state.Accepted, nil
+}
+
+// heldLease returns a lease that n0@1 holds at now.
+func heldLease(now time.Time) lease.Lease {
+	l := lease.New("l", "n0@1", lease.WithLength(leaseTTL, leaseRenewInterval))
+	l = l.WithRow(store.Row{}, store.ErrMissing, now)
+	op, l, _ := l.Plan(now)
+	return l.WithPut(op, 1, nil)
+}
+
+// An order must not be sent under a lease that a pause of the process has outlasted.
+func TestPauseBeforeOrderIsSent(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		beforeReport  time.Duration
+		beforeSending time.Duration
+		want          state.Outcome
+	}{
+		"none": {
+			want: state.Accepted,
+		},
+		"before the report": {
+			beforeReport: leaseTTL,
+			want:         state.Unsent,
+		},
+		"before the sending": {
+			beforeSending: leaseTTL - ctrl.OrderTimeout/2 + time.Millisecond,
+			want:          state.Unsent,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			clock := &pausedClock{
+				now: begin,
+			}
+			e := &pausingOrders{
+				clock:         clock,
+				beforeReport:  c.beforeReport,
+				beforeSending: c.beforeSending,
+			}
+			s := fiveEngines()
+			s.Lease = heldLease(begin)
+			require.True(t, s.Lease.Valid(begin, begin))
+			x := &executor{
+				parts: Parts{
+					Endpoints: e,
+					Now:       clock.read,
+					Log:       zerolog.Nop(),
+				},
+			}
+			x.loop = ctrl.New(s, x)
+			n, _ := s.Members.Find("e0")
+			got := x.sendOrder(t.Context(), state.SendOrder{
+				Endpoint:     n,
+				FencingToken: s.Lease.FencingToken(),
+			})
+			require.Equal(t, c.want, got.(state.Ordered).Outcome)
+			require.Equal(t, c.want == state.Accepted, e.sent == 1)
+		})
+	}
+}
