relay: a request waits for its turn until its deadline at most

What callers saw: a non-urgent request with a deadline sooner than 0.7 of its route's target waited past it and was refused then.

Cause: the gate took only the target for the time that a request may wait.

Change: the wait ends with the deadline, and a request whose expected wait is longer is refused at once, as not run.

Measured: TestQueuedRequestIsRefusedByItsDeadline: refused after 700 ms before, in both cases, with a deadline of 300 ms; now after 300 ms, and at once where the wait is known.

--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -106,7 +106,7 @@
 
 // acquire returns nil when r is admitted; its cost then counts as running.
 func (g *gate) acquire(ctx context.Context, r chain.Request, cost float64) error {
-	limit := queueTimeout(r)
+	limit := g.queueTimeout(r)
 	g.mu.Lock()
 	q := g.serviceQueue(r.Service)
 	// A state from before the lock might miss a change whose update came first.
@@ -153,12 +153,16 @@
 	return g.refuse(r, "waited", limit)
 }
 
-// queueTimeout is how long r may wait in the queue.
-func queueTimeout(r chain.Request) time.Duration {
-	if r.Route.TargetLatency <= 0 {
-		return defaultQueueWait
+// queueTimeout is how long r may wait in the queue, at most until its deadline.
+func (g *gate) queueTimeout(r chain.Request) time.Duration {
+	limit := defaultQueueWait
+	if r.Route.TargetLatency > 0 {
+		limit = time.Duration(queueWaitShare * float64(r.Route.TargetLatency))
 	}
-	return time.Duration(queueWaitShare * float64(r.Route.TargetLatency))
+	if until := r.EffectiveDeadline(); !until.IsZero() {
+		limit = min(limit, until.Sub(g.now()))
+	}
+	return limit
 }
 
 func (g *gate) refuse(r chain.Request, reason string, wait time.Duration) error {
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -186,6 +187,45 @@
 	all.Wait()
 }
 
+// A request must not wait for its turn beyond its deadline, and not at all if the wait is
+// known to be longer.
+func TestQueuedRequestIsRefusedByItsDeadline(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		throughput float64
+		want       time.Duration
+	}{
+		"the wait is not known": {
+			want: 300 * time.Millisecond,
+		},
+		"the wait is known": {
+			throughput: 1000,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				g := newGate(oneEngine(), time.Now, zerolog.Nop(), discardMeter{})
+				h := &blockingHandler{
+					release: make(chan struct{}),
+				}
+				for range 2 {
+					go func() { _, _ = g.Filter(t.Context(), promptRequest("loom", policy.Normal), nil, h) }()
+				}
+				synctest.Wait()
+				g.serviceQueue("llm").throughput.rate = c.throughput
+				r := promptRequest("braid", policy.Normal)
+				r.Deadline = time.Now().Add(300 * time.Millisecond)
+				begin := time.Now()
+				_, err := g.Filter(t.Context(), r, nil, h)
+				require.Equal(t, fault.NotRun, fault.From(err).Run)
+				require.Equal(t, c.want, time.Since(begin))
+				close(h.release)
+			})
+		})
+	}
+}
+
 func TestLogRateLimitKeepsRefusals(t *testing.T) {
 	view := oneEngine()
 	view.state.Members = view.state.Members.WithRegistry(nil)
