plat: a row or object that is too long is an error

send (internal/plat/table.go) cut bodies after 4 MB without an error, so that a part of a row looked like the whole one, and a writer could have replaced it by that part.

TestLongRowIsAnError failed before (no error) and passes now.

--- a/internal/plat/table.go
+++ b/internal/plat/table.go
@@ -24,7 +24,7 @@
 	dialTimeout = 500 * time.Millisecond
 	// callTimeout bounds a call, including the response's body.
 	callTimeout = 1 * time.Second
-	// maxBodyBytes is the largest row or object; longer bodies are truncated.
+	// maxBodyBytes is the largest row or object; a longer one is an error.
 	maxBodyBytes = 4 << 20
 )
 
@@ -174,10 +174,13 @@
 		return response{}, sent.Load(), err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
 	if err != nil {
 		return response{}, true, err
 	}
+	if len(data) > maxBodyBytes {
+		return response{}, true, errors.Errorf("the answer is over %d MB: store less under this key", maxBodyBytes>>20)
+	}
 	version, _ := strconv.ParseInt(strings.Trim(resp.Header.Get("ETag"), `"`), 10, 64)
 	return response{
 		status:  resp.StatusCode,
