probe: an answer with another status formats no nil error

The message for a status other than 200 ended in "(%!w(<nil>))", as the read of the body had succeeded. The two cases have messages of their own. Not run against a failing service.

--- a/cmd/probe/probe.go
+++ b/cmd/probe/probe.go
@@ -238,8 +238,11 @@
 		}
 		data, err := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-		if err != nil || resp.StatusCode != http.StatusOK {
-			return "", fmt.Errorf("answer %d: %s (%w)", resp.StatusCode, data, err)
+		if err != nil {
+			return "", fmt.Errorf("answer %d breaks off: %w", resp.StatusCode, err)
+		}
+		if resp.StatusCode != http.StatusOK {
+			return "", fmt.Errorf("answer %d: %s", resp.StatusCode, data)
 		}
 		bodies = append(bodies, string(data))
 	}
