load: a fresh report does not hide calls in prefill

Table.Work dropped PrefillCalls where an endpoint had reported lately.

TestReportKeepsKnownCallsInPrefill failed before (0 in place of 2) and passes now.

--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -41,6 +41,21 @@
 	require.Zero(t, tab.Work("e1", load.Work{}, 2000, start.Add(time.Minute)).Calls, "the report expired")
 }
 
+// A report does not hide the calls in prefill that the instances know of.
+func TestReportKeepsKnownCallsInPrefill(t *testing.T) {
+	own := load.Work{
+		Calls:        2,
+		PrefillCalls: 2,
+	}
+	tab := load.Table{}.WithReport("e1", load.Work{
+		Calls: 3,
+	}, start)
+	require.Equal(t, load.Work{
+		Calls:        3,
+		PrefillCalls: 2,
+	}, tab.Work("e1", own, 0, start))
+}
+
 func TestDigestsOfSilentPeersExpire(t *testing.T) {
 	var tab load.Table
 	for _, p := range []string{"i1", "i2"} {
--- a/pkg/load/table.go
+++ b/pkg/load/table.go
@@ -178,5 +178,6 @@
 	return Work{
 		Calls:         max(known.Calls, aged.Calls),
 		PrefillTokens: max(known.PrefillTokens, aged.PrefillTokens),
+		PrefillCalls:  max(known.PrefillCalls, aged.PrefillCalls),
 	}
 }
