--- a/internal/filter/late_test.go
+++ b/internal/filter/late_test.go
@@ -213,3 +213,36 @@
 	_, ok := l.Estimate("1999", 0, 0, begin)
 	require.False(t, ok)
 }
+
+// Requests that reach their deadlines are the longest of their route, so an estimate
+// without them is too short.
+func TestRequestsThatReachTheirDeadlinesCount(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	signal := grace.New()
+	f := filter.NewLate(signal, func() time.Time { return now })
+	r := chain.Request{
+		Kind:       chain.Relayed,
+		Idempotent: true,
+		Route: site.Route{
+			Name: "charge",
+		},
+	}
+	send := func(length time.Duration, err error) error {
+		_, got := f.Filter(t.Context(), r, nil, handlerFunc(func() error {
+			now = now.Add(length)
+			return err
+		}))
+		return got
+	}
+	for range 50 {
+		require.NoError(t, send(time.Second, nil))
+	}
+	late := fault.New(fault.Late, "the deadline passed")
+	require.ErrorIs(t, send(3*time.Second, late), late)
+	signal.Begin(grace.Period{
+		Closed: now.Add(time.Second),
+		End:    now.Add(2 * time.Second),
+	})
+	require.Equal(t, fault.Unavailable, fault.From(send(time.Second, nil)).Kind)
+}
--- a/pkg/grace/grace_test.go
+++ b/pkg/grace/grace_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -29,7 +30,7 @@
 			}
 			require.NoError(t, ctx.Err())
 			signal.End()
-			<-ctx.Done()
+			require.Eventually(t, func() bool { return ctx.Err() != nil }, time.Second, time.Millisecond)
 			require.True(t, grace.Ended(ctx))
 			require.Equal(t, !leave, grace.Ended(caller))
 		})
