core: requests that a stopping instance refuses are no missed targets

In the own front end the refusals of filter.Late counted as outcomes of their policies, and a planned stop could raise an alarm, though their callers are served by other instances. The filter goes before account now, as in the chain of relay. Found by the review, by reading; there is no test.

--- a/internal/filter/doc.go
+++ b/internal/filter/doc.go
@@ -3,8 +3,8 @@
 //	identify  authenticates the caller
 //	ready     refuses requests while this instance is not ready
 //	match     finds the policy that covers the request
-//	account   records the outcome of all later filters
 //	late      refuses requests that a stopping instance can't complete
+//	account   records the outcome of all later filters
 //	limit     enforces the rate limit of the team
 //	claim     runs non-idempotent calls with a key at most once
 //	gate      queues requests by rank and fair share, or refuses them early
