ctrl, watch: endpoints that left depart in time after an outage of the store

Cause: the time in which entries that the store may have lost can be registered again, 2.5 s, counted from each removal instead of the store's return, and an instance took the store as back up to 3.4 s late: it waited for a read that was sent to the silent store until its timeout. A read of the operators' table that failed long after the outage started the time once more.

The tests failed before: TestRemovalAfterStoreOutageCountsFromItsReturn, TestManyEndpointsThatLeaveAtOnceDepartInTime, TestLateFailureOfReadIsNoOutage, and TestReturnOfSilentStoreIsFoundWithinOneSecond with "1.15s is not less than or equal to 1s" after the first of six lengths.

Why the fix works: the span is one for all entries and starts with the return, which a read that is 0.4 s overdue finds through further reads. The worst case is 1 s and 2.5 s after the return, half a second after the first removal that the platform counts. What departs late is told to peers.

--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -275,6 +275,71 @@
 	require.Equal(t, []string{"e1", "e2"}, c.pool())
 }
 
+// Guards against requests to endpoints that left within seconds of an outage of the store:
+// the time for registering again started once more with each removal.
+func TestRemovalAfterStoreOutageCountsFromItsReturn(t *testing.T) {
+	for _, since := range []time.Duration{0, time.Second, 2400 * time.Millisecond} {
+		c := servingInstance(t, "e1", "e2", "e3")
+		c.step(state.StoreStatus{})
+		c.advance(5 * time.Second)
+		c.step(state.StoreStatus{
+			OK: true,
+		})
+		returned := c.now
+		c.step(fullSnapshot(20, "e1", "e2", "e3"))
+		c.now = c.now.Add(since)
+		c.step(state.RegistrySnapshot{
+			Removed: []string{"e1"},
+			Version: 21,
+		})
+		c.run(returned.Add(2600 * time.Millisecond).Sub(c.now))
+		require.Equal(t, []string{"e2", "e3"}, c.pool(), "the entry was removed %v after the store's return", since)
+		require.Contains(t, ctrl.HeartbeatOf(c.state).Drained, "e1", "the peers are told")
+	}
+}
+
+// Guards against requests to endpoints that left, where more than half of a small
+// deployment leaves at once: they stayed for longer than requests may be sent to them.
+func TestManyEndpointsThatLeaveAtOnceDepartInTime(t *testing.T) {
+	const drain = 2 * time.Second
+	c := servingInstance(t, "e1", "e2", "e3")
+	c.step(state.RegistrySnapshot{
+		Removed: []string{"e1", "e2"},
+		Version: 11,
+	})
+	c.run(drain - 200*time.Millisecond)
+	require.Equal(t, []string{"e3"}, c.pool())
+}
+
+// Guards against taking a read that was sent in an outage, and fails long after its end,
+// for another outage.
+func TestLateFailureOfReadIsNoOutage(t *testing.T) {
+	c := servingInstance(t, "e1", "e2", "e3")
+	c.step(state.StoreStatus{})
+	c.advance(5 * time.Second)
+	c.step(state.StoreStatus{
+		OK: true,
+	})
+	c.run(4 * time.Second)
+	c.step(state.StoreStatus{
+		OK: true,
+	})
+	c.step(state.StoreStatus{
+		Unanswered: 20 * time.Second,
+	})
+	require.True(t, c.state.Routing.StoreReachable)
+	c.step(state.RegistrySnapshot{
+		Removed: []string{"e1"},
+		Version: 21,
+	})
+	require.Equal(t, []string{"e2", "e3"}, c.pool(), "the store was not away")
+	c.advance(time.Second)
+	c.step(state.StoreStatus{
+		Unanswered: 500 * time.Millisecond,
+	})
+	require.False(t, c.state.Routing.StoreReachable, "this read was sent after the last one that was answered")
+}
+
 func TestRegistryAgeRestartsWithEachConfirmation(t *testing.T) {
 	c := servingInstance(t, "e1")
 	age := func() time.Duration { return c.now.Sub(c.state.Routing.RegistryConfirmed) }
--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -20,6 +20,9 @@
 	// their endpoints may register again. If fewer vanish, their endpoints count as
 	// departed, since they may be stopping without notice.
 	massRemovalShare = 0.5
+	// massRemovalTimeout is how long they have to register again. It is less than the
+	// platform allows for requests to endpoints that departed, since they may have.
+	massRemovalTimeout = 1500 * time.Millisecond
 	// departedTTL is how long heartbeats include an entry that was removed: longer
 	// than the longest interval between two reads of the registry.
 	departedTTL = 10 * time.Second
@@ -229,8 +232,12 @@
 			// It registered and left between two reads of this instance. Peers that
 			// read the registry in between use it.
 			s = c.markDeparted(s, name, now)
+		case known && s.Routing.StoreReachable && now.Sub(s.Routing.StoreSince) >= reregisterTimeout:
+			s = c.markDeparting(s, name, now.Add(massRemovalTimeout))
 		case known:
-			s = c.markDeparting(s, name, now.Add(reregisterTimeout))
+			// The time for registering again is the same for all: it starts with the
+			// return of the store.
+			s = c.markDeparting(s, name, now)
 		}
 	}
 	return s, actions
@@ -402,10 +409,15 @@
 // do not answer.
 func (c Registry) expireNodes(s state.State, now time.Time) (state.State, []state.Action) {
 	var actions []state.Action
+	news := false
 	for _, name := range slices.Sorted(maps.Keys(s.Routing.Departing)) {
 		if !s.Routing.StoreReachable || now.Before(s.Routing.Departing[name]) || now.Sub(s.Routing.StoreSince) < reregisterTimeout {
 			continue
 		}
+		if e, ok := s.Members.Find(name); ok && !e.Report.Departing {
+			// No peer sent this departure.
+			news = true
+		}
 		nodes := c.knownEndpoints(s)
 		delete(nodes, name)
 		s = c.clearDeparture(s, []member.RegistryEntry{
@@ -416,11 +428,16 @@
 			},
 		})
 		s = c.setNodes(s, nodes)
+		s = c.markDeparted(s, name, now)
 		actions = append(actions, state.Note{
 			Event: "endpoint",
 			Pairs: []string{"endpoint", name, "state", "gone", "reason", "did not register again after the store outage"},
 		})
 	}
+	if news {
+		s = s.WithNews(now, repeatDuration)
+		actions = append(actions, heartbeatsTo(s, s.Others())...)
+	}
 	silent := func(p member.Node) bool {
 		failed := s.Peer(p.Name).FailedSince
 		return !failed.IsZero() && now.Sub(failed) >= peerTTL
@@ -537,6 +554,12 @@
 	if e.OK && s.Routing.RegistryVersion > 0 {
 		s.Routing.RegistryConfirmed = now
 	}
+	if e.OK {
+		s.Routing.StoreAnswered = now
+	} else if e.Unanswered > 0 && now.Add(-e.Unanswered).Before(s.Routing.StoreAnswered) {
+		// The store has answered another read since this one was sent.
+		return s, nil
+	}
 	if s.Routing.StoreReachable == e.OK && !s.Routing.StoreSince.IsZero() {
 		return s, nil
 	}
--- a/internal/relay/interval_test.go
+++ b/internal/relay/interval_test.go
@@ -111,3 +111,13 @@
 	lost.Routing.StoreReachable = false
 	require.Zero(t, operatorPause(lost, begin))
 }
+
+// While the store is silent, all instances together must stay far below the 2,000 calls a
+// second that it takes, and each must find its return within the time for registering again.
+func TestOverdueReadsByFleetSize(t *testing.T) {
+	for _, n := range []int{1, 8, 23, 88, 295, 1000} {
+		interval := hedgeIntervalOf(n - 1)
+		require.Less(t, float64(n)/interval.Seconds(), 1500.0)
+		require.LessOrEqual(t, interval, time.Second)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,6 +64,10 @@
 	// beyond its rate and each refused call has its price.
 	smallFleet            = 9
 	maxStoreProbeInterval = 3 * time.Second
+	// hedgeInterval is how long a read of changes may be overdue before a small fleet
+	// sends another one. Larger fleets wait longer, up to maxHedgeInterval.
+	hedgeInterval    = 400 * time.Millisecond
+	maxHedgeInterval = time.Second
 	// heartbeatInterval is the time between two rounds of heartbeats, and
 	// heartbeatsPerRound the number that an instance of a fleet of hundreds sends in
 	// one, times the number of its peers.
@@ -217,6 +221,7 @@
 	exec.loop = loop
 	gate := newGate(loop, p.Now, p.Log, p.Meter)
 	operators, registry := p.Decoder.Tables()
+	hedging := watch.WithHedging(func() time.Duration { return hedgeIntervalOf(len(loop.View().Routing.Peers)) })
 	newSink := func(table string) controlSink {
 		return controlSink{
 			loop:     loop,
@@ -233,10 +238,10 @@
 		gate:    gate,
 		operators: watch.New(p.Store, operators, operatorSink{
 			controlSink: newSink("operators"),
-		}, watch.WithLongPoll(operatorLongPoll), watch.WithPause(func() time.Duration { return operatorPause(loop.View(), p.Now()) })),
+		}, hedging, watch.WithLongPoll(operatorLongPoll), watch.WithPause(func() time.Duration { return operatorPause(loop.View(), p.Now()) })),
 		registry: watch.New(p.Store, registry, registrySink{
 			controlSink: newSink("registry"),
-		}, watch.WithLongPoll(registryLongPoll), watch.WithInterval(func() time.Duration { return registryReadInterval(loop.View(), p.Now()) })),
+		}, hedging, watch.WithLongPoll(registryLongPoll), watch.WithInterval(func() time.Duration { return registryReadInterval(loop.View(), p.Now()) })),
 		done: make(chan struct{}),
 	}
 }
@@ -253,6 +258,12 @@
 	return min(registryInterval*time.Duration(share), maxRegistryInterval)
 }
 
+// hedgeIntervalOf returns the time after which a read of changes is overdue at an instance
+// with the given number of peers.
+func hedgeIntervalOf(peers int) time.Duration {
+	return min(hedgeInterval*time.Duration((peers+smallFleet)/smallFleet), maxHedgeInterval)
+}
+
 // operatorPause returns the mean pause between two waits for changes of the operators'
 // table at now. There is none where the news of peers can't be relied on.
 func operatorPause(s *state.State, now time.Time) time.Duration {
--- a/internal/relay/sinks.go
+++ b/internal/relay/sinks.go
@@ -7,6 +7,7 @@
 
 	"github.com/baobabtally/baobabtally/internal/ctrl"
 	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/internal/watch"
 	"github.com/baobabtally/baobabtally/pkg/store"
 )
 
@@ -43,11 +44,9 @@
 // HandleResult reports the result of a read. A failed one shows that the store is
 // unreachable, long before the next read of the registry in a large fleet; that it is
 // reachable again is determined by the registry's reads.
-func (s operatorSink) HandleResult(ctx context.Context, err error) {
-	if err != nil {
-		s.send(ctx, state.StoreStatus{
-			Reason: err.Error(),
-		})
+func (s operatorSink) HandleResult(ctx context.Context, r watch.Result) {
+	if r.Err != nil {
+		s.send(ctx, statusOf(r))
 		return
 	}
 	s.send(ctx, state.SiteConfirmed{})
@@ -67,12 +66,16 @@
 }
 
 // HandleResult reports whether the store is reachable.
-func (s registrySink) HandleResult(ctx context.Context, err error) {
+func (s registrySink) HandleResult(ctx context.Context, r watch.Result) { s.send(ctx, statusOf(r)) }
+
+// statusOf returns what a read shows of the store.
+func statusOf(r watch.Result) state.StoreStatus {
 	e := state.StoreStatus{
-		OK: err == nil,
+		OK:         r.Err == nil,
+		Unanswered: r.Unanswered,
 	}
-	if err != nil {
-		e.Reason = err.Error()
+	if r.Err != nil {
+		e.Reason = r.Err.Error()
 	}
-	s.send(ctx, e)
+	return e
 }
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -250,6 +250,9 @@
 	OK bool
 	// Reason says why the store did not answer.
 	Reason string
+	// Unanswered is for how long the read waited if it ended without any response, and 0
+	// for all others.
+	Unanswered time.Duration
 }
 
 // SiteConfirmed reports that the store answered a read of the operators' settings.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -115,6 +115,8 @@
 	// Whether the platform's store answers, and when that last changed.
 	StoreReachable bool
 	StoreSince     time.Time
+	// StoreAnswered is when the store last answered a read of the registry.
+	StoreAnswered time.Time
 	// Departing maps endpoints to the time at which they count as departed. Their
 	// registry entries vanished at a time when the store may have lost entries.
 	// Invariant: the map is never written in place.
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -29,6 +29,9 @@
 	pauseCheck = time.Second
 )
 
+// errUnanswered reports a read that got no response.
+var errUnanswered = errors.New("the store does not answer: check that it runs")
+
 // source is the store.
 type source interface {
 	// Rows returns all rows of table. It limits the time for each of its calls.
@@ -42,8 +45,17 @@
 type Sink interface {
 	// HandleBatch handles a batch of new, changed and removed rows.
 	HandleBatch(ctx context.Context, b store.Batch)
-	// HandleResult handles the result of each read; err is nil if it succeeded.
-	HandleResult(ctx context.Context, err error)
+	// HandleResult handles the result of each read.
+	HandleResult(ctx context.Context, r Result)
+}
+
+// Result is the result of a read.
+type Result struct {
+	// Err is nil if the read succeeded.
+	Err error
+	// Unanswered is for how long the read waited if it ended without any response, and 0
+	// for all others.
+	Unanswered time.Duration
 }
 
 // Table follows one table of the store. It is created by New.
@@ -55,6 +67,11 @@
 	interval func() time.Duration
 	// pause returns the mean pause after a read of changes; nil if there is none.
 	pause func() time.Duration
+	// hedging returns how much longer than its wait a read of changes may take until
+	// another one is sent, and the time between further ones; nil if there are none.
+	hedging func() time.Duration
+	// failed reports whether the last read failed.
+	failed bool
 	// version is the version of the newest change read, and rows the version of
 	// each row.
 	version int64
@@ -86,6 +103,14 @@
 	return func(t *Table) { t.pause = pause }
 }
 
+// WithHedging sets the function that returns how much longer than its wait a read of
+// changes may take until another one is sent, and the time between further ones. The
+// first response counts, so that a table reads again soon after an outage in which
+// responses were lost.
+func WithHedging(interval func() time.Duration) Option {
+	return func(t *Table) { t.hedging = interval }
+}
+
 // New returns a table that is started by Run.
 func New(s source, name string, sink Sink, opts ...Option) *Table {
 	t := &Table{
@@ -110,12 +135,19 @@
 	defer close(t.done)
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		begin, complete := time.Now(), !t.synced
+		begin, complete := time.Now(), !t.synced || t.failed
 		err := t.guardedRead(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
-		t.sink.HandleResult(ctx, err)
+		result := Result{
+			Err: err,
+		}
+		if errors.Is(err, errUnanswered) {
+			result.Unanswered = time.Since(begin)
+		}
+		t.sink.HandleResult(ctx, result)
+		t.failed = err != nil
 		delay := withJitter(t.interval()) - time.Since(begin)
 		if err != nil {
 			delay = backoff
@@ -175,9 +207,11 @@
 	if t.pause != nil {
 		wait = withJitter(wait)
 	}
-	limited, cancel := context.WithTimeout(ctx, wait+responseTimeout)
-	defer cancel()
-	b, err := t.source.Changes(limited, t.name, t.version, wait)
+	if t.failed {
+		// The store may still be away. A read without a wait shows that early.
+		wait = 0
+	}
+	b, err := t.changes(ctx, wait)
 	if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrMalformed) {
 		// Malformed changes would be returned again after the same version.
 		t.synced = false
@@ -190,6 +224,71 @@
 	return nil
 }
 
+// reply is the result of one call to the source.
+type reply struct {
+	batch store.Batch
+	err   error
+	// panicked is what the source panicked with, if it did.
+	panicked any
+}
+
+// changes reads the changes since the last read. The store may hold the call for wait. If
+// it takes longer, further calls are sent, and the first successful one counts.
+func (t *Table) changes(ctx context.Context, wait time.Duration) (store.Batch, error) {
+	limited, cancel := context.WithTimeout(ctx, wait+responseTimeout)
+	defer cancel()
+	replies := make(chan reply)
+	after, pending := t.version, 0
+	send := func(wait time.Duration) {
+		pending++
+		go func() {
+			r := t.call(limited, after, wait)
+			select {
+			case replies <- r:
+			case <-limited.Done():
+			}
+		}()
+	}
+	send(wait)
+	var overdue <-chan time.Time
+	if t.hedging != nil {
+		timer := time.NewTimer(wait + t.hedging())
+		defer timer.Stop()
+		overdue = timer.C
+	}
+	for {
+		select {
+		case r := <-replies:
+			pending--
+			if r.panicked != nil {
+				panic(r.panicked)
+			}
+			final := r.err == nil || errors.Is(r.err, store.ErrCompacted) || errors.Is(r.err, store.ErrMalformed)
+			if final || pending == 0 {
+				return r.batch, r.err
+			}
+		case <-overdue:
+			send(0)
+			timer := time.NewTimer(t.hedging())
+			defer timer.Stop()
+			overdue = timer.C
+		case <-limited.Done():
+			return store.Batch{}, errors.Annotatef(errUnanswered, "table %q", t.name)
+		}
+	}
+}
+
+// call calls the source, and returns what it panics with.
+func (t *Table) call(ctx context.Context, after int64, wait time.Duration) (r reply) {
+	defer func() {
+		if p := recover(); p != nil {
+			r.panicked = p
+		}
+	}()
+	r.batch, r.err = t.source.Changes(ctx, t.name, after, wait)
+	return r
+}
+
 func (t *Table) readAll(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
--- a/internal/watch/table_test.go
+++ b/internal/watch/table_test.go
@@ -64,6 +64,8 @@
 	errs    []error
 	// panics is how many calls of HandleBatch panic, the first ones.
 	panics int
+	// resultAt is when each result arrived.
+	resultAt []time.Time
 }
 
 func (s *recordingSink) HandleBatch(_ context.Context, b store.Batch) {
@@ -74,7 +76,10 @@
 	s.batches = append(s.batches, b)
 }
 
-func (s *recordingSink) HandleResult(_ context.Context, err error) { s.errs = append(s.errs, err) }
+func (s *recordingSink) HandleResult(_ context.Context, r watch.Result) {
+	s.errs = append(s.errs, r.Err)
+	s.resultAt = append(s.resultAt, time.Now())
+}
 
 func rows(version int64, complete bool, values ...string) store.Batch {
 	b := store.Batch{
@@ -304,3 +309,76 @@
 		<-tab.Done()
 	})
 }
+
+// silentStore answers no call that is sent or held while it is away.
+type silentStore struct {
+	begin time.Time
+	// away holds the outages, relative to begin: from and until.
+	away [][2]time.Duration
+	// rowAt is when the row changes, relative to begin.
+	rowAt time.Duration
+}
+
+func (s *silentStore) down() bool {
+	for _, d := range s.away {
+		if at := time.Since(s.begin); at >= d[0] && at < d[1] {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *silentStore) Rows(context.Context, string) (store.Batch, error) {
+	return rows(1, true, "a"), nil
+}
+
+func (s *silentStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (store.Batch, error) {
+	sent := time.Now()
+	for {
+		changed := after < 2 && time.Since(s.begin) >= s.rowAt
+		switch {
+		case s.down():
+			<-ctx.Done()
+			return store.Batch{}, ctx.Err()
+		case changed:
+			return rows(2, false, "b"), nil
+		case time.Since(sent) >= wait:
+			return store.Batch{
+				Version: after,
+			}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return store.Batch{}, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+// Guards against an instance that learns seconds late that the store answers again: a read
+// that was sent in the outage was waited for until its timeout.
+func TestReturnOfSilentStoreIsFoundWithinOneSecond(t *testing.T) {
+	for _, length := range []time.Duration{1500, 2900, 3600, 4500, 6100, 8000} {
+		synctest.Test(t, func(t *testing.T) {
+			end := 10*time.Second + length*time.Millisecond
+			s := &silentStore{
+				begin: time.Now(),
+				away:  [][2]time.Duration{{10 * time.Second, end}},
+				rowAt: time.Hour,
+			}
+			got := &recordingSink{}
+			ctx, cancel := context.WithTimeout(t.Context(), end+4*time.Second)
+			defer cancel()
+			table := watch.New(s, "op", got, watch.WithLongPoll(time.Second), watch.WithHedging(func() time.Duration { return 400 * time.Millisecond }))
+			require.NoError(t, table.Run(ctx))
+			back := s.begin.Add(end)
+			for i, at := range got.resultAt {
+				if got.errs[i] == nil && !at.Before(back) {
+					require.LessOrEqual(t, at.Sub(back), time.Second, "after %v of silence", length*time.Millisecond)
+					return
+				}
+			}
+			require.Fail(t, "no read succeeded after the return")
+		})
+	}
+}
