watch, ctrl: what is lost in an outage of the store is read again when the store returns

Cause: a read of the operators' table that was sent to the silent store waits for its answer for up to 26.5 s, and nothing ends it when another read finds that the store is back. Instances read that table at the same moments, since a change ends the reads of all, so that nobody can tell the others.

Evidence: `event=site` at each instance only when its own read had timed out. The class is wider: a change that ends all reads right before a silent outage leaves no failure behind.

Why the fix works: whichever read finds the outage or its end has all tables read at once, here and, through heartbeats, at peers that did not notice it. Where no read was in flight to notice it, the reads after a change are short, so that a lost one is overdue within a second and a half.

--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -340,6 +340,66 @@
 	require.False(t, c.state.Routing.StoreReachable, "this read was sent after the last one that was answered")
 }
 
+// renewals returns how many actions of the last step renew the reads of the store.
+func (c *testInstance) renewals() int {
+	n := 0
+	for _, a := range c.actions {
+		if _, ok := a.(state.RenewReads); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a table that waits for a lost response after another one was answered.
+func TestReadsAreRenewedWhenTheStoreIsLostAndRegained(t *testing.T) {
+	c := servingInstance(t, "e1")
+	c.step(state.StoreStatus{
+		OK: true,
+	})
+	require.Zero(t, c.renewals(), "nothing changed")
+	c.step(state.StoreStatus{})
+	require.Equal(t, 1, c.renewals(), "the other table may sleep for half a minute")
+	c.advance(200 * time.Millisecond)
+	c.step(state.StoreStatus{
+		OK: true,
+	})
+	require.Equal(t, 1, c.renewals())
+}
+
+// Guards against an instance that had no read of the registry in an outage, while the
+// response to its read of the operators' table was lost in it.
+func TestReadsAreRenewedWhenPeersRegainTheStore(t *testing.T) {
+	c := servingInstance(t, "e1")
+	renewed := 0
+	heartbeat := func(name string, follows bool) {
+		c.step(state.Heartbeat{
+			Name: name,
+			Relay: state.Relay{
+				Addr:           name + ":1",
+				StoreReachable: follows,
+			},
+		})
+		renewed += c.renewals()
+		c.advance(ctrl.ForwardInterval)
+		renewed += c.renewals()
+	}
+	for range 3 {
+		heartbeat("n1", true)
+		heartbeat("n2", true)
+	}
+	require.Zero(t, renewed)
+	heartbeat("n1", false)
+	heartbeat("n2", false)
+	require.Zero(t, renewed, "the store does not answer yet")
+	heartbeat("n1", true)
+	require.Equal(t, 1, renewed)
+	heartbeat("n2", true)
+	require.Equal(t, 1, renewed, "n2 reports the same outage")
+	c.run(2 * time.Second)
+	require.True(t, c.state.Routing.RenewedAt.After(c.now.Add(-2*time.Second)), "or another one")
+}
+
 func TestRegistryAgeRestartsWithEachConfirmation(t *testing.T) {
 	c := servingInstance(t, "e1")
 	age := func() time.Duration { return c.now.Sub(c.state.Routing.RegistryConfirmed) }
--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -31,6 +31,9 @@
 	// peerTTL is for how long an instance that does not answer still receives
 	// changes.
 	peerTTL = 30 * time.Second
+	// minRenewInterval is the minimum time between two renewals of the reads of the store.
+	// All peers report the end of an outage, each at its own time.
+	minRenewInterval = time.Second
 	// announceTicks is the number of ticks over which an instance that joins makes itself
 	// known to peers that it discovered.
 	announceTicks = 20
@@ -45,6 +48,8 @@
 	case state.Tick:
 		s, actions := c.expireNodes(s, now)
 		s = forgetRecentEntries(s, now)
+		s, renewals := c.renewReads(s, now)
+		actions = append(actions, renewals...)
 		s, repeated := c.repeatHeartbeats(s, now)
 		if len(repeated) > 0 {
 			// These go to all that may not know this instance, too.
@@ -512,6 +517,11 @@
 		})
 	}
 	s = c.addPeers(s, peers, now)
+	if p := s.Peer(e.Name); p.StoreLost == e.Relay.StoreReachable {
+		s.Routing.RenewDue = s.Routing.RenewDue || p.StoreLost
+		p.StoreLost = !e.Relay.StoreReachable
+		s = s.WithPeer(e.Name, p)
+	}
 	s, actions := c.handleRecentEntries(s, e)
 	for _, name := range e.Drained {
 		n, ok := s.Members.Find(name)
@@ -576,10 +586,26 @@
 	if !e.OK {
 		status = "lost"
 	}
-	return s.WithRouting(r), []state.Action{
+	var actions []state.Action
+	if !first {
+		// After the failure of one table the others need not wait for their own. After the
+		// return, reads that were sent before may never be answered.
+		r.RenewDue, r.RenewedAt = false, now
+		actions = append(actions, state.RenewReads{})
+	}
+	return s.WithRouting(r), append(actions,
 		state.Note{
 			Event: "dependency",
 			Pairs: []string{"name", "store", "state", status, "reason", e.Reason},
 		},
+	)
+}
+
+// renewReads renews the reads of the store if a peer found that it answers again.
+func (Registry) renewReads(s state.State, now time.Time) (state.State, []state.Action) {
+	if !s.Routing.RenewDue || now.Sub(s.Routing.RenewedAt) < minRenewInterval {
+		return s, nil
 	}
+	s.Routing.RenewDue, s.Routing.RenewedAt = false, now
+	return s, []state.Action{state.RenewReads{}}
 }
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -7,6 +7,7 @@
 	"github.com/baobabtally/baobabtally/internal/filter"
 	"github.com/baobabtally/baobabtally/internal/logs"
 	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/internal/watch"
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/poison"
 )
@@ -19,6 +20,9 @@
 	tally *filter.Tally
 	// served remembers the parts of prompts that endpoints have served.
 	served *poison.Served
+	// tables are the tables of the store that the instance follows. They are set before
+	// the loop runs.
+	tables []*watch.Table
 }
 
 // Execute carries out a and returns the resulting event, or nil if there is none.
@@ -42,6 +46,10 @@
 		if !x.quiet(a.Endpoint.Node) {
 			return x.pollCacheEvents(ctx, a)
 		}
+	case state.RenewReads:
+		for _, t := range x.tables {
+			t.Renew()
+		}
 	case state.CheckServed:
 		return x.checkServed(a)
 	case state.SendOrder:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -230,19 +230,22 @@
 			problems: newProblemLog(table, p.Log, p.Meter),
 		}
 	}
+	operatorsTable := watch.New(p.Store, operators, operatorSink{
+		controlSink: newSink("operators"),
+	}, hedging, watch.WithLongPoll(operatorLongPoll), watch.WithPause(func() time.Duration { return operatorPause(loop.View(), p.Now()) }))
+	registryTable := watch.New(p.Store, registry, registrySink{
+		controlSink: newSink("registry"),
+	}, hedging, watch.WithLongPoll(registryLongPoll), watch.WithInterval(func() time.Duration { return registryReadInterval(loop.View(), p.Now()) }))
+	exec.tables = []*watch.Table{operatorsTable, registryTable}
 	return &Relay{
-		Loop:    loop,
-		Handler: exec.chain(gate),
-		Peer:    peer.NewServer(loop),
-		parts:   p,
-		gate:    gate,
-		operators: watch.New(p.Store, operators, operatorSink{
-			controlSink: newSink("operators"),
-		}, hedging, watch.WithLongPoll(operatorLongPoll), watch.WithPause(func() time.Duration { return operatorPause(loop.View(), p.Now()) })),
-		registry: watch.New(p.Store, registry, registrySink{
-			controlSink: newSink("registry"),
-		}, hedging, watch.WithLongPoll(registryLongPoll), watch.WithInterval(func() time.Duration { return registryReadInterval(loop.View(), p.Now()) })),
-		done: make(chan struct{}),
+		Loop:      loop,
+		Handler:   exec.chain(gate),
+		Peer:      peer.NewServer(loop),
+		parts:     p,
+		gate:      gate,
+		operators: operatorsTable,
+		registry:  registryTable,
+		done:      make(chan struct{}),
 	}
 }
 
--- a/internal/state/action.go
+++ b/internal/state/action.go
@@ -100,6 +100,10 @@
 	From member.Node
 }
 
+// RenewReads has the tables of the platform's store read at once. Reads that were sent
+// before are abandoned, since their responses may be lost.
+type RenewReads struct{}
+
 // SendOrder orders an engine to load new weights. It results in an [Ordered] event.
 type SendOrder struct {
 	// Endpoint is the engine.
@@ -155,6 +159,9 @@
 // Key implements Action.
 func (a FetchRegistry) Key() string { return "roster/" + a.From.Name }
 
+// Key implements Action.
+func (RenewReads) Key() string { return "renew" }
+
 // Key implements Action.
 func (a SendOrder) Key() string { return "order/" + a.Endpoint.Node.Name }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -117,6 +117,10 @@
 	StoreSince     time.Time
 	// StoreAnswered is when the store last answered a read of the registry.
 	StoreAnswered time.Time
+	// RenewedAt is when the reads of the store were last renewed. RenewDue is set if they
+	// are to be renewed again.
+	RenewedAt time.Time
+	RenewDue  bool
 	// Departing maps endpoints to the time at which they count as departed. Their
 	// registry entries vanished at a time when the store may have lost entries.
 	// Invariant: the map is never written in place.
@@ -189,6 +193,8 @@
 	FailedSince time.Time
 	// SummarySeq is the sequence number of its last summary.
 	SummarySeq uint64
+	// StoreLost reports whether the store did not answer it at its last heartbeat.
+	StoreLost bool
 }
 
 // Summary is what an instance reports to its peers about an interval.
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 
-	"github.com/baobabtally/baobabtally/pkg/retry"
 	"github.com/baobabtally/baobabtally/pkg/store"
 )
 
@@ -25,6 +25,11 @@
 	// tableTimeout limits reading a whole table, which may take many calls. The
 	// largest one has nine pages of 1 MB.
 	tableTimeout = 9 * responseTimeout
+	// minWait is how long the store holds the first read after a change, a failure or a
+	// renewal. Each further read may be held twice as long, up to the long poll. All
+	// instances read again at the moment of a change, so that their reads are lost
+	// together if the store stops answering then.
+	minWait = time.Second
 	// pauseCheck is how often the end of a pause is reconsidered.
 	pauseCheck = time.Second
 )
@@ -32,6 +37,9 @@
 // errUnanswered reports a read that got no response.
 var errUnanswered = errors.New("the store does not answer: check that it runs")
 
+// errRenewed reports a read that is abandoned for another one.
+var errRenewed = errors.New("the read is sent again")
+
 // source is the store.
 type source interface {
 	// Rows returns all rows of table. It limits the time for each of its calls.
@@ -70,8 +78,13 @@
 	// hedging returns how much longer than its wait a read of changes may take until
 	// another one is sent, and the time between further ones; nil if there are none.
 	hedging func() time.Duration
-	// failed reports whether the last read failed.
-	failed bool
+	// check reports whether the next read must not be held by the store: the last one
+	// failed or was abandoned.
+	check bool
+	// wait is how long the store may hold the next read.
+	wait time.Duration
+	// renewed is closed and replaced by Renew.
+	renewed atomic.Pointer[chan struct{}]
 	// version is the version of the newest change read, and rows the version of
 	// each row.
 	version int64
@@ -121,12 +134,22 @@
 		rows:     map[string]int64{},
 		done:     make(chan struct{}),
 	}
+	renewed := make(chan struct{})
+	t.renewed.Store(&renewed)
 	for _, o := range opts {
 		o(t)
 	}
+	t.wait = min(minWait, t.longPoll)
 	return t
 }
 
+// Renew makes the table read at once. A read of changes that is in flight is abandoned,
+// since its response may be lost.
+func (t *Table) Renew() {
+	next := make(chan struct{})
+	close(*t.renewed.Swap(&next))
+}
+
 // Done returns a channel that is closed when Run has returned.
 func (t *Table) Done() <-chan struct{} { return t.done }
 
@@ -135,11 +158,16 @@
 	defer close(t.done)
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		begin, complete := time.Now(), !t.synced || t.failed
-		err := t.guardedRead(ctx)
+		begin, short := time.Now(), !t.synced || t.check
+		renewed := *t.renewed.Load()
+		err := t.guardedRead(ctx, renewed)
 		if ctx.Err() != nil {
 			return nil
 		}
+		if errors.Is(err, errRenewed) {
+			t.check = true
+			continue
+		}
 		result := Result{
 			Err: err,
 		}
@@ -147,7 +175,7 @@
 			result.Unanswered = time.Since(begin)
 		}
 		t.sink.HandleResult(ctx, result)
-		t.failed = err != nil
+		t.check = err != nil
 		delay := withJitter(t.interval()) - time.Since(begin)
 		if err != nil {
 			delay = backoff
@@ -155,24 +183,40 @@
 		} else {
 			backoff = minBackoff
 		}
-		if delay > 0 && retry.Wait(ctx, delay) != nil {
+		if t.sleep(ctx, delay, renewed) != nil {
 			return nil
 		}
-		if err == nil && !complete && t.rest(ctx) != nil {
+		if err == nil && !short && t.rest(ctx, renewed) != nil {
 			return nil
 		}
 	}
 	return nil
 }
 
+// sleep waits for d or until renewed is closed. It fails if ctx ends.
+func (t *Table) sleep(ctx context.Context, d time.Duration, renewed <-chan struct{}) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-renewed:
+		t.check = true
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
+
 // rest waits for the pause after a read of changes.
-func (t *Table) rest(ctx context.Context) error {
+func (t *Table) rest(ctx context.Context, renewed <-chan struct{}) error {
 	if t.pause == nil {
 		return nil
 	}
 	end := time.Now().Add(rand.N(2*t.pause() + 1))
-	for left := time.Until(end); left > 0 && t.pause() > 0; left = time.Until(end) {
-		if err := retry.Wait(ctx, min(left, pauseCheck)); err != nil {
+	for left := time.Until(end); left > 0 && !t.check && t.pause() > 0; left = time.Until(end) {
+		if err := t.sleep(ctx, min(left, pauseCheck), renewed); err != nil {
 			return err
 		}
 	}
@@ -188,30 +232,40 @@
 
 // guardedRead is like read, but returns an error if the source or the sink panics. The
 // whole table is read next, since the rows of this read may be lost.
-func (t *Table) guardedRead(ctx context.Context) (err error) {
+func (t *Table) guardedRead(ctx context.Context, renewed <-chan struct{}) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			t.synced = false
 			err = errors.Errorf("reading table %q failed unexpectedly: %v: report this", t.name, p)
 		}
 	}()
-	return t.read(ctx)
+	return t.read(ctx, renewed)
+}
+
+// nextWait returns how long the store may hold the next read.
+func (t *Table) nextWait() time.Duration {
+	if t.check {
+		// The store may still be away. A read that is not held shows that early.
+		t.wait = min(minWait, t.longPoll)
+		return 0
+	}
+	wait := t.wait
+	t.wait = min(2*t.wait, t.longPoll)
+	if t.pause == nil {
+		return wait
+	}
+	if t.pause() > 0 {
+		wait = t.longPoll
+	}
+	return withJitter(wait)
 }
 
 // read does one read and passes on what is new.
-func (t *Table) read(ctx context.Context) error {
+func (t *Table) read(ctx context.Context, renewed <-chan struct{}) error {
 	if !t.synced {
 		return t.readAll(ctx)
 	}
-	wait := t.longPoll
-	if t.pause != nil {
-		wait = withJitter(wait)
-	}
-	if t.failed {
-		// The store may still be away. A read without a wait shows that early.
-		wait = 0
-	}
-	b, err := t.changes(ctx, wait)
+	b, err := t.changes(ctx, t.nextWait(), renewed)
 	if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrMalformed) {
 		// Malformed changes would be returned again after the same version.
 		t.synced = false
@@ -234,7 +288,8 @@
 
 // changes reads the changes since the last read. The store may hold the call for wait. If
 // it takes longer, further calls are sent, and the first successful one counts.
-func (t *Table) changes(ctx context.Context, wait time.Duration) (store.Batch, error) {
+// It fails with errRenewed if renewed is closed.
+func (t *Table) changes(ctx context.Context, wait time.Duration, renewed <-chan struct{}) (store.Batch, error) {
 	limited, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
 	replies := make(chan reply)
@@ -272,6 +327,8 @@
 			timer := time.NewTimer(t.hedging())
 			defer timer.Stop()
 			overdue = timer.C
+		case <-renewed:
+			return store.Batch{}, errRenewed
 		case <-limited.Done():
 			return store.Batch{}, errors.Annotatef(errUnanswered, "table %q", t.name)
 		}
@@ -329,6 +386,7 @@
 	}
 	t.version = max(t.version, b.Version)
 	if b.Complete || len(b.Rows)+len(b.Removed) > 0 {
+		t.wait = min(minWait, t.longPoll)
 		t.sink.HandleBatch(ctx, b)
 	}
 }
--- a/internal/watch/table_test.go
+++ b/internal/watch/table_test.go
@@ -315,8 +315,19 @@
 	begin time.Time
 	// away holds the outages, relative to begin: from and until.
 	away [][2]time.Duration
-	// rowAt is when the row changes, relative to begin.
-	rowAt time.Duration
+	// changes holds when the row changes, relative to begin.
+	changes []time.Duration
+}
+
+// version returns the version of the row.
+func (s *silentStore) version() int64 {
+	n := int64(1)
+	for _, at := range s.changes {
+		if time.Since(s.begin) >= at {
+			n++
+		}
+	}
+	return n
 }
 
 func (s *silentStore) down() bool {
@@ -329,19 +340,18 @@
 }
 
 func (s *silentStore) Rows(context.Context, string) (store.Batch, error) {
-	return rows(1, true, "a"), nil
+	return rows(s.version(), true, "a"), nil
 }
 
 func (s *silentStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (store.Batch, error) {
 	sent := time.Now()
 	for {
-		changed := after < 2 && time.Since(s.begin) >= s.rowAt
 		switch {
 		case s.down():
 			<-ctx.Done()
 			return store.Batch{}, ctx.Err()
-		case changed:
-			return rows(2, false, "b"), nil
+		case after < s.version():
+			return rows(s.version(), false, "b"), nil
 		case time.Since(sent) >= wait:
 			return store.Batch{
 				Version: after,
@@ -364,7 +374,6 @@
 			s := &silentStore{
 				begin: time.Now(),
 				away:  [][2]time.Duration{{10 * time.Second, end}},
-				rowAt: time.Hour,
 			}
 			got := &recordingSink{}
 			ctx, cancel := context.WithTimeout(t.Context(), end+4*time.Second)
@@ -382,3 +391,115 @@
 		})
 	}
 }
+
+// followSilent follows a table of s for d with a long poll of 20 s and returns when each
+// batch was read, relative to the begin. Renew is called at the given times.
+func followSilent(t *testing.T, s *silentStore, d time.Duration, renewals ...time.Duration) []time.Duration {
+	t.Helper()
+	var out []time.Duration
+	synctest.Test(t, func(t *testing.T) {
+		s.begin = time.Now()
+		got := &timingSink{}
+		table := watch.New(s, "op", got, watch.WithLongPoll(20*time.Second), watch.WithHedging(func() time.Duration { return 400 * time.Millisecond }))
+		for _, at := range renewals {
+			time.AfterFunc(at, table.Renew)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), d)
+		defer cancel()
+		require.NoError(t, table.Run(ctx))
+		for _, at := range got.batchAt {
+			out = append(out, at.Sub(s.begin))
+		}
+	})
+	return out
+}
+
+// timingSink records when batches arrive.
+type timingSink struct {
+	batchAt []time.Time
+}
+
+func (s *timingSink) HandleBatch(context.Context, store.Batch) {
+	s.batchAt = append(s.batchAt, time.Now())
+}
+
+func (s *timingSink) HandleResult(context.Context, watch.Result) {}
+
+// Guards against a change that a whole fleet misses: the one before it ends the reads of
+// all instances at once, and the next ones are sent to a store that has fallen silent.
+func TestChangeAfterLostReadIsFoundInTime(t *testing.T) {
+	const bound = 2 * time.Second
+	for _, silence := range []time.Duration{100 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond, 3 * time.Second} {
+		first := 5 * time.Second
+		back := first + 20*time.Millisecond + silence
+		second := back + 3*time.Second
+		at := followSilent(t, &silentStore{
+			away:    [][2]time.Duration{{first + 20*time.Millisecond, back}},
+			changes: []time.Duration{first, second},
+		}, second+10*time.Second)
+		require.Len(t, at, 3, "the whole table and two changes, after %v of silence", silence)
+		require.LessOrEqual(t, at[2]-second, bound, "after %v of silence", silence)
+	}
+}
+
+// Guards against waiting for the response to a read that was sent while the store was away,
+// once another reader has found that it answers again.
+func TestRenewedReadIsSentAgain(t *testing.T) {
+	s := &silentStore{
+		away:    [][2]time.Duration{{45 * time.Second, 45200 * time.Millisecond}},
+		changes: []time.Duration{48 * time.Second},
+	}
+	at := followSilent(t, s, 90*time.Second, 46*time.Second)
+	require.Len(t, at, 2)
+	require.LessOrEqual(t, at[1], 48500*time.Millisecond)
+}
+
+// Guards against an instance that finds the store's return only with its next read, which
+// may be half a minute away in a large fleet.
+func TestRenewEndsThePauseBetweenReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{}
+		table := watch.New(s, "op", &recordingSink{}, watch.WithLongPoll(time.Second), watch.WithInterval(func() time.Duration { return 30 * time.Second }))
+		ctx, cancel := context.WithTimeout(t.Context(), 12*time.Second)
+		defer cancel()
+		time.AfterFunc(10*time.Second, table.Renew)
+		require.NoError(t, table.Run(ctx))
+		require.Equal(t, []string{"rows", "changes"}, s.calls)
+	})
+}
+
+// An unanswered read must say for how long it waited, unlike one that was refused.
+func TestResultTellsUnansweredFromRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &silentStore{
+			begin: time.Now(),
+			away:  [][2]time.Duration{{10 * time.Second, time.Hour}},
+		}
+		got := &resultSink{}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		require.NoError(t, watch.New(s, "op", got, watch.WithLongPoll(time.Second)).Run(ctx))
+		require.Positive(t, got.last.Unanswered)
+		refusing := &fakeStore{
+			responses: []response{
+				{
+					err: store.ErrUnavailable,
+				},
+			},
+		}
+		short, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer stop()
+		require.NoError(t, watch.New(refusing, "op", got, watch.WithLongPoll(time.Second)).Run(short))
+		require.Error(t, got.last.Err)
+		require.Zero(t, got.last.Unanswered)
+	})
+}
+
+// resultSink keeps the last result.
+type resultSink struct {
+	last watch.Result
+}
+
+func (s *resultSink) HandleBatch(context.Context, store.Batch) {}
+
+func (s *resultSink) HandleResult(_ context.Context, r watch.Result) { s.last = r }
