--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -517,11 +517,7 @@
 		})
 	}
 	s = c.addPeers(s, peers, now)
-	if p := s.Peer(e.Name); p.StoreLost == e.Relay.StoreReachable {
-		s.Routing.RenewDue = s.Routing.RenewDue || p.StoreLost
-		p.StoreLost = !e.Relay.StoreReachable
-		s = s.WithPeer(e.Name, p)
-	}
+	s = recordPeerStatus(s, e)
 	s, actions := c.handleRecentEntries(s, e)
 	for _, name := range e.Drained {
 		n, ok := s.Members.Find(name)
@@ -558,6 +554,18 @@
 	})
 }
 
+// recordPeerStatus records whether the store answers the sender of e. If it does again, the
+// reads of this instance are due.
+func recordPeerStatus(s state.State, e state.Heartbeat) state.State {
+	p := s.Peer(e.Name)
+	if p.StoreLost != e.Relay.StoreReachable {
+		return s
+	}
+	s.Routing.RenewDue = s.Routing.RenewDue || p.StoreLost
+	p.StoreLost = !e.Relay.StoreReachable
+	return s.WithPeer(e.Name, p)
+}
+
 // handleStoreStatus records and logs when the store becomes reachable or
 // unreachable.
 func (Registry) handleStoreStatus(s state.State, e state.StoreStatus, now time.Time) (state.State, []state.Action) {
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -46,21 +46,29 @@
 		if !x.quiet(a.Endpoint.Node) {
 			return x.pollCacheEvents(ctx, a)
 		}
-	case state.RenewReads:
-		for _, t := range x.tables {
-			t.Renew()
-		}
 	case state.CheckServed:
 		return x.checkServed(a)
 	case state.SendOrder:
 		return x.sendOrder(ctx, a)
+	default:
+		x.executeLocally(a)
+	}
+	return nil
+}
+
+// executeLocally carries out an action that calls nobody.
+func (x *executor) executeLocally(a state.Action) {
+	switch a := a.(type) {
+	case state.RenewReads:
+		for _, t := range x.tables {
+			t.Renew()
+		}
 	case state.Announce:
 		logs.Alarm(x.parts.Log, a.Alarm)
 	case state.Note:
 		x.parts.Meter.Decision(a.Event)
 		logs.Note(x.parts.Log, a.Event, a.Pairs)
 	}
-	return nil
 }
 
 func (x *executor) collectSummary() state.Event {
