lease, ctrl, relay: no request begins on old weights while the lease changes hands

Cause: a new holder waits for the length of the lease, a margin and the 3 s that the platform asks for between orders of two holders, whether the one before sent any or not: 5.8 s for each kill. And instances that all have just started can't tell since when a version is named; they sent requests to the newest weights that there were, without a limit.

Evidence: the record has 5.7 s and 5.8 s between a last renewal and the next holder, with no order before either. Failed before: TestUnusedLeaseIsTakenWithoutTheQuietPeriod (6.3 s for at most 3.1 s), TestVersionFoundAtStartIsDatedByTheLease, TestHolderPassesOnDatesOfVersions, TestDesiredWeightsOfUnknownAgeAreOldOnceKnownForLong.

Why the fix works: the row says whether its holder sends orders, and a holder writes that before the first one, so that a rival waits for 2.8 s where there were none. The row also passes on, in the store's clock, since when versions are desired, and its own version and clock date one that is newer than itself. What an instance has known for longer than the bound is too old whenever it was set.

Rows of the build before are read as ones with orders, and that build reads the new rows.

--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -22,6 +22,8 @@
 	state   state.State
 	now     time.Time
 	actions []state.Action
+	// granting answers the writes with which a holder of the lease declares orders.
+	granting bool
 }
 
 func newTestInstance() *testInstance {
@@ -39,6 +41,18 @@
 	next, actions := ctrl.Step(ctrl.Forwarding(), c.state, e, c.now)
 	c.state = next
 	c.actions = actions
+	for _, a := range actions {
+		ask, ok := a.(state.RunLeaseOp)
+		if !ok || !c.granting || !ask.Op.Put || !c.state.Lease.Valid(c.now, c.now) || c.state.Lease.MayOrder(c.now, c.now) {
+			continue
+		}
+		next, more := ctrl.Step(ctrl.Forwarding(), c.state, state.Leased{
+			Op:      ask.Op,
+			Version: ask.Op.Row.Version + 1,
+		}, c.now)
+		c.state = next
+		c.actions = append(slices.Clone(actions), more...)
+	}
 }
 
 // advance advances the clock by d and ticks once.
--- a/internal/ctrl/leases.go
+++ b/internal/ctrl/leases.go
@@ -53,6 +53,9 @@
 	}
 	if s.Routing.On {
 		l = l.WithRivalsAhead(leaseOrder(s))
+		if !l.Held(now) {
+			l = l.WithNote(encodeDates(s, now))
+		}
 	}
 	op, l, ok := l.Plan(now)
 	s = s.WithLease(l)
--- a/internal/ctrl/orders.go
+++ b/internal/ctrl/orders.go
@@ -44,6 +44,9 @@
 		return s, append(actions, updates...)
 	case state.DesiredVersion:
 		return c.handleDesiredVersion(s, e, now)
+	case state.Leased:
+		s = dateVersions(s, now)
+		return c.planOrders(s, now)
 	case state.Heartbeat:
 		return c.handleHeartbeat(s, e, now)
 	case state.WeightsSeen:
@@ -63,13 +66,14 @@
 	if !e.Dated && e.Version <= before.Version {
 		// A past version is recorded even if its date is unknown, since engines
 		// that lack it are outdated.
-		s.Routing.Weights = s.Routing.Weights.WithUndatedVersion(e.Model, e.Version)
+		s.Routing.Weights = s.Routing.Weights.WithUndatedVersion(e.Model, e.Version, now)
 		return s, nil
 	}
 	found := !e.Dated && before.Version == 0 && (s.Routing.Began.IsZero() || now.Sub(s.Routing.Began) < discoveryTime)
 	switch {
 	case found:
-		s.Routing.Weights = s.Routing.Weights.WithUndatedVersion(e.Model, e.Version)
+		s.Routing.Weights = s.Routing.Weights.WithUndatedVersion(e.Model, e.Version, now)
+		s = withUndated(s, e)
 	case e.Dated:
 		s.Routing.Weights = s.Routing.Weights.WithDesired(e.Model, e.Version, now.Add(-e.Age))
 	default:
@@ -87,6 +91,7 @@
 			"age", e.Age.String(),
 		},
 	}
+	s = dateVersions(s, now)
 	s, actions := c.planOrders(s, now)
 	return s, append(append(actions, broadcastHeartbeats(s)...), note)
 }
@@ -109,6 +114,7 @@
 // handleHeartbeat applies what a peer reports about weights.
 func (c Orders) handleHeartbeat(s state.State, e state.Heartbeat, now time.Time) (state.State, []state.Action) {
 	var actions []state.Action
+	s = dateVersions(s, now)
 	for _, n := range e.Relay.DesiredVersions {
 		next, more := c.handleDesiredVersion(s, n, now)
 		s = next
@@ -226,6 +232,7 @@
 		return s, nil
 	}
 	invar.Check(now.Before(s.Lease.Until()), invar.Fence, "orders are planned after the lease ended")
+	s.Lease = s.Lease.WithOrdersDue(c.ordersWanted(s, now)).WithNote(encodeDates(s, now))
 	var actions []state.Action
 	for _, o := range s.Routing.Weights.OrdersInFlight(now) {
 		if e, ok := s.Members.Find(o.Engine); ok {
@@ -234,6 +241,17 @@
 			})
 		}
 	}
+	if !s.Lease.MayOrder(now, now.Add(OrderTimeout)) {
+		// The row has to say first that orders follow.
+		op, l, ok := s.Lease.Plan(now)
+		if ok {
+			s.Lease = l
+			actions = append(actions, state.RunLeaseOp{
+				Op: op,
+			})
+		}
+		return s, actions
+	}
 	for model := range s.Routing.Weights.AllDesired() {
 		engines := c.enginesOf(s, model, now)
 		atOnce := max(minReloads, int(math.Ceil(reloadShare*float64(len(engines)))))
@@ -252,6 +270,18 @@
 	return s, actions
 }
 
+// ordersWanted reports whether engines lack the desired weights or carry out an order.
+func (c Orders) ordersWanted(s state.State, now time.Time) bool {
+	for model := range s.Routing.Weights.AllDesired() {
+		for _, e := range c.enginesOf(s, model, now) {
+			if !s.Routing.Weights.Current(e.Name, model) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ordersDue reports whether this instance holds the lease and engines lack the
 // desired weights.
 func ordersDue(s state.State, now time.Time) bool {
--- a/internal/ctrl/orders_test.go
+++ b/internal/ctrl/orders_test.go
@@ -17,6 +17,7 @@
 // acquireLease runs c until it holds the lease for orders.
 func (c *testInstance) acquireLease(t *testing.T) {
 	t.Helper()
+	c.granting = true
 	for range 5 {
 		c.advance(time.Second)
 		for _, a := range c.actions {
@@ -374,3 +375,93 @@
 	require.True(t, behind)
 	require.True(t, since.IsZero(), "version 2 became desired before version 3, at an unknown time")
 }
+
+// startedWith returns an instance that has just started and found version 2 of m in the
+// store, in a row of the given version, after it read row as the lease's. The store's
+// clock is at 100 s.
+func startedWith(row int64, lease store.Row) *testInstance {
+	c := newTestInstance()
+	c.step(state.SiteFound{
+		Site: site.New(5),
+	})
+	c.step(state.DesiredVersion{
+		Model:   "m",
+		Version: 2,
+		Row:     row,
+	})
+	c.step(state.Leased{
+		Row: lease,
+		Clock: store.Clock{
+			Reading: 100 * time.Second,
+			SentAt:  c.now,
+		},
+	})
+	return c
+}
+
+// Guards against requests on replaced weights without a limit where all instances start at
+// once, so that no peer knows since when the new ones are desired.
+func TestVersionFoundAtStartIsDatedByTheLease(t *testing.T) {
+	for name, lease := range map[string]store.Row{
+		"the lease was written before": {
+			Version: 7,
+			Value:   []byte("3 n5@1 94000"),
+		},
+		"the lease was written later, and holds the date": {
+			Version: 12,
+			Value:   []byte("4 n6@1 99000 3000 m=2@94000"),
+		},
+		"the lease was released later": {
+			Version: 12,
+			Value:   []byte("4  3000 99000 m=2@94000"),
+		},
+	} {
+		c := startedWith(9, lease)
+		since, behind := c.state.Routing.Weights.Behind("e1", "m")
+		require.True(t, behind)
+		require.WithinDuration(t, c.now.Add(-6*time.Second), since, 50*time.Millisecond, name)
+	}
+	for name, value := range map[string]string{
+		"no date":         "4 n6@1 99000 3000",
+		"another version": "4 n6@1 99000 3000 m=1@94000",
+		"a later date":    "4 n6@1 99000 3000 m=2@194000",
+		"unreadable":      "4 n6@1 99000 3000 m=2@x,=,%zz=2@5",
+	} {
+		since, behind := startedWith(9, store.Row{
+			Version: 12,
+			Value:   []byte(value),
+		}).state.Routing.Weights.Behind("e1", "m")
+		require.True(t, behind)
+		require.True(t, since.IsZero(), name)
+	}
+}
+
+// The holder of the lease passes on the dates that it knows, also to those that start after
+// it was killed in the moment of taking the lease.
+func TestHolderPassesOnDatesOfVersions(t *testing.T) {
+	c := startedWith(9, store.Row{
+		Version: 7,
+		Value:   []byte("3 n5@1 94000"),
+	})
+	var row store.Row
+	for range 60 {
+		c.advance(ctrl.ForwardInterval)
+		for _, a := range c.actions {
+			if ask, ok := a.(state.RunLeaseOp); ok && ask.Op.Put {
+				row = ask.Op.Row
+			} else if ok {
+				c.step(state.Leased{
+					Op: ask.Op,
+					Row: store.Row{
+						Version: 7,
+						Value:   []byte("3 n5@1 94000"),
+					},
+				})
+			}
+		}
+		if row.Value != nil {
+			break
+		}
+	}
+	require.Contains(t, string(row.Value), "m=2@94", "the row with which it takes the lease")
+}
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -203,7 +203,7 @@
 	e.Outcome, err = x.parts.Endpoints.Order(ctx, a.Endpoint.Node, a.Order, a.FencingToken, report.Orders, func() bool {
 		now := x.parts.Now()
 		l := x.loop.View().Lease
-		return !x.quiet(a.Endpoint.Node) && l.FencingToken() == a.FencingToken && l.Valid(now, now.Add(ctrl.OrderTimeout/2))
+		return !x.quiet(a.Endpoint.Node) && l.FencingToken() == a.FencingToken && l.MayOrder(now, now.Add(ctrl.OrderTimeout/2))
 	})
 	if err != nil {
 		e.Detail = err.Error()
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -212,15 +212,17 @@
 
 // withNewestWeights returns the engines with the newest loaded weights, except
 // those that are known to have been behind since a certain time. An instance
-// that has just started can't tell when the desired version was set; if no
-// engine has loaded it, it was probably set recently.
+// that has just started may not know when the desired version was set; if no
+// engine has loaded it, it was probably set recently. What the instance has known
+// for long is too old whenever it was set.
 func (p prompt) withNewestWeights(pool []member.Endpoint) []member.Endpoint {
 	weights := p.state.Routing.Weights
 	loaded := func(e member.Endpoint) int64 { return weights.Loaded(e.Node.Name, p.request.Model) }
 	newest := slices.MaxFunc(pool, func(a, b member.Endpoint) int { return cmp.Compare(loaded(a), loaded(b)) })
 	return slices.DeleteFunc(slices.Clone(pool), func(e member.Endpoint) bool {
 		since, behind := weights.Behind(e.Node.Name, p.request.Model)
-		return loaded(e) < loaded(newest) || behind && !since.IsZero()
+		return loaded(e) < loaded(newest) || behind && !since.IsZero() ||
+			weights.BehindFor(e.Node.Name, p.request.Model, p.now) > p.bounds.StaleWeightsLimit-staleMargin
 	})
 }
 
--- a/internal/relay/prompt_test.go
+++ b/internal/relay/prompt_test.go
@@ -183,7 +183,7 @@
 func TestDesiredWeightsOfUnknownAge(t *testing.T) {
 	s := fiveEngines()
 	preferred, _ := choose(t, s, sharedPromptRequest())
-	weights := s.Routing.Weights.WithUndatedVersion("m", 3).WithLoaded("e0", "m", 2)
+	weights := s.Routing.Weights.WithUndatedVersion("m", 3, begin).WithLoaded("e0", "m", 2)
 	s.Routing.Weights = weights
 	c, ok := choose(t, s, sharedPromptRequest())
 	require.True(t, ok, "no engine has loaded version 3, so it is probably recent")
@@ -198,6 +198,15 @@
 	require.Equal(t, other, c.endpoint.Node.Name)
 }
 
+// Guards against requests that go to replaced weights without a limit, at instances that
+// have started since and where no engine has loaded the new ones.
+func TestDesiredWeightsOfUnknownAgeAreOldOnceKnownForLong(t *testing.T) {
+	s := fiveEngines()
+	s.Routing.Weights = s.Routing.Weights.WithUndatedVersion("m", 3, begin.Add(-8*time.Second))
+	_, ok := choose(t, s, sharedPromptRequest())
+	require.False(t, ok, "whenever version 3 was set, that was too long ago")
+}
+
 func TestDedicatedTeamHasOwnSalt(t *testing.T) {
 	r := sharedPromptRequest()
 	r.Team = "braid"
--- a/internal/relay/timeout.go
+++ b/internal/relay/timeout.go
@@ -123,11 +123,8 @@
 // startTimeLeft returns for how long a request may still start on the weights
 // of c.
 func (x *exchange) startTimeLeft(c choice) time.Duration {
-	since, behind := x.control.View().Routing.Weights.Behind(c.endpoint.Node.Name, x.request.Model)
-	if !behind || since.IsZero() {
-		return x.bounds.StaleWeightsLimit - withdrawMargin
-	}
-	return since.Add(x.bounds.StaleWeightsLimit - withdrawMargin).Sub(x.now())
+	weights := x.control.View().Routing.Weights
+	return x.bounds.StaleWeightsLimit - withdrawMargin - weights.BehindFor(c.endpoint.Node.Name, x.request.Model, x.now())
 }
 
 func (e *staleTimer) stop() {
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -211,6 +211,8 @@
 	// set, which means that a peer knows the age.
 	Age   time.Duration
 	Dated bool
+	// Row is the version of the store's row that holds it, or 0 if a peer reported it.
+	Row int64
 }
 
 // RegistrySnapshot is a read of the registry of endpoints: a complete snapshot or
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -102,6 +102,9 @@
 	// Weights records the desired version of each model and the version that each
 	// engine has loaded.
 	Weights weight.Tracker
+	// Undated holds the desired versions that were found at the start, by model, until it is
+	// known since when they are desired. Invariant: the map is never written in place.
+	Undated map[string]DesiredVersion
 	// RegistryVersion is the known registry version; 0 before the registry was read.
 	RegistryVersion int64
 	// StoreIndex indexes the contents of the stores of cached prompts. It is separate from
--- a/pkg/lease/handover_test.go
+++ b/pkg/lease/handover_test.go
@@ -138,7 +138,8 @@
 					reads[i] = lease.Op{}
 				}
 				name := fmt.Sprint(i, starts[i])
-				if holders[i].Valid(now, now.Add(flightTime)) && rapid.Bool().Draw(t, "order") {
+				holders[i] = holders[i].WithOrdersDue(rapid.IntRange(0, 2).Draw(t, "due") > 0)
+				if holders[i].MayOrder(now, now.Add(flightTime)) && rapid.Bool().Draw(t, "order") {
 					if last != name && now.Sub(lastAt) < quiet {
 						t.Fatalf("%s sends an order %s after an order of %s arrived", name, now.Sub(lastAt), last)
 					}
@@ -167,14 +168,16 @@
 	return lease.New("k", self, lease.WithLength(1800*time.Millisecond, 700*time.Millisecond), lease.WithQuietPeriod(rivalQuiet))
 }
 
-// runUntilHeld advances l in steps of 10 ms and returns when it holds the lease.
+// runUntilHeld advances l, which has orders to send, in steps of 10 ms and returns when it
+// may send them.
 func runUntilHeld(t *testing.T, tab *table, l lease.Lease, now time.Time) time.Time {
 	t.Helper()
+	l = l.WithOrdersDue(true)
 	for range 2000 {
 		if op, next, ok := l.Plan(now); ok {
 			l = tab.do(next, op)
 		}
-		if l.Valid(now, now) {
+		if l.MayOrder(now, now) {
 			return now
 		}
 		now = now.Add(10 * time.Millisecond)
@@ -274,3 +277,98 @@
 		require.WithinDuration(t, latest, at, time.Second, "started %s after the holder was killed", away)
 	}
 }
+
+// Guards against seconds without orders after holders that were killed before they sent
+// any: each of them was followed by the quiet period.
+func TestUnusedLeaseIsTakenWithoutTheQuietPeriod(t *testing.T) {
+	const length, renew, quiet = 1800 * time.Millisecond, 700 * time.Millisecond, 3 * time.Second
+	opts := []lease.Option{lease.WithLength(length, renew), lease.WithQuietPeriod(quiet)}
+	for kills := 1; kills <= 4; kills++ {
+		var tab table
+		now := start
+		var first time.Time
+		for i := range kills {
+			l, at := planUntil(t, &tab, lease.New("k", fmt.Sprint("i", i), opts...), now, time.Minute)
+			require.False(t, l.MayOrder(at, at), "the row does not say yet that orders follow")
+			if i == 0 {
+				first = at
+			}
+			now = at
+		}
+		l, at := planUntil(t, &tab, lease.New("k", "last", opts...), now, time.Minute)
+		require.LessOrEqual(t, at.Sub(first), time.Duration(kills)*(length+lease.Margin+300*time.Millisecond), "after %d kills", kills)
+		op, l, ok := l.WithOrdersDue(true).Plan(at)
+		require.True(t, ok, "the row says at once that orders follow")
+		l = tab.doAt(l, op, at)
+		require.True(t, l.MayOrder(at, at))
+	}
+}
+
+// Guards against orders of two holders within the quiet period where the first one was
+// killed right after it had said that orders follow.
+func TestDeclaredOrdersKeepTheQuietPeriod(t *testing.T) {
+	const length, renew, quiet = 1800 * time.Millisecond, 700 * time.Millisecond, 3 * time.Second
+	opts := []lease.Option{lease.WithLength(length, renew), lease.WithQuietPeriod(quiet)}
+	var tab table
+	l, at := planUntil(t, &tab, lease.New("k", "a", opts...), start, time.Minute)
+	op, l, ok := l.WithOrdersDue(true).Plan(at)
+	require.True(t, ok)
+	l = tab.doAt(l, op, at)
+	require.True(t, l.MayOrder(at, at))
+	_, next := planUntil(t, &tab, lease.New("k", "b", opts...), at, time.Minute)
+	require.GreaterOrEqual(t, next.Sub(at), length+quiet)
+}
+
+// A holder without orders says so with a renewal, and sends none until the row says
+// otherwise again, whether the answer to the renewal arrives or not.
+func TestHolderWithoutOrdersSendsNoneBeforeItDeclaresThem(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		opts := []lease.Option{lease.WithLength(2*time.Second, 500*time.Millisecond), lease.WithQuietPeriod(3 * time.Second)}
+		var tab table
+		l, now := planUntil(t, &tab, lease.New("k", "a", opts...), start, time.Minute)
+		op, l, ok := l.WithOrdersDue(true).Plan(now)
+		require.True(t, ok)
+		l = tab.doAt(l, op, now)
+		l = l.WithOrderInFlight(now.Add(300 * time.Millisecond)).WithOrdersDue(false)
+		now = now.Add(500 * time.Millisecond)
+		op, l, ok = l.Plan(now)
+		require.True(t, ok)
+		require.False(t, l.MayOrder(now, now), "the row may be written at any time")
+		tab.lost = lost
+		l = tab.doAt(l, op, now).WithOrdersDue(true)
+		require.False(t, l.MayOrder(now, now))
+		for range 2 {
+			now = now.Add(50 * time.Millisecond)
+			if op, next, ok := l.Plan(now); ok {
+				l = tab.doAt(next, op, now)
+			}
+		}
+		require.True(t, l.MayOrder(now, now), "response lost: %v", lost)
+	}
+}
+
+// The note and the age of later changes come with the row, and a row of the build before
+// has none.
+func TestRowPassesOnNoteAndClock(t *testing.T) {
+	tab := table{
+		skew: time.Hour,
+	}
+	l, now := planUntil(t, &tab, lease.New("k", "a", lease.WithLength(2*time.Second, time.Second), lease.WithQuietPeriod(3*time.Second)).WithNote("m=2@7"), start, time.Minute)
+	require.Equal(t, "m=2@7", l.Note())
+	later := now.Add(4 * time.Second)
+	b := tab.doAt(lease.New("k", "b"), lease.Op{
+		Sent: later,
+	}, later)
+	require.Equal(t, "m=2@7", b.Note())
+	age, ok := b.AgeOfLater(tab.row.Version+1, later)
+	require.True(t, ok)
+	require.InDelta(t, later.Sub(now).Seconds(), age.Seconds(), 0.1)
+	_, ok = b.AgeOfLater(tab.row.Version, later)
+	require.False(t, ok, "the change is not newer than the row")
+	tab.row.Value = []byte("7 a 3600500")
+	before := tab.doAt(lease.New("k", "c"), lease.Op{
+		Sent: later,
+	}, later)
+	require.Empty(t, before.Note())
+	require.Equal(t, "a", before.Holder())
+}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -64,6 +64,14 @@
 	inFlightUntil time.Time
 	// clock is the last reading of the table's clock.
 	clock store.Clock
+	// ordering reports whether the row says that this instance, which wrote it, may send
+	// orders. due reports whether it has any to send.
+	ordering bool
+	due      bool
+	// calling reports whether an operation on the row may be in flight.
+	calling bool
+	// note is the text that this instance passes on to the next holders.
+	note string
 	// releasing reports whether the instance releases the lease and does not take it again.
 	releasing bool
 	// length is the validity without renewal, renewInterval the time between
@@ -111,7 +119,7 @@
 // Plan returns the call to make to the table at now and the lease after sending it.
 // It returns false if no call is due.
 func (l Lease) Plan(now time.Time) (Op, Lease, bool) {
-	if now.Before(l.nextCall) {
+	if now.Before(l.nextCall) && !l.mustDeclare(now) {
 		return Op{}, l, false
 	}
 	holder, token := decodeHolder(l.row.Value)
@@ -132,26 +140,66 @@
 			Version: l.row.Version,
 		},
 	}
+	l.calling = true
+	if value := l.rowToWrite(holder, token, now); value != nil {
+		op.Put, op.Row.Value = true, value
+		// The row may be written at any time from now on.
+		_, idle := heldIdleTime(value)
+		l.ordering = l.ordering && !idle
+	}
+	return op, l, true
+}
+
+// rowToWrite returns the value to write to the row, or nil if the row has to be read.
+func (l Lease) rowToWrite(holder string, token int64, now time.Time) []byte {
+	idle := l.idleTime(now) >= 0
 	switch {
 	case l.unchangedSince.IsZero():
+		return nil
 	case l.releasing:
-		op.Put = true
-		op.Row.Value = encodeReleased(token, l.idleTime(now), l.clockBound(now))
+		return encodeReleased(token, l.idleTime(now), l.clockBound(now), l.note)
 	case holder == l.self && now.Before(l.heldUntil):
-		op.Put = true
-		op.Row.Value = encodeHeld(l.self, token, l.clockBound(now))
+		return l.heldRow(token, idle && !l.due, now)
 	case l.mayTake(holder, now):
-		op.Put = true
-		op.Row.Value = encodeHeld(l.self, max(token, l.maxSeen)+1, l.clockBound(now))
+		return l.heldRow(max(token, l.maxSeen)+1, idle, now)
 	}
-	return op, l, true
+	return nil
+}
+
+// mustDeclare reports whether the row has to say that orders follow before the next
+// renewal.
+func (l Lease) mustDeclare(now time.Time) bool {
+	return l.due && !l.calling && !l.MayOrder(now, now) && l.Valid(now, now)
+}
+
+// heldRow returns the row of this instance as the holder. Where orders of two holders need
+// a quiet period between them, idle says that this instance sends none under this row.
+func (l Lease) heldRow(token int64, idle bool, now time.Time) []byte {
+	return held{
+		holder:   l.self,
+		token:    token,
+		clock:    l.clockBound(now),
+		idle:     idle && l.quietPeriod > 0,
+		idleTime: l.idleTime(now),
+		note:     l.note,
+	}.encode()
+}
+
+// takeoverWait returns how long the row of another holder must have been unchanged before
+// this instance may take the lease. The quiet period follows the end of the lease, unless
+// the row says that no orders were sent under it.
+func (l Lease) takeoverWait() time.Duration {
+	if idle, ok := heldIdleTime(l.row.Value); ok {
+		return max(l.length+Margin, l.quietPeriod-idle)
+	}
+	return l.length + l.quietPeriod + Margin
 }
 
 // informedByPeer reports whether a peer recently confirmed that another instance holds
 // the lease, so that the table does not have to be read.
 func (l Lease) informedByPeer(holder string, now time.Time) bool {
 	return !l.peerSince.IsZero() && l.peerSince.Equal(l.unchangedSince) && holder != l.self && holder != "" &&
-		now.Sub(l.unchangedSince) < l.length+l.quietPeriod+Margin
+		now.Sub(l.unchangedSince) < l.takeoverWait()
 }
 
 // mayTake reports whether this instance may take the lease. If the row still names
@@ -169,7 +217,7 @@
 		}
 		// A lost or unreadable row does not show whether the lease is held.
 	}
-	return now.Sub(l.unchangedSince) >= l.length+l.quietPeriod+Margin
+	return now.Sub(l.unchangedSince) >= l.takeoverWait()
 }
 
 // takeoverTime returns when this instance may take a released lease. The rivals ahead
@@ -240,6 +288,7 @@
 // from the last one counts as unchanged only since now, because it may have been
 // written at any time until then.
 func (l Lease) WithRow(row store.Row, err error, now time.Time) Lease {
+	l.calling = false
 	if errors.Is(err, store.ErrMissing) {
 		row = store.Row{
 			Key: l.key,
@@ -289,6 +338,7 @@
 
 // WithPut returns the lease after a write that was planned as op.
 func (l Lease) WithPut(op Op, version int64, err error) Lease {
+	l.calling = false
 	if err != nil {
 		// The row has to be read first: a write whose response was lost may have
 		// renewed the lease, but only confirmed renewals count.
@@ -306,6 +356,8 @@
 	if holder == l.self {
 		l.heldUntil = op.Sent.Add(l.length)
 		l.token = token
+		_, idle := heldIdleTime(op.Row.Value)
+		l.ordering = !idle
 		if l.releasing {
 			// The lease was released while its renewal was in flight.
 			l.nextCall = time.Time{}
@@ -341,6 +393,43 @@
 	return l
 }
 
+// WithOrdersDue returns the lease with the knowledge whether this instance has orders to
+// send. While it has none, the row says so, and the next holder need not wait for the quiet
+// period.
+func (l Lease) WithOrdersDue(due bool) Lease {
+	l.due = due
+	return l
+}
+
+// WithNote returns the lease with a text, without spaces, that each row of this instance
+// passes on to the next holders.
+func (l Lease) WithNote(note string) Lease {
+	l.note = note
+	return l
+}
+
+// Note returns the text in the last row that was seen.
+func (l Lease) Note() string { return noteOf(l.row.Value) }
+
+// TableTime returns an upper bound of the table's clock at now. It returns false if the
+// clock is not known.
+func (l Lease) TableTime(now time.Time) (time.Duration, bool) {
+	clock := l.clockBound(now)
+	return clock, clock > 0
+}
+
+// AgeOfLater returns an upper bound of the age, at now, of a change of the table that has
+// the given version. It returns false if that is not known: the last row that was seen must
+// be older than the change and hold the table's clock.
+func (l Lease) AgeOfLater(version int64, now time.Time) (time.Duration, bool) {
+	clock, known := l.TableTime(now)
+	written := clockOf(l.row.Value)
+	if !known || written <= 0 || written > clock || l.row.Version == 0 || version <= l.row.Version {
+		return 0, false
+	}
+	return clock - written, true
+}
+
 // WithRelease returns a lease that the instance releases and does not take again.
 func (l Lease) WithRelease() Lease {
 	if l.releasing {
@@ -351,12 +440,16 @@
 	return l
 }
 
-// Valid reports whether this instance holds the lease at least until deadline. It is
-// checked immediately before each order, with the deadline of that order.
+// Valid reports whether this instance holds the lease at least until deadline.
 func (l Lease) Valid(now, deadline time.Time) bool {
 	return !l.releasing && now.Before(l.heldUntil) && !deadline.After(l.heldUntil)
 }
 
+// MayOrder reports whether this instance may send an order that ends by deadline: it holds
+// the lease until then, and the row says that it sends orders. It is checked immediately
+// before each order.
+func (l Lease) MayOrder(now, deadline time.Time) bool { return l.ordering && l.Valid(now, deadline) }
+
 // Held reports whether any instance is known to hold the lease at now.
 func (l Lease) Held(now time.Time) bool {
 	holder, _ := decodeHolder(l.row.Value)
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -167,6 +167,9 @@
 		var tab table
 		opts := []lease.Option{lease.WithLength(length, 500*time.Millisecond), lease.WithQuietPeriod(quiet)}
 		holders := []lease.Lease{lease.New("lease/orders", "a@1", opts...), lease.New("lease/orders", "b@1", opts...)}
+		for i := range holders {
+			holders[i] = holders[i].WithOrdersDue(true)
+		}
 		last, lastAt := -1, time.Time{}
 		now := start
 		for range rapid.IntRange(20, 200).Draw(t, "steps") {
@@ -182,7 +185,7 @@
 				holders[i] = tab.do(next, op)
 			}
 			for j := range holders {
-				if !holders[j].Valid(now, now) {
+				if !holders[j].MayOrder(now, now) {
 					continue
 				}
 				if last >= 0 && last != j && now.Sub(lastAt) < quiet {
--- a/pkg/lease/row.go
+++ b/pkg/lease/row.go
@@ -16,29 +16,60 @@
 	maxRowTime = 10 * 365 * 24 * time.Hour
 )
 
-// encodeHeld returns the row of a lease that is held: the fencing token, the holder
-// and an upper bound of the table's clock when the row was sent, in milliseconds. The
-// clock is left out if it is not known.
-func encodeHeld(holder string, token int64, clock time.Duration) []byte {
-	return appendClock(strconv.FormatInt(token, 10)+" "+holder, clock)
+// held is the content of the row of a lease that is held.
+type held struct {
+	holder string
+	token  int64
+	// clock is an upper bound of the table's clock when the row was sent; 0 if unknown.
+	clock time.Duration
+	// idle reports that the holder sends no orders under this row, and idleTime for how
+	// long none had been in flight when the row was sent.
+	idle     bool
+	idleTime time.Duration
+	// note is the text that the holder passes on to the next ones.
+	note string
 }
 
-// encodeReleased returns the row of a released lease. Its holder is empty, and the
-// clock follows the time, in milliseconds, for which no order has been in flight. That
-// time is negative if an order may still be in flight.
-func encodeReleased(token int64, idleTime, clock time.Duration) []byte {
-	return appendClock(strconv.FormatInt(token, 10)+"  "+strconv.FormatInt(idleTime.Milliseconds(), 10), clock)
+// encode returns the row: the fencing token, the holder, the clock in milliseconds, the
+// time without orders in milliseconds if the holder sends none, and the note. Fields that
+// are unknown at the end are left out.
+func (h held) encode() []byte {
+	idle := ""
+	if h.idle {
+		idle = formatMillis(h.idleTime)
+	}
+	return joinFields(strconv.FormatInt(h.token, 10), h.holder, formatClock(h.clock), idle, h.note)
+}
+
+// encodeReleased returns the row of a released lease. Its holder is empty, and the clock
+// and the note follow the time, in milliseconds, for which no order has been in flight.
+// That time is negative if an order may still be in flight.
+func encodeReleased(token int64, idleTime, clock time.Duration, note string) []byte {
+	return joinFields(strconv.FormatInt(token, 10), "", formatMillis(idleTime), formatClock(clock), note)
 }
 
-// appendClock appends the table's clock to a row, rounded up. It appends nothing if
-// the clock is 0.
-func appendClock(row string, clock time.Duration) []byte {
-	if clock > 0 {
-		row += " " + strconv.FormatInt(clock.Milliseconds()+1, 10)
+// joinFields joins fields with spaces, without those at the end that are empty or an
+// unknown clock.
+func joinFields(fields ...string) []byte {
+	for len(fields) > 0 && (fields[len(fields)-1] == "" || fields[len(fields)-1] == unknownClock) {
+		fields = fields[:len(fields)-1]
 	}
-	return []byte(row)
+	return []byte(strings.Join(fields, " "))
 }
 
+// unknownClock stands for the table's clock where it is not known.
+const unknownClock = "0"
+
+// formatClock returns a reading of the table's clock in milliseconds, rounded up.
+func formatClock(clock time.Duration) string {
+	if clock <= 0 {
+		return unknownClock
+	}
+	return strconv.FormatInt(clock.Milliseconds()+1, 10)
+}
+
+func formatMillis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+
 // decodeHolder returns the holder and the fencing token of a row. The holder is empty
 // if the lease is free. The token is 0 if there is no row or it can't be read.
 func decodeHolder(value []byte) (string, int64) {
@@ -55,6 +86,25 @@
 // released. It is negative if one could still be in flight for that time.
 func idleTimeOf(value []byte) time.Duration { return millisAt(value, 0) }
 
+// heldIdleTime returns for how long no order had been in flight when the row of a lease
+// that is held was sent. It returns false unless the row says that the holder sends none.
+func heldIdleTime(value []byte) (time.Duration, bool) {
+	if holder, _ := decodeHolder(value); holder == "" {
+		return 0, false
+	}
+	if text, ok := fieldAt(value, 1); !ok || text == "" {
+		return 0, false
+	}
+	idle := millisAt(value, 1)
+	return idle, idle >= 0
+}
+
+// noteOf returns the note of a row.
+func noteOf(value []byte) string {
+	note, _ := fieldAt(value, 2)
+	return note
+}
+
 // clockOf returns an upper bound of the table's clock when the row was sent, or 0 if
 // it is not known.
 func clockOf(value []byte) time.Duration {
@@ -65,14 +115,23 @@
 	return max(millisAt(value, n), 0)
 }
 
-// millisAt returns the duration in the field at index n after the holder, or 0.
-func millisAt(value []byte, n int) time.Duration {
+// fieldAt returns the field at index n after the holder.
+func fieldAt(value []byte, n int) (string, bool) {
 	const before = 2 // the token and the holder
-	fields := strings.Split(string(value), " ")
+	fields := strings.SplitN(string(value), " ", before+n+2)
 	if len(fields) <= before+n {
+		return "", false
+	}
+	return fields[before+n], true
+}
+
+// millisAt returns the duration in the field at index n after the holder, or 0.
+func millisAt(value []byte, n int) time.Duration {
+	text, ok := fieldAt(value, n)
+	if !ok {
 		return 0
 	}
-	ms, err := strconv.ParseInt(fields[before+n], 10, 64)
+	ms, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || ms < -maxRowTime.Milliseconds() || ms > maxRowTime.Milliseconds() {
 		return 0
 	}
--- a/pkg/weight/book.go
+++ b/pkg/weight/book.go
@@ -27,6 +27,8 @@
 	// Since is when this instance or a peer learned that the version is desired. It is
 	// the zero time if that was before this instance started and no peer reported when.
 	Since time.Time
+	// Found is when this instance found a version of which Since is not known.
+	Found time.Time
 }
 
 // Order is an order to an engine to load a version. It may be in flight.
@@ -100,10 +102,41 @@
 	return d.Since.Sub(since) > sinceTolerance
 }
 
-// WithUndatedVersion returns a copy of t in which version of model has been desired since an
-// unknown time before this instance started.
-func (t Tracker) WithUndatedVersion(model string, version int64) Tracker {
-	return t.WithDesired(model, version, time.Time{})
+// WithUndatedVersion returns a copy of t in which version of model, which was found at the
+// given time, has been desired since an unknown time before.
+func (t Tracker) WithUndatedVersion(model string, version int64, found time.Time) Tracker {
+	for _, d := range t.history[model] {
+		if d.Version == version {
+			return t
+		}
+	}
+	t = t.WithDesired(model, version, time.Time{})
+	versions := slices.Clone(t.history[model])
+	for i := range versions {
+		if versions[i].Version == version {
+			versions[i].Found = found
+		}
+	}
+	t.history = maps.Clone(t.history)
+	t.history[model] = versions
+	return t
+}
+
+// BehindFor returns a lower bound of how long, at now, engine has lacked a desired version of
+// model; 0 if it lacks none.
+func (t Tracker) BehindFor(engine, model string, now time.Time) time.Duration {
+	loaded := t.loaded[engine][model]
+	var longest time.Duration
+	for _, d := range t.history[model] {
+		since := d.Since
+		if since.IsZero() {
+			since = d.Found
+		}
+		if d.Version > loaded {
+			longest = max(longest, now.Sub(since))
+		}
+	}
+	return longest
 }
 
 // Behind reports whether engine has not loaded all desired versions of model, and returns
