soak: a plan of outages that change their form, and of kills as the lease is taken

Kills of holders came at random moments.

SOAK_PLAN=outages plays one episode at a time and leaves the bounds time to apply: an outage in one to three forms, often right after a change, and what the operators and endpoints do just over the settle time after its end; or new weights, the kill of all instances, and of up to three as they take the lease.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -411,6 +411,32 @@
 	}
 }
 
+// Outages of the store end long enough before what is checked after them, in all their
+// forms, and each kind of step comes in some of the plans.
+func TestOutagePlanLeavesTheBoundsTimeToApply(t *testing.T) {
+	t.Parallel()
+	kinds := map[soak.Kind]int{}
+	for seed := range uint64(40) {
+		p := soak.NewOutagePlan(seed, soak.Size{
+			Instances: 3,
+			Endpoints: 6,
+		}, time.Minute)
+		var end time.Duration
+		for _, s := range p.Steps {
+			kinds[s.Kind]++
+			switch s.Kind {
+			case soak.StoreSilent, soak.StoreUnavailable, soak.StoreSlow:
+				end = s.At + s.Duration
+			case soak.EndpointVanish, soak.EndpointDepart:
+				require.Greater(t, s.At, end+bounds.SettleTime, "seed %d", seed)
+			}
+		}
+	}
+	for _, k := range []soak.Kind{soak.StoreSilent, soak.StoreUnavailable, soak.StoreSlow, soak.Change, soak.Weights, soak.EndpointVanish, soak.EndpointDepart, soak.Kill, soak.KillTakers} {
+		require.Positive(t, kinds[k], "%v", k)
+	}
+}
+
 func TestTableCountsWhatCallersGot(t *testing.T) {
 	t.Parallel()
 	rec := newRecorder()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -68,6 +68,12 @@
 	EndpointQuiet
 	// Bulk writes a configuration with many more routes than the last, or without them.
 	Bulk
+	// StoreSilent makes the store give no response to the calls that arrive. Those that it
+	// holds are answered.
+	StoreSilent
+	// KillTakers kills up to three instances, each as it takes the lease for orders, and
+	// restarts them.
+	KillTakers
 )
 
 // seriesKinds is how many kinds addSeries draws from. Later kinds are drawn from a
@@ -77,7 +83,7 @@
 var kindNames = [...]string{
 	"stop", "kill", "pause", "reload", "link", "store-slow", "store-away", "store-part", "store-lose", "store-forget",
 	"end-crash", "end-cut", "end-late", "end-mute", "end-full", "end-fail", "end-stray", "end-leave", "end-vanish", "weights", "change", "end-pause", "limits", "end-announce", "end-quiet",
-	"bulk",
+	"bulk", "store-silent", "kill-takers",
 }
 
 // String returns the name of k.
