--- a/pkg/lease/row.go
+++ b/pkg/lease/row.go
@@ -11,9 +11,9 @@
 	// maxToken is the greatest fencing token that a row may hold, so that the next
 	// ones do not overflow.
 	maxToken = math.MaxInt64 / 2
-	// maxRowTime is the longest time that a row may hold, so that sums of them do not
-	// overflow.
-	maxRowTime = 10 * 365 * 24 * time.Hour
+	// maxRowTime is the longest time that a row may hold, so that sums of two do not
+	// overflow. The table's clock may count from 1970.
+	maxRowTime = 100 * 365 * 24 * time.Hour
 )
 
 // held is the content of the row of a lease that is held.
