ctrl: the result of an action may start the next one with its key

Cause: the loop handled the event of an action before it marked the action as ended, so that the next action with the same key was dropped as being in flight already. The holder's declaration of orders, which follows the write that takes the lease, waited for the next renewal. The store's log has the two writes 0.8 s apart.

TestResultMayStartTheNextActionWithItsKey failed before: one action in place of 21. The result and the key of an action now reach the loop as one message. Other actions that follow results (releases after renewals, fetches after heartbeats) start sooner as well.

--- a/internal/ctrl/loop.go
+++ b/internal/ctrl/loop.go
@@ -33,6 +33,13 @@
 	Published()
 }
 
+// completion is an action that has ended.
+type completion struct {
+	// key is the action's key, and event its result; nil if there is none.
+	key   string
+	event state.Event
+}
+
 // Loop is the control thread. It is created by New.
 type Loop struct {
 	controllers []Controller
@@ -49,7 +56,7 @@
 	// inFlight holds the keys of the actions in flight. Only the control thread
 	// accesses it.
 	inFlight  map[string]bool
-	completed chan string
+	completed chan completion
 	workers   sync.WaitGroup
 	// started is closed when the state becomes ready for the first time.
 	started chan struct{}
@@ -84,7 +91,7 @@
 		interval:    Interval,
 		events:      make(chan state.Event, eventQueueSize),
 		inFlight:    map[string]bool{},
-		completed:   make(chan string),
+		completed:   make(chan completion),
 		started:     make(chan struct{}),
 		done:        make(chan struct{}),
 	}
@@ -149,8 +156,12 @@
 		select {
 		case e := <-l.events:
 			l.step(ctx, e)
-		case key := <-l.completed:
-			delete(l.inFlight, key)
+		case c := <-l.completed:
+			// The event may start the next action with the same key.
+			delete(l.inFlight, c.key)
+			if c.event != nil {
+				l.step(ctx, c.event)
+			}
 		case <-ticker.C:
 			l.step(ctx, state.Tick{})
 		case <-ctx.Done():
@@ -209,15 +220,13 @@
 	l.workers.Go(func() {
 		limited, cancel := context.WithTimeout(ctx, actionTimeout)
 		defer cancel()
-		if e := l.execute(limited, a); e != nil {
-			select {
-			case l.events <- e:
-			case <-ctx.Done():
+		e := l.execute(limited, a)
+		if e != nil || key != "" {
+			l.completed <- completion{
+				key:   key,
+				event: e,
 			}
 		}
-		if key != "" {
-			l.completed <- key
-		}
 	})
 }
 
--- a/internal/ctrl/loop_test.go
+++ b/internal/ctrl/loop_test.go
@@ -95,3 +95,55 @@
 		}, reasons)
 	})
 }
+
+// chainedController starts an action, and the next one with its key at each result.
+type chainedController struct{}
+
+func (chainedController) Step(s state.State, e state.Event, _ time.Time) (state.State, []state.Action) {
+	switch e.(type) {
+	case state.Tick, state.Reported:
+		s.Own.Seq++
+		return s, []state.Action{
+			state.PollLoad{
+				Endpoint: member.Endpoint{
+					Node: member.Node{
+						Name: "e1",
+					},
+				},
+			},
+		}
+	}
+	return s, nil
+}
+
+// reportingExecutor answers polls up to a number.
+type reportingExecutor struct {
+	polls, limit int
+}
+
+func (x *reportingExecutor) Execute(context.Context, state.Action) state.Event {
+	if x.polls++; x.polls > x.limit {
+		return nil
+	}
+	return state.Reported{
+		Endpoint: "e1",
+	}
+}
+
+// Guards against an action that is dropped since the one whose result asks for it counts as
+// in flight: a holder of the lease then declared its orders only with its next renewal.
+func TestResultMayStartTheNextActionWithItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &reportingExecutor{
+			limit: 20,
+		}
+		loop := ctrl.New(state.State{}, x, ctrl.WithInterval(time.Minute), ctrl.WithControllers(chainedController{}))
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = loop.Run(ctx) }()
+		synctest.Wait()
+		require.EqualValues(t, x.limit+1, loop.View().Own.Seq)
+		cancel()
+		<-loop.Done()
+		require.Equal(t, x.limit+1, x.polls)
+	})
+}
