httpd: what a server leaves unread is logged and counted

A stopping server logs the connections in its backlog when it closes the listener, and a connection that is closed between requests with unread input leaves a line: event=unread with the place, and the counter unread_connections. No logic changes.

--- a/internal/httpd/close_test.go
+++ b/internal/httpd/close_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -324,3 +327,53 @@
 	require.NoError(t, s.Stop(t.Context()))
 	require.ErrorIs(t, <-served, http.ErrServerClosed)
 }
+
+// pausedListener does not get to accept connections for a while once it is draining, as
+// where no process gets processor time.
+type pausedListener struct {
+	*net.TCPListener
+	pause time.Duration
+	// waiting is closed when the pause begins, unless it is nil.
+	waiting chan struct{}
+	once    sync.Once
+}
+
+func (l *pausedListener) Accept() (net.Conn, error) {
+	nc, err := l.TCPListener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		l.once.Do(func() {
+			close(l.waiting)
+			time.Sleep(l.pause)
+		})
+	}
+	return nc, err
+}
+
+// What a server leaves unread must be logged and counted, since nothing else shows it.
+func TestUnreadConnectionsAreLogged(t *testing.T) {
+	var paused *pausedListener
+	f := newFixture(t, func(l net.Listener) net.Listener {
+		paused = &pausedListener{
+			TCPListener: l.(*net.TCPListener),
+			pause:       800 * time.Millisecond,
+			waiting:     make(chan struct{}),
+		}
+		return paused
+	})
+	first := f.dial()
+	first.write(request)
+	first.requireAnswer()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_ = f.server.Stop(t.Context())
+	}()
+	<-paused.waiting
+	for range 3 {
+		f.dial().write(request)
+	}
+	require.NoError(t, f.server.Close())
+	<-closed
+	require.Equal(t, 3, f.count("unread backlog"), f.lines())
+	require.Contains(t, f.lines(), `"event":"unread","place":"backlog","connections":3`)
+}
--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -348,8 +348,12 @@
 // response is not complete. A complete response is sent to its end first.
 func (c *conn) Close() error {
 	c.sendRest()
+	unread := c.unreadRequest()
 	err := c.Conn.Close()
 	c.mu.Lock()
+	if unread {
+		c.server.logUnread(inSocket, 1, c.state())
+	}
 	lost, why, cause := c.lostRequest()
 	c.mu.Unlock()
 	if lost {
@@ -362,6 +366,14 @@
 	return err
 }
 
+// unreadRequest reports whether the caller has sent a request of which nothing was read.
+func (c *conn) unreadRequest() bool {
+	c.mu.Lock()
+	idle := c.phase == waiting
+	c.mu.Unlock()
+	return idle && hasInput(c.Conn)
+}
+
 // sendRest waits until the caller has the end of a complete response. A socket that is
 // closed with unread input, such as a request that was sent behind the last one, is reset,
 // and what is still to be sent is lost.
@@ -483,6 +495,26 @@
 	return raw, err == nil
 }
 
+// backlog returns how many connections of l were not accepted, or 1 for any number where the
+// system does not tell it.
+func backlog(l net.Listener) int {
+	if !hasBacklog(l) {
+		return 0
+	}
+	raw, ok := rawConn(l)
+	if !ok {
+		return 1
+	}
+	n := 1
+	_ = raw.Control(func(fd uintptr) {
+		// For a listening socket this field is the length of its queue.
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			n = max(n, int(info.Unacked))
+		}
+	})
+	return n
+}
+
 // hasBacklog reports whether l has connections that were not accepted.
 func hasBacklog(l net.Listener) bool {
 	raw, ok := rawConn(l)
--- a/internal/httpd/cut.go
+++ b/internal/httpd/cut.go
@@ -111,6 +111,31 @@
 	s.meter.Crossed(why.String())
 }
 
+// place is where a connection or a request is when nobody has read it.
+type place uint8
+
+const (
+	// inBacklog means that the connection was not accepted.
+	inBacklog place = iota
+	// inSocket means that the request was not read.
+	inSocket
+)
+
+// String returns the name of the place in logs and metrics.
+func (p place) String() string { return [...]string{"backlog", "socket"}[p%2] }
+
+// logUnread logs and counts connections that are closed with what nobody has read. Callers
+// may send it again.
+func (s *Server) logUnread(where place, connections int, c state) {
+	line := s.log.Debug()
+	if connections > 0 {
+		line = s.log.Warn()
+		s.meter.Unread(where.String(), connections)
+	}
+	line.Str("event", "unread").Stringer("place", where).Int("connections", connections).
+		Stringer("quiet", c.quiet.Round(time.Millisecond)).Str("peer", c.peer).Send()
+}
+
 // connKey is the key of the connection in the context of a request.
 type connKey struct{}
 
--- a/internal/httpd/httpd_test.go
+++ b/internal/httpd/httpd_test.go
@@ -58,6 +58,13 @@
 // Crossed counts a request that crossed a close.
 func (r *recorder) Crossed(reason string) { r.add("crossed " + reason) }
 
+// Unread counts connections that were closed with what nobody has read.
+func (r *recorder) Unread(place string, connections int) {
+	for range connections {
+		r.add("unread " + place)
+	}
+}
+
 func (r *recorder) add(reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -45,6 +45,9 @@
 	Closed(reason string)
 	// Crossed counts requests that arrived after their connection was closed.
 	Crossed(reason string)
+	// Unread counts connections that were closed with what nobody has read, by the place
+	// of that.
+	Unread(place string, connections int)
 }
 
 // Server serves HTTP/1.1 until Stop or Close is called. Use New to create one.
@@ -171,6 +174,9 @@
 // Crossed does nothing.
 func (noMeter) Crossed(string) {}
 
+// Unread does nothing.
+func (noMeter) Unread(string, int) {}
+
 // connStateChanged follows the requests of a connection.
 func connStateChanged(nc net.Conn, to http.ConnState) {
 	c, ok := nc.(*conn)
@@ -470,7 +476,12 @@
 
 // Close closes the listener. Further calls do nothing.
 func (l *listener) Close() error {
-	l.close.Do(func() { l.closeErr = l.Listener.Close() })
+	l.close.Do(func() {
+		if l.server.stopping.Load() {
+			l.server.logUnread(inBacklog, backlog(l.Listener), state{})
+		}
+		l.closeErr = l.Listener.Close()
+	})
 	return l.closeErr
 }
 
