httpd: a stopping server accepts what waits in its backlog at the limit, too

Cause: a draining listener is closed 0.5 s after the stop at the latest, however many connections wait, in case that more keep arriving. A process that does not run for that long accepts none of them.

TestStopServesBacklogAfterPause failed before with "connection reset by peer". At the limit the connections that wait by then are still accepted, while some are in each 20 ms; those that come later do not keep the listener open (TestStopClosesBusyListener, TestBusyListenerDoesNotDelayEndOfGracePeriod).

--- a/internal/httpd/close_test.go
+++ b/internal/httpd/close_test.go
@@ -349,6 +349,37 @@
 	return nc, err
 }
 
+// Guards against connections that are reset in the backlog of a stopping server which had
+// no processor time until the limit for closing its listener.
+func TestStopServesBacklogAfterPause(t *testing.T) {
+	var paused *pausedListener
+	f := newFixture(t, func(l net.Listener) net.Listener {
+		paused = &pausedListener{
+			TCPListener: l.(*net.TCPListener),
+			pause:       800 * time.Millisecond,
+			waiting:     make(chan struct{}),
+		}
+		return paused
+	})
+	first := f.dial()
+	first.write(request)
+	first.requireAnswer()
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.server.Stop(t.Context()) }()
+	<-paused.waiting
+	var callers []*caller
+	for range 90 {
+		c := f.dial()
+		c.write(request)
+		callers = append(callers, c)
+	}
+	for _, c := range callers {
+		c.requireAnswer()
+	}
+	require.NoError(t, <-stopped)
+	require.Zero(t, f.count("unread backlog"))
+}
+
 // What a server leaves unread must be logged and counted, since nothing else shows it.
 func TestUnreadConnectionsAreLogged(t *testing.T) {
 	var paused *pausedListener
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -30,6 +30,9 @@
 	// drainLimit bounds the time until a stopping server closes its listener, in case
 	// connections keep arriving.
 	drainLimit = 500 * time.Millisecond
+	// minLateAccepts is how many connections may be accepted after that at least, since the
+	// system may not tell how many wait.
+	minLateAccepts = 64
 	// defaultSettleTime is the settle time unless another is set.
 	defaultSettleTime = 100 * time.Millisecond
 	// abortTime is how long handlers have to respond after the end of the grace
@@ -439,6 +442,12 @@
 	// drainEnd is when a draining listener is closed at the latest, as a Unix time in
 	// nanoseconds.
 	drainEnd atomic.Int64
+	// late is true once drainEnd has passed, and left how many connections may be accepted
+	// from then on. accepted reports whether one was since the last deadline was set. Only
+	// Accept uses them.
+	late     bool
+	left     int
+	accepted bool
 	once     sync.Once
 	// done is closed when no more connections will be accepted.
 	done chan struct{}
@@ -449,7 +458,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	for errors.Is(err, os.ErrDeadlineExceeded) && l.server.stopping.Load() {
-		if time.Now().UnixNano() > l.drainEnd.Load() || !hasBacklog(l.Listener) || !l.setDeadline(backlogTime) {
+		if !l.extend() {
 			_ = l.Close()
 			break
 		}
@@ -463,11 +472,32 @@
 		}
 		return nil, err
 	}
+	l.accepted = true
+	l.left--
 	c := newConn(nc, l.server)
 	l.server.add(c)
 	return c, nil
 }
 
+// extend sets the next deadline of a draining listener while connections are left in its
+// backlog. It reports whether there is one. At the limit it is extended for those that wait
+// by then, which nobody may have had the time to accept, as long as some are accepted.
+func (l *listener) extend() bool {
+	if !hasBacklog(l.Listener) {
+		return false
+	}
+	if time.Now().UnixNano() > l.drainEnd.Load() {
+		switch {
+		case !l.late:
+			l.late, l.left = true, max(backlog(l.Listener), minLateAccepts)
+		case !l.accepted || l.left <= 0:
+			return false
+		}
+	}
+	l.accepted = false
+	return l.setDeadline(backlogTime)
+}
+
 // setDeadline sets the deadline of Accept. It reports whether the listener has one.
 func (l *listener) setDeadline(d time.Duration) bool {
 	inner, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
