client: answers of plain services together fit in memory

What callers saw: an operator of a like system reported a faulty endpoint whose answers did not end; the instance kept them all, ran out of memory, and the requests of others ended with it.

Cause: an answer of a plain service is read whole, up to 8 MB, and nothing bounded how many at once.

Now all answers share 24 MB beyond their first 64 KB each, so that short answers are read whatever the long ones do, and blocks replace a buffer that doubles.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -32,6 +32,11 @@
 	maxResponseHeaderBytes = 32 << 10
 	// maxServiceBodyBytes bounds the body of a plain service's response.
 	maxServiceBodyBytes = 8 << 20
+	// maxHeldBytes bounds what all answers of plain services together hold beyond their
+	// first block of blockBytes: a fifth of the memory of the smallest instance, since a
+	// complete one is copied once.
+	maxHeldBytes = 24 << 20
+	blockBytes   = 64 << 10
 
 	headerRequestID      = "X-Request-Id"
 	headerLastEventID    = "Last-Event-Id"
@@ -45,6 +50,8 @@
 	unpooled          *http.Client
 	firstChunkTimeout time.Duration
 	chunkTimeout      time.Duration
+	// held is how many bytes the answers of plain services hold beyond their first blocks.
+	held atomic.Int64
 }
 
 // Option configures a Client.
--- a/internal/client/service.go
+++ b/internal/client/service.go
@@ -1,7 +1,9 @@
 package client
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -56,6 +58,8 @@
 	x       exchange
 	attempt call.Attempt
 	resp    *http.Response
+	// reserved is how many bytes of the client's held ones are this answer's.
+	reserved int64
 }
 
 // Head returns the status and the content type of the response.
@@ -72,19 +76,58 @@
 func (s *serviceReply) Usage() call.Usage { return call.Usage{} }
 
 // Close releases the response.
-func (s *serviceReply) Close() { s.x.close(s.resp.Body) }
+func (s *serviceReply) Close() {
+	s.x.close(s.resp.Body)
+	s.client.held.Add(-s.reserved)
+	s.reserved = 0
+}
 
-// Next returns the complete body as one chunk.
+// Next returns the complete body as one chunk. It reads it in blocks, since a buffer that
+// grows leaves several times its size behind.
 func (s *serviceReply) Next() (chain.Chunk, int, error) {
-	data, err := io.ReadAll(io.LimitReader(s.resp.Body, maxServiceBodyBytes+1))
-	if err != nil {
-		return chain.Chunk{}, 0, s.x.failure(err)
+	var blocks [][]byte
+	for total := int64(0); total <= maxServiceBodyBytes; {
+		if err := s.reserve(total > 0); err != nil {
+			return chain.Chunk{}, 0, s.x.failure(err)
+		}
+		var block bytes.Buffer
+		block.Grow(s.blockSize())
+		n, err := io.CopyN(&block, s.resp.Body, blockBytes)
+		if err != nil && !errors.Is(err, io.EOF) {
+			return chain.Chunk{}, 0, s.x.failure(err)
+		}
+		blocks = append(blocks, block.Bytes())
+		total += n
+		if n < blockBytes && total <= maxServiceBodyBytes {
+			return chain.Chunk{
+				Data: bytes.Join(blocks, nil),
+				End:  true,
+			}, 0, nil
+		}
+	}
+	return chain.Chunk{}, 0, s.x.failure(fmt.Errorf("the answer is over %d bytes", maxServiceBodyBytes))
+}
+
+// blockSize returns the size of the buffer for a block of the body.
+func (s *serviceReply) blockSize() int {
+	size := int64(blockBytes)
+	if length := s.resp.ContentLength; length >= 0 {
+		size = min(size, length)
+	}
+	// The buffer grows unless it has room for one more read.
+	return int(size) + bytes.MinRead
+}
+
+// reserve reserves the next block of an answer. The first one is free, so that answers
+// without end do not keep short ones from being read.
+func (s *serviceReply) reserve(further bool) error {
+	if !further {
+		return nil
 	}
-	if len(data) > maxServiceBodyBytes {
-		return chain.Chunk{}, 0, s.x.failure(fmt.Errorf("the answer is over %d bytes", maxServiceBodyBytes))
+	if s.client.held.Add(blockBytes) > maxHeldBytes {
+		s.client.held.Add(-blockBytes)
+		return errors.New("too many long answers are being read: send the request again later")
 	}
-	return chain.Chunk{
-		Data: data,
-		End:  true,
-	}, 0, nil
+	s.reserved += blockBytes
+	return nil
 }
