filter: a stream that is longer than its request allows ends

What callers saw: a faulty engine that streams valid chunks without an end kept the instance collecting their text, to go on at another engine, until the caller left.

Cause: nothing compared a stream with the tokens that its request allows.

A stream now ends with an error at 8 chunks or 64 KB of text beyond its request, at 256 bytes a token; its engine counts as failing, and no other engine continues what is too long already.

--- a/internal/filter/generate.go
+++ b/internal/filter/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -21,6 +22,13 @@
 const (
 	// maxResumes is how often a stream is resumed in a row without a new chunk.
 	maxResumes = 2
+	// extraChunks is how many chunks a stream may have beyond one for each token: for the
+	// role, the reason of its end, the usage and the end marker.
+	extraChunks = 8
+	// maxTokenBytes is the mean length of a token's text at the most, and extraTextBytes
+	// what a text may have beyond that.
+	maxTokenBytes  = 256
+	extraTextBytes = 64 << 10
 	// maxFailovers is the number of engine failures that a started stream
 	// survives.
 	maxFailovers = 10
@@ -78,6 +86,8 @@
 	// received before the current attempt.
 	chunks int
 	base   int
+	// overlong reports that an engine sent more than the request allows.
+	overlong bool
 	// finalSeen reports that only the end marker is missing.
 	finalSeen bool
 	// alreadyReceived is the number of chunks that the caller received before it
@@ -206,6 +216,9 @@
 	g.chunks++
 	g.finalSeen = c.Final
 	g.delivered.WriteString(c.Text)
+	if err := g.checkLength(); err != nil {
+		return err
+	}
 	c.Next = g.resume
 	if g.chunks <= g.alreadyReceived && !c.End {
 		return nil
@@ -216,6 +229,21 @@
 	return nil
 }
 
+// checkLength returns an error if the stream is longer than the request allows. The engine
+// may never end it, and its text is kept to go on at another one.
+func (g *generation) checkLength() error {
+	g.overlong = g.request.Output > 0 && (g.chunks > g.request.Output+extraChunks ||
+		g.delivered.Len() > g.request.Output*maxTokenBytes+extraTextBytes)
+	if !g.overlong {
+		return nil
+	}
+	return call.Failure{
+		Cause:     call.Broken,
+		MaybeSent: true,
+		Detail:    fmt.Sprintf("the engine sent %d chunks and %d bytes of text for at most %d tokens", g.chunks, g.delivered.Len(), g.request.Output),
+	}
+}
+
 // writeEndMarker writes the end marker of a complete answer whose stream failed
 // before its end marker.
 func (g *generation) writeEndMarker() error {
@@ -243,8 +271,11 @@
 	}
 	g.log.Warn().Str("event", "fail").Str("request", g.request.ID).Str("endpoint", a.Endpoint.Node.Name).
 		Str("cause", failure.Cause.String()).Int("offset", g.position.Next()).Err(err).Send()
-	if failure.Cause == call.Rejected {
+	switch {
+	case failure.Cause == call.Rejected:
 		return g.rejection(failure)
+	case g.overlong:
+		return fault.New(fault.Lost, "%s does not end its answer (%s): look at the engine's log before you send it again", a.Endpoint.Node.Name, failure.Detail).WithRun(fault.Unknown)
 	}
 	if g.resume.Active() && failure.Cause != call.UnknownStream && g.resumesWithoutChunk < maxResumes {
 		g.resumesWithoutChunk++
