watch, ctrl: a late error counts as unanswered, and a peer that starts has not lost the store

A read whose error comes at its deadline could be reported as refused, which counts as a new outage however long ago it was sent. A peer that has just started reports that the store does not answer it; with its first read all others renewed theirs. The test of renewals by peers has such a start now.

--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -403,6 +403,9 @@
 		heartbeat("n2", true)
 	}
 	require.Zero(t, renewed)
+	heartbeat("n3", false)
+	heartbeat("n3", true)
+	require.Zero(t, renewed, "n3 has just started")
 	heartbeat("n1", false)
 	heartbeat("n2", false)
 	require.Zero(t, renewed, "the store does not answer yet")
--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -555,14 +555,26 @@
 }
 
 // recordPeerStatus records whether the store answers the sender of e. If it does again, the
-// reads of this instance are due.
+// reads of this instance are due. An instance that has just started is not one that lost the
+// store.
 func recordPeerStatus(s state.State, e state.Heartbeat) state.State {
 	p := s.Peer(e.Name)
-	if p.StoreLost != e.Relay.StoreReachable {
+	before := p.Store
+	if p.Epoch != e.Epoch {
+		before = state.StoreUnknown
+	}
+	next := before
+	switch {
+	case e.Relay.StoreReachable:
+		next = state.StoreAnswers
+	case before == state.StoreAnswers:
+		next = state.StoreLost
+	}
+	if next == p.Store {
 		return s
 	}
-	s.Routing.RenewDue = s.Routing.RenewDue || p.StoreLost
-	p.StoreLost = !e.Relay.StoreReachable
+	s.Routing.RenewDue = s.Routing.RenewDue || before == state.StoreLost && next == state.StoreAnswers
+	p.Store = next
 	return s.WithPeer(e.Name, p)
 }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -196,10 +196,23 @@
 	FailedSince time.Time
 	// SummarySeq is the sequence number of its last summary.
 	SummarySeq uint64
-	// StoreLost reports whether the store did not answer it at its last heartbeat.
-	StoreLost bool
+	// Store is whether the store answered it at its last heartbeat.
+	Store StoreView
 }
 
+// StoreView is whether the store answers an instance.
+type StoreView uint8
+
+const (
+	// StoreUnknown means that the store has not answered the instance since its start, as
+	// far as is known.
+	StoreUnknown StoreView = iota
+	// StoreAnswers means that the store answers the instance.
+	StoreAnswers
+	// StoreLost means that the store answered the instance before.
+	StoreLost
+)
+
 // Summary is what an instance reports to its peers about an interval.
 type Summary struct {
 	// Seq is the sequence number of the summary within an incarnation.
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -287,8 +287,8 @@
 }
 
 // changes reads the changes since the last read. The store may hold the call for wait. If
-// it takes longer, further calls are sent, and the first successful one counts.
-// It fails with errRenewed if renewed is closed.
+// it takes longer, further calls are sent, and the first successful one counts. It fails
+// with errUnanswered if none is answered in time, and with errRenewed if renewed is closed.
 func (t *Table) changes(ctx context.Context, wait time.Duration, renewed <-chan struct{}) (store.Batch, error) {
 	limited, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
@@ -305,12 +305,14 @@
 		}()
 	}
 	send(wait)
+	var timer *time.Timer
 	var overdue <-chan time.Time
 	if t.hedging != nil {
-		timer := time.NewTimer(wait + t.hedging())
+		timer = time.NewTimer(wait + t.hedging())
 		defer timer.Stop()
 		overdue = timer.C
 	}
+	unanswered := errors.Annotatef(errUnanswered, "table %q", t.name)
 	for {
 		select {
 		case r := <-replies:
@@ -319,18 +321,21 @@
 				panic(r.panicked)
 			}
 			final := r.err == nil || errors.Is(r.err, store.ErrCompacted) || errors.Is(r.err, store.ErrMalformed)
-			if final || pending == 0 {
+			switch {
+			case final:
+				return r.batch, r.err
+			case limited.Err() != nil:
+				return store.Batch{}, unanswered
+			case pending == 0:
 				return r.batch, r.err
 			}
 		case <-overdue:
 			send(0)
-			timer := time.NewTimer(t.hedging())
-			defer timer.Stop()
-			overdue = timer.C
+			timer.Reset(t.hedging())
 		case <-renewed:
 			return store.Batch{}, errRenewed
 		case <-limited.Done():
-			return store.Batch{}, errors.Annotatef(errUnanswered, "table %q", t.name)
+			return store.Batch{}, unanswered
 		}
 	}
 }
