--- a/internal/httpd/close_test.go
+++ b/internal/httpd/close_test.go
@@ -377,7 +377,7 @@
 		c.requireAnswer()
 	}
 	require.NoError(t, <-stopped)
-	require.Zero(t, f.count("unread backlog"))
+	require.Zero(t, f.count("discarded backlog"))
 }
 
 // What a server leaves unread must be logged and counted, since nothing else shows it.
@@ -405,6 +405,6 @@
 	}
 	require.NoError(t, f.server.Close())
 	<-closed
-	require.Equal(t, 3, f.count("unread backlog"), f.lines())
-	require.Contains(t, f.lines(), `"event":"unread","place":"backlog","connections":3`)
+	require.Equal(t, 3, f.count("discarded backlog"), f.lines())
+	require.Contains(t, f.lines(), `"event":"discarded","place":"backlog","connections":3`)
 }
--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -352,7 +352,7 @@
 	err := c.Conn.Close()
 	c.mu.Lock()
 	if unread {
-		c.server.logUnread(inSocket, 1, c.state())
+		c.server.logDiscarded(inSocket, 1, c.state())
 	}
 	lost, why, cause := c.lostRequest()
 	c.mu.Unlock()
--- a/internal/httpd/cut.go
+++ b/internal/httpd/cut.go
@@ -124,15 +124,15 @@
 // String returns the name of the place in logs and metrics.
 func (p place) String() string { return [...]string{"backlog", "socket"}[p%2] }
 
-// logUnread logs and counts connections that are closed with what nobody has read. Callers
+// logDiscarded logs and counts connections that are closed with what nobody has read. Callers
 // may send it again.
-func (s *Server) logUnread(where place, connections int, c state) {
+func (s *Server) logDiscarded(where place, connections int, c state) {
 	line := s.log.Debug()
 	if connections > 0 {
 		line = s.log.Warn()
-		s.meter.Unread(where.String(), connections)
+		s.meter.Discarded(where.String(), connections)
 	}
-	line.Str("event", "unread").Stringer("place", where).Int("connections", connections).
+	line.Str("event", "discarded").Stringer("place", where).Int("connections", connections).
 		Stringer("quiet", c.quiet.Round(time.Millisecond)).Str("peer", c.peer).Send()
 }
 
--- a/internal/httpd/httpd_test.go
+++ b/internal/httpd/httpd_test.go
@@ -58,10 +58,10 @@
 // Crossed counts a request that crossed a close.
 func (r *recorder) Crossed(reason string) { r.add("crossed " + reason) }
 
-// Unread counts connections that were closed with what nobody has read.
-func (r *recorder) Unread(place string, connections int) {
+// Discarded counts connections that were closed with what nobody has read.
+func (r *recorder) Discarded(place string, connections int) {
 	for range connections {
-		r.add("unread " + place)
+		r.add("discarded " + place)
 	}
 }
 
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -48,9 +48,9 @@
 	Closed(reason string)
 	// Crossed counts requests that arrived after their connection was closed.
 	Crossed(reason string)
-	// Unread counts connections that were closed with what nobody has read, by the place
+	// Discarded counts connections that were closed with what nobody has read, by the place
 	// of that.
-	Unread(place string, connections int)
+	Discarded(place string, connections int)
 }
 
 // Server serves HTTP/1.1 until Stop or Close is called. Use New to create one.
@@ -177,8 +177,8 @@
 // Crossed does nothing.
 func (noMeter) Crossed(string) {}
 
-// Unread does nothing.
-func (noMeter) Unread(string, int) {}
+// Discarded does nothing.
+func (noMeter) Discarded(string, int) {}
 
 // connStateChanged follows the requests of a connection.
 func connStateChanged(nc net.Conn, to http.ConnState) {
@@ -508,7 +508,7 @@
 func (l *listener) Close() error {
 	l.close.Do(func() {
 		if l.server.stopping.Load() {
-			l.server.logUnread(inBacklog, backlog(l.Listener), state{})
+			l.server.logDiscarded(inBacklog, backlog(l.Listener), state{})
 		}
 		l.closeErr = l.Listener.Close()
 	})
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -43,7 +43,7 @@
 	cuts            metric.Int64Counter
 	closes          metric.Int64Counter
 	crossings       metric.Int64Counter
-	unread          metric.Int64Counter
+	discarded       metric.Int64Counter
 	unreadableRows  metric.Int64Counter
 	signals         metric.Int64Counter
 	admissionWait   metric.Float64Histogram
@@ -104,7 +104,7 @@
 	m.refusals = counter("refusals", "requests that were refused before an endpoint was asked, by reason")
 	m.cuts = counter("cut_requests", "requests that ended without a complete response of their handler, by reason")
 	m.closes = counter("closed_connections", "callers' connections that were closed between requests, by reason")
-	m.unread = counter("unread_connections", "connections that were closed with what nobody has read, by the place of that")
+	m.discarded = counter("discarded_connections", "connections that were closed with what nobody has read, by the place of that")
 	m.crossings = counter("crossed_requests", "requests that arrived after their connection was closed and were not read, by reason")
 	m.unreadableRows = counter("unreadable_rows", "versions of rows of the store that can't be used, by table")
 	m.signals = counter("endpoint_signals", "answers in which endpoints said that they are departing or want no calls for a while, by kind")
@@ -196,9 +196,9 @@
 	m.crossings.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
 
-// Unread counts callers' connections that were closed with what nobody has read, by place.
-func (m *Meter) Unread(place string, connections int) {
-	m.unread.Add(context.Background(), int64(connections), metric.WithAttributes(attribute.String("place", place)))
+// Discarded counts callers' connections that were closed with what nobody has read, by place.
+func (m *Meter) Discarded(place string, connections int) {
+	m.discarded.Add(context.Background(), int64(connections), metric.WithAttributes(attribute.String("place", place)))
 }
 
 // Unreadable counts a version of a row of the platform's store that can't be used, by
