watch, platform: a lost response to one read of the store renews the others

Cause: nobody noticed the outage. The HTTP library sends a call whose kept connection breaks again by itself, and the read of the operators' rows then waited at the silent store for the rest of its time. The reads of the registry met the outage, too, but a further call answered them in time.

And a read that a further call answered has the reads of its instance renewed, at most once a second.

--- a/internal/ctrl/forward_test.go
+++ b/internal/ctrl/forward_test.go
@@ -381,6 +381,23 @@
 	require.Equal(t, 1, c.renewals())
 }
 
+// Guards against a table that waits for a lost response after a short outage, which a read
+// met that another call of it survived.
+func TestReadsAreRenewedAfterOverdueRead(t *testing.T) {
+	c := servingInstance(t, "e1")
+	c.step(state.StoreStatus{
+		OK:      true,
+		Overdue: true,
+	})
+	renewed := c.renewals()
+	for range 20 {
+		c.advance(ctrl.ForwardInterval)
+		renewed += c.renewals()
+	}
+	require.Equal(t, 1, renewed)
+	require.True(t, c.state.Routing.StoreReachable)
+}
+
 // Guards against an instance that had no read of the registry in an outage, while the
 // response to its read of the operators' table was lost in it.
 func TestReadsAreRenewedWhenPeersRegainTheStore(t *testing.T) {
--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -584,6 +584,8 @@
 	if e.OK && s.Routing.RegistryVersion > 0 {
 		s.Routing.RegistryConfirmed = now
 	}
+	// The responses to other reads may be lost, too.
+	s.Routing.RenewDue = s.Routing.RenewDue || e.OK && e.Overdue
 	if e.OK {
 		s.Routing.StoreAnswered = now
 	} else if e.Unanswered > 0 && now.Add(-e.Unanswered).Before(s.Routing.StoreAnswered) {
--- a/internal/relay/sinks.go
+++ b/internal/relay/sinks.go
@@ -73,6 +73,7 @@
 	e := state.StoreStatus{
 		OK:         r.Err == nil,
 		Unanswered: r.Unanswered,
+		Overdue:    r.Overdue,
 	}
 	if r.Err != nil {
 		e.Reason = r.Err.Error()
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -255,6 +255,8 @@
 	// Unanswered is for how long the read waited if it ended without any response, and 0
 	// for all others.
 	Unanswered time.Duration
+	// Overdue is set if the response to an earlier call of the read may be lost.
+	Overdue bool
 }
 
 // SiteConfirmed reports that the store answered a read of the operators' settings.
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -64,6 +64,9 @@
 	// Unanswered is for how long the read waited if it ended without any response, and 0
 	// for all others.
 	Unanswered time.Duration
+	// Overdue is set if a later call was answered before the one that was due first, whose
+	// response may be lost.
+	Overdue bool
 }
 
 // Table follows one table of the store. It is created by New.
@@ -83,6 +86,8 @@
 	check bool
 	// wait is how long the store may hold the next read.
 	wait time.Duration
+	// overdue reports whether a later call answered the last read.
+	overdue bool
 	// renewed is closed and replaced by Renew.
 	renewed atomic.Pointer[chan struct{}]
 	// version is the version of the newest change read, and rows the version of
@@ -160,6 +165,7 @@
 	for ctx.Err() == nil {
 		begin, short := time.Now(), !t.synced || t.check
 		renewed := *t.renewed.Load()
+		t.overdue = false
 		err := t.guardedRead(ctx, renewed)
 		if ctx.Err() != nil {
 			return nil
@@ -169,7 +175,8 @@
 			continue
 		}
 		result := Result{
-			Err: err,
+			Err:     err,
+			Overdue: t.overdue,
 		}
 		if errors.Is(err, errUnanswered) {
 			result.Unanswered = time.Since(begin)
@@ -284,6 +291,8 @@
 	err   error
 	// panicked is what the source panicked with, if it did.
 	panicked any
+	// hedged is set for all calls of a read but the first.
+	hedged bool
 }
 
 // changes reads the changes since the last read. The store may hold the call for wait. If
@@ -293,11 +302,14 @@
 	limited, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
 	replies := make(chan reply)
-	after, pending := t.version, 0
+	after, calls, pending := t.version, 0, 0
 	send := func(wait time.Duration) {
+		calls++
 		pending++
+		hedged := calls > 1
 		go func() {
 			r := t.call(limited, after, wait)
+			r.hedged = hedged
 			select {
 			case replies <- r:
 			case <-limited.Done():
@@ -323,6 +335,7 @@
 			final := r.err == nil || errors.Is(r.err, store.ErrCompacted) || errors.Is(r.err, store.ErrMalformed)
 			switch {
 			case final:
+				t.overdue = r.hedged
 				return r.batch, r.err
 			case limited.Err() != nil:
 				return store.Batch{}, unanswered
--- a/internal/watch/table_test.go
+++ b/internal/watch/table_test.go
@@ -495,11 +495,38 @@
 	})
 }
 
-// resultSink keeps the last result.
+// resultSink keeps the last result, and counts the overdue and the failed reads.
 type resultSink struct {
-	last watch.Result
+	last            watch.Result
+	overdue, failed int
 }
 
 func (s *resultSink) HandleBatch(context.Context, store.Batch) {}
 
-func (s *resultSink) HandleResult(_ context.Context, r watch.Result) { s.last = r }
+func (s *resultSink) HandleResult(_ context.Context, r watch.Result) {
+	s.last = r
+	if r.Overdue {
+		s.overdue++
+	}
+	if r.Err != nil {
+		s.failed++
+	}
+}
+
+// Guards against an outage that nobody notices, since a further call of the read that met it
+// was answered: responses to other reads may be lost, too.
+func TestReadAnsweredByLaterCallIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &silentStore{
+			begin: time.Now(),
+			away:  [][2]time.Duration{{10 * time.Second, 10700 * time.Millisecond}},
+		}
+		got := &resultSink{}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		table := watch.New(s, "op", got, watch.WithLongPoll(time.Second), watch.WithHedging(func() time.Duration { return 400 * time.Millisecond }))
+		require.NoError(t, table.Run(ctx))
+		require.Equal(t, 1, got.overdue)
+		require.Zero(t, got.failed)
+	})
+}
