--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/baobabtally/baobabtally/pkg/allot"
 	"github.com/baobabtally/baobabtally/pkg/label"
 	"github.com/baobabtally/baobabtally/pkg/policy"
 )
@@ -143,6 +144,8 @@
 	Priority int `json:"Priority"`
 	// Dedicated reports whether the team shares no cached prompts with other teams.
 	Dedicated bool `json:"Dedicated"`
+	// Limit is the team's allotment over all instances.
+	Limit allot.Limit `json:"Limit"`
 }
 
 // Limits limits what callers send.
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -65,6 +65,10 @@
 	Version int64
 	// Complete reports whether Rows holds all rows.
 	Complete bool
+	// Era is the store's era. It rises whenever the store has come back from an older
+	// copy, after which versions are given out again. It is 0 for a store that never
+	// does.
+	Era int64
 }
 
 // Clock is a reading of the store's own monotonic clock.
