ctrl, lease, relay: instances that start together know each other within two seconds

Cause: instances that start together read the table of instances before the others have written their rows and know 6 of 139 peers for the first ten seconds. Until then each follows the store and all caches as if the fleet were small, and takes itself for the first in order for the lease. All of them then send their heartbeats to the same peer, since their rotations begin at the same one, so that the row of the lease is seconds old at most of them and 100 write it at the same moment. Change: an instance reads the table again a second after it wrote its row and leaves the lease alone until then; the rotation begins at its own place; a lease that ended is taken in turn, as a released one is. The three tests fail on the code before: 9 of 77 peers got heartbeats, 100 writes of the row where 3 are allowed.

--- a/internal/ctrl/fleet_test.go
+++ b/internal/ctrl/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -213,3 +214,60 @@
 		require.LessOrEqual(t, allocated(size), 2*small, size.String())
 	}
 }
+
+// The load is that of a fleet whose instances start together, so that all of them are at
+// the same point of the rotation.
+func TestInstancesThatStartTogetherSendHeartbeatsToDifferentPeers(t *testing.T) {
+	size := fleetSize{
+		instances: 78,
+		engines:   1,
+	}
+	c := newFleetInstance(size)
+	received := map[string]int{}
+	for i := range size.instances {
+		s := c.state
+		s.Self.Name = fleetPeer(i).Name
+		for range 8 {
+			next, actions := ctrl.Mesh{}.Step(s, state.Collected{}, c.now)
+			s = next
+			for _, a := range actions {
+				if h, ok := a.(state.SendHeartbeat); ok {
+					received[h.To.Name]++
+				}
+			}
+		}
+	}
+	require.Len(t, received, size.instances-1, "peers that got a heartbeat, without the instance whose view it is")
+	for name, n := range received {
+		require.LessOrEqual(t, n, 2*8, name)
+	}
+}
+
+// Until the first peers are known, each instance of a fleet that starts takes itself for
+// the first in order.
+func TestLeaseIsLeftAloneUntilThePeersAreKnown(t *testing.T) {
+	c := newFleetInstance(fleetSize{
+		instances: 8,
+		engines:   1,
+	})
+	c.step(state.PeersFound{
+		Joining: true,
+	})
+	c.advance(time.Second)
+	require.False(t, c.callsLease())
+	c.step(state.PeersFound{
+		Known:   true,
+		Settled: true,
+	})
+	c.advance(time.Second)
+	c.advance(time.Second)
+	require.True(t, c.callsLease(), "after the rivals ahead")
+}
+
+// callsLease reports whether the last step asked to read or write the row of the lease.
+func (c *testInstance) callsLease() bool {
+	return slices.ContainsFunc(c.actions, func(a state.Action) bool {
+		_, ok := a.(state.RunLeaseOp)
+		return ok
+	})
+}
--- a/internal/ctrl/leases.go
+++ b/internal/ctrl/leases.go
@@ -52,6 +52,11 @@
 		l = l.WithRelease()
 	}
 	if s.Routing.On {
+		if s.Routing.Joining {
+			// All instances that start together would take themselves for the first
+			// in order.
+			return s.WithLease(l), nil
+		}
 		l = l.WithRivalsAhead(leaseOrder(s))
 		if !l.Held(now) {
 			l = l.WithNote(encodeDates(s, now))
--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -118,11 +118,11 @@
 	if n <= fullMeshPeers || !s.Routing.On && now.Sub(s.Config.Table()) > tableTimeout {
 		return heartbeatsTo(s, others)
 	}
-	round := int(s.Own.Seq)
+	round, first := int(s.Own.Seq), rotationStart(s.Self.Name, others)
 	from, to := (round-1)*heartbeatBudget/n, round*heartbeatBudget/n
 	var chosen []string
 	for i := from; i < to; i++ {
-		chosen = append(chosen, others[i%n])
+		chosen = append(chosen, others[(first+i)%n])
 	}
 	if silent := silentPeer(s, others); silent != "" && !slices.Contains(chosen, silent) {
 		chosen = append(chosen, silent)
@@ -130,6 +130,14 @@
 	return heartbeatsTo(s, chosen)
 }
 
+// rotationStart returns the index of the first peer in the rotation of an instance. It
+// differs from instance to instance: instances that started together would otherwise all
+// send their heartbeats to the same peer at the same time, and none to the others.
+func rotationStart(self string, others []string) int {
+	first, _ := slices.BinarySearch(others, self)
+	return first
+}
+
 // silentPeer returns a peer whose last heartbeat failed, or "". It is called again soon,
 // since a full rotation takes many minutes in a fleet of hundreds.
 func silentPeer(s state.State, others []string) string {
--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -131,6 +131,7 @@
 func (c Registry) handlePeersFound(s state.State, e state.PeersFound, now time.Time) state.State {
 	before := s.Routing.Peers
 	s = c.addPeers(s, e.Peers, now)
+	s.Routing.Joining = (s.Routing.Joining || e.Joining) && !e.Settled
 	if e.Known {
 		return s
 	}
--- a/internal/relay/join.go
+++ b/internal/relay/join.go
@@ -27,6 +27,10 @@
 	// it finds.
 	rejoinInterval    = 10 * time.Second
 	maxRejoinInterval = 2 * time.Minute
+	// settleDelay is the time after an instance has written its row until it reads the
+	// table again. Instances that start together do not find each other's rows at first,
+	// and until they know each other, each follows the store as if the fleet were small.
+	settleDelay = time.Second
 )
 
 // peerRow is an instance's row in the table.
@@ -38,16 +42,24 @@
 // join registers the instance and discovers its peers until ctx ends.
 func (i *Relay) join(ctx context.Context) error {
 	seeds := state.PeersFound{
-		Peers: i.parts.Seeds,
+		Peers:   i.parts.Seeds,
+		Joining: true,
 	}
 	if err := i.Loop.Tell(ctx, seeds); err != nil {
 		return errors.Trace(err)
 	}
-	for first := true; ctx.Err() == nil; first = false {
+	step := firstRead
+	for ctx.Err() == nil {
+		written, err := i.register(ctx, step)
 		interval := rejoinIntervalOf(len(i.Loop.View().Routing.Peers))
-		if err := i.register(ctx, first); err != nil {
+		switch {
+		case err != nil:
 			i.parts.Log.Debug().Str("event", "join").Err(err).Send()
-			interval = joinRetryDelay
+			step, interval = laterRead, joinRetryDelay
+		case written:
+			step, interval = settlingRead, settleDelay
+		default:
+			step = laterRead
 		}
 		// Wait fails only when ctx ends, which the loop checks.
 		_ = retry.Wait(ctx, interval)
@@ -55,6 +67,19 @@
 	return nil
 }
 
+// readStep is which read of the table of instances this is.
+type readStep uint8
+
+const (
+	// firstRead is the first read since the start.
+	firstRead readStep = iota
+	// settlingRead follows a write of the own row. Peers that it shows for the first time
+	// have started since and find this instance in the table.
+	settlingRead
+	// laterRead is any other read.
+	laterRead
+)
+
 // rejoinIntervalOf returns the time between two discoveries of an instance with the
 // given number of peers.
 func rejoinIntervalOf(peers int) time.Duration {
@@ -62,13 +87,13 @@
 }
 
 // register reads the rows of all instances and writes the instance's own row if
-// it differs. First is whether this instance has not registered since its start.
-func (i *Relay) register(ctx context.Context, first bool) error {
+// it differs, which it reports.
+func (i *Relay) register(ctx context.Context, step readStep) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	b, err := i.parts.Store.Rows(ctx, instancesTable)
 	if err != nil {
-		return errors.Trace(err)
+		return false, errors.Trace(err)
 	}
 	self := i.parts.Self
 	own := store.Row{
@@ -97,14 +122,15 @@
 		Domain: self.Domain,
 	})
 	if err != nil {
-		return errors.Trace(err)
+		return false, errors.Trace(err)
 	}
 	registered := string(value) == string(own.Value)
-	found.Known = first && registered
+	found.Known = registered && step != laterRead
+	found.Settled = registered
 	if err := i.Loop.Tell(ctx, found); err != nil || registered {
-		return errors.Trace(err)
+		return false, errors.Trace(err)
 	}
 	own.Value = value
 	_, err = i.parts.Store.Put(ctx, own)
-	return errors.Trace(err)
+	return err == nil, errors.Trace(err)
 }
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -242,8 +242,13 @@
 	// Peers holds the discovered instances.
 	Peers []member.Node
 	// Known is set if the peers know this instance: it has restarted, and its row in
-	// the store is the same as before.
+	// the store is the same as before, or the peers that it did not know have started
+	// after it wrote its row.
 	Known bool
+	// Joining is set at the start, before this instance has registered, and Settled once
+	// its row was there, so that the peers include those that started together with it.
+	Joining bool
+	Settled bool
 }
 
 // StoreStatus is the outcome of a read of the platform's store.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -156,6 +156,9 @@
 	// Peers holds the other instances. Invariant: the slice is never written in
 	// place.
 	Peers []member.Node
+	// Joining is set from the start until the peers include those that started together
+	// with this instance.
+	Joining bool
 	// PeerHeardAt is when the last heartbeat of a peer arrived.
 	PeerHeardAt time.Time
 	// Ranks holds the order of the instances for each endpoint whose cache events are
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -122,6 +122,11 @@
 	if now.Before(l.nextCall) && !l.mustDeclare(now) {
 		return Op{}, l, false
 	}
+	if l.nextCall.IsZero() && !l.releasing && l.rivalsAhead > 0 {
+		// The rivals ahead read the row first, and their heartbeats may tell of it.
+		l.nextCall = now.Add(l.rivalsDelay())
+		return Op{}, l, false
+	}
 	holder, token := decodeHolder(l.row.Value)
 	if l.informedByPeer(holder, now) || l.releasing && !l.unchangedSince.IsZero() && holder != l.self {
 		return Op{}, l, false
@@ -199,7 +204,7 @@
 // the lease, so that the table does not have to be read.
 func (l Lease) informedByPeer(holder string, now time.Time) bool {
 	return !l.peerSince.IsZero() && l.peerSince.Equal(l.unchangedSince) && holder != l.self && holder != "" &&
-		now.Sub(l.unchangedSince) < l.takeoverWait()
+		now.Sub(l.unchangedSince) < l.takeoverWait()+l.rivalsDelay()
 }
 
 // mayTake reports whether this instance may take the lease. If the row still names
@@ -210,16 +215,20 @@
 		return l.quietPeriod > 0 || now.Sub(l.unchangedSince) >= l.length+Margin
 	case "":
 		if l.row.Version == 0 && l.maxSeen == 0 {
-			return true
+			return now.Sub(l.unchangedSince) >= l.rivalsDelay()
 		}
 		if takeover, ok := l.takeoverTime(); ok {
 			return !now.Before(takeover)
 		}
 		// A lost or unreadable row does not show whether the lease is held.
 	}
-	return now.Sub(l.unchangedSince) >= l.takeoverWait()
+	return now.Sub(l.unchangedSince) >= l.takeoverWait()+l.rivalsDelay()
 }
 
+// rivalsDelay is how long this instance lets the rivals ahead of it take a lease that has
+// ended, so that not all instances of a large fleet write the row at the same moment.
+func (l Lease) rivalsDelay() time.Duration { return takeoverDelay * time.Duration(l.rivalsAhead) }
+
 // takeoverTime returns when this instance may take a released lease. The rivals ahead
 // of it may take it earlier. It returns false if the lease is not known to be released.
 func (l Lease) takeoverTime() (time.Time, bool) {
@@ -228,7 +237,7 @@
 		return time.Time{}, false
 	}
 	rest := min(max(l.quietPeriod-idleTimeOf(l.row.Value), 0), l.length+l.quietPeriod+Margin)
-	return l.unchangedSince.Add(rest + takeoverDelay*time.Duration(l.rivalsAhead)), true
+	return l.unchangedSince.Add(rest + l.rivalsDelay()), true
 }
 
 // withTakeoverScheduled returns the lease with its next call to the table at the
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -215,3 +215,44 @@
 	}
 	require.False(t, held.IsZero())
 }
+
+// The load is that of a large fleet that loses its holder: all rivals know the same row
+// for the same time, and each write of the row but one is in vain.
+func TestRivalsTakeAnExpiredLeaseInTurn(t *testing.T) {
+	const (
+		rivals = 100
+		tick   = 200 * time.Millisecond
+	)
+	var tab table
+	now := start
+	opts := []lease.Option{lease.WithLength(1800*time.Millisecond, 700*time.Millisecond), lease.WithQuietPeriod(3 * time.Second)}
+	holder := lease.New("k", "holder@1", opts...)
+	for !holder.Valid(now, now) {
+		now = now.Add(tick)
+		if op, next, ok := holder.Plan(now); ok {
+			holder = tab.do(next, op)
+		}
+	}
+	var all []lease.Lease
+	for i := range rivals {
+		l := lease.New("k", fmt.Sprint("rival", i, "@1"), opts...).WithRivalsAhead(i)
+		all = append(all, l.WithPeerRow(holder.Row(), 0, now))
+	}
+	writes := 0
+	for taken := false; !taken; {
+		now = now.Add(tick)
+		require.Less(t, now.Sub(start), time.Minute)
+		for i, l := range all {
+			op, next, ok := l.Plan(now)
+			if ok && op.Put {
+				writes++
+			}
+			if ok {
+				next = tab.do(next, op)
+			}
+			all[i] = next
+			taken = taken || next.Valid(now, now)
+		}
+	}
+	require.LessOrEqual(t, writes, 3)
+}
