ctrl: a store of cached prompts that is not followed is not taken for unreachable

Cause: an instance that starts knows no peers and follows all stores of cached prompts. A store answers few such calls at once and refuses the others, which counts as unreachable. Change: a store counts as unreachable only while the instance follows it. The lease's place in the fleet is a function of its own (lint).

--- a/internal/ctrl/follow.go
+++ b/internal/ctrl/follow.go
@@ -36,7 +36,7 @@
 		if s.Ticks%followTicks != 0 {
 			return s, nil
 		}
-		s = withRanks(s)
+		s = withoutUnfollowed(withRanks(s))
 		return s, c.pollActions(s)
 	case state.CacheEvents:
 		return c.handleCacheEvents(s, e, now)
@@ -66,7 +66,7 @@
 		}
 	}
 	for _, v := range s.Routing.Site.Stores() {
-		if rank, ok := s.Routing.Ranks.Of(v.Name); !ok || rank >= followerLimit(v.Follows) {
+		if !followsStore(s, v) {
 			continue
 		}
 		actions = append(actions, state.PollCacheEvents{
@@ -83,6 +83,29 @@
 	return actions
 }
 
+// followsStore reports whether this instance follows a store of cached prompts.
+func followsStore(s state.State, v site.Service) bool {
+	rank, ok := s.Routing.Ranks.Of(v.Name)
+	return ok && rank < followerLimit(v.Follows)
+}
+
+// withoutUnfollowed returns s in which no store counts as unreachable that this instance
+// does not follow: it would not learn that the store answers again. Instances that start
+// follow all stores until they know their peers, and stores refuse most of those calls.
+func withoutUnfollowed(s state.State) state.State {
+	if len(s.Routing.UnreachableStores) == 0 {
+		return s
+	}
+	next := map[string]bool{}
+	for _, v := range s.Routing.Site.Stores() {
+		if s.Routing.UnreachableStores[v.Name] && followsStore(s, v) {
+			next[v.Name] = true
+		}
+	}
+	s.Routing.UnreachableStores = next
+	return s
+}
+
 // withRanks returns s with the instance's ranks for all endpoints that can be followed.
 // An endpoint is followed by the instances with the lowest ranks.
 func withRanks(s state.State) state.State {
--- a/internal/ctrl/leases.go
+++ b/internal/ctrl/leases.go
@@ -51,16 +51,13 @@
 		// wait delays the least if the due orders were sent before.
 		l = l.WithRelease()
 	}
+	if s.Routing.Joining {
+		// All instances that start together would take themselves for the first in
+		// order.
+		return s.WithLease(l), nil
+	}
 	if s.Routing.On {
-		if s.Routing.Joining {
-			// All instances that start together would take themselves for the first
-			// in order.
-			return s.WithLease(l), nil
-		}
-		l = l.WithRivalsAhead(leaseOrder(s))
-		if !l.Held(now) {
-			l = l.WithNote(encodeDates(s, now))
-		}
+		l = c.withFleet(s, l, now)
 	}
 	op, l, ok := l.Plan(now)
 	s = s.WithLease(l)
@@ -74,6 +71,16 @@
 	}
 }
 
+// withFleet returns l with this instance's place among its rivals and, unless somebody
+// holds the lease, with what a new holder passes on.
+func (Leases) withFleet(s state.State, l lease.Lease, now time.Time) lease.Lease {
+	l = l.WithRivalsAhead(leaseOrder(s))
+	if !l.Held(now) {
+		l = l.WithNote(encodeDates(s, now))
+	}
+	return l
+}
+
 // holderNotes returns a log line if the holder changed or this instance acquired or
 // lost the lease. While the row has to be read again, the last known holder counts.
 func (Leases) holderNotes(before, after lease.Lease, now time.Time) []state.Action {
