watch, lease, ctrl: a store that comes back from an older copy

Cause: after a drill the store's versions go back and are given out again. A table reads whole in a new era, spread over the fleet. The row of the lease states its era behind the note; a row of another era shows nothing of the last holder, so that rivals wait for the whole time; a holder writes its row again; tokens of an era begin above those of the one before. Endpoints that departed within a minute don't come back with a copy. Without the header all is as before. The stand-in store and the soak learn the drill; seeds keep their other steps (the sums of the tests are unchanged, steps beside a drill are left out).

--- a/internal/ctrl/dates.go
+++ b/internal/ctrl/dates.go
@@ -59,6 +59,10 @@
 	if next == nil {
 		next = map[string]state.DesiredVersion{}
 	}
+	if e.Era != s.Routing.StoreEra {
+		// It has been read before the store's era rose.
+		e.Row = 0
+	}
 	next[e.Model] = e
 	s.Routing.Undated = next
 	return s
--- a/internal/ctrl/leases.go
+++ b/internal/ctrl/leases.go
@@ -23,21 +23,11 @@
 	l := s.Lease
 	switch e := e.(type) {
 	case state.Leased:
-		l = l.WithClock(e.Clock)
-		if e.Op.Put {
-			l = l.WithPut(e.Op, e.Version, e.Err)
-		} else {
-			l = l.WithRow(e.Row, e.Err, now)
-		}
-		actions := c.holderNotes(s.Lease, l, now)
-		s = s.WithLease(l)
-		if s.Routing.On && len(actions) > 0 && e.Op.Put {
-			// A peer that receives the new row need not read it, and can take the
-			// lease when it is next in order.
-			actions = append(actions, broadcastHeartbeats(s)...)
-		}
-		return s, actions
+		return c.handleResult(s, e, now)
 	case state.Heartbeat:
+		if !s.Routing.SameEra(e.Relay.Era) {
+			return s, nil
+		}
 		l = l.WithPeerRow(e.Relay.Lease, e.Relay.LeaseAge, now)
 		return s.WithLease(l), c.holderNotes(s.Lease, l, now)
 	case state.Stopping:
@@ -69,6 +59,24 @@
 	}
 }
 
+// handleResult applies the table's answer to an operation.
+func (c Leases) handleResult(s state.State, e state.Leased, now time.Time) (state.State, []state.Action) {
+	l := s.Lease.WithClock(e.Clock)
+	if e.Op.Put {
+		l = l.WithPut(e.Op, e.Version, e.Err)
+	} else {
+		l = l.WithRow(e.Row, e.Err, now)
+	}
+	actions := c.holderNotes(s.Lease, l, now)
+	s = s.WithLease(l)
+	if s.Routing.On && len(actions) > 0 && e.Op.Put {
+		// A peer that receives the new row need not read it, and can take the
+		// lease when it is next in order.
+		actions = append(actions, broadcastHeartbeats(s)...)
+	}
+	return s, actions
+}
+
 // holderNotes returns a log line if the holder changed or this instance acquired or
 // lost the lease. While the row has to be read again, the last known holder counts.
 func (Leases) holderNotes(before, after lease.Lease, now time.Time) []state.Action {
--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -188,11 +188,16 @@
 		Site:            s.Routing.Site.Version(),
 		RegistryVersion: s.Routing.RegistryVersion,
 		StoreReachable:  s.Routing.StoreReachable,
+		Era:             s.Routing.StoreEra,
 		Lease:           s.Lease.Row(),
 		// With the age, an instance that starts need not observe the row itself
 		// for the whole length of the lease.
 		LeaseAge: s.Lease.Unchanged(s.At),
 	}
+	if s.Routing.RegistryEra != s.Routing.StoreEra {
+		// The registry has not been read in this era.
+		r.RegistryVersion = 0
+	}
 	if len(s.Routing.Peers) <= fullMeshPeers {
 		r.Peers = s.Routing.Peers
 	}
@@ -214,7 +219,7 @@
 // than the registry version in which this instance read name as ready.
 func staleDeparture(s state.State, e state.Heartbeat, name string) bool {
 	ready, ok := s.Routing.ReadyVersions[name]
-	return ok && departureVersion(e, name) <= ready
+	return ok && (!s.Routing.SameEra(e.Relay.Era) || departureVersion(e, name) <= ready)
 }
 
 // departureVersion returns the registry version from which a peer knows that name is
--- a/internal/ctrl/news.go
+++ b/internal/ctrl/news.go
@@ -66,7 +66,10 @@
 // handleRecentEntries applies the registry entries that a peer read. Those that are
 // older than what this instance knows of the endpoint are ignored. The known version of
 // the registry stays, since the peer sends only some of the changes up to its own.
-func (c Registry) handleRecentEntries(s state.State, e state.Heartbeat) (state.State, []state.Action) {
+func (c Registry) handleRecentEntries(s state.State, e state.Heartbeat, now time.Time) (state.State, []state.Action) {
+	if !s.Routing.SameEra(e.Relay.Era) {
+		return s, nil
+	}
 	var actions []state.Action
 	for _, recent := range e.Relay.Entries {
 		name := recent.Entry.Node.Name
@@ -76,6 +79,8 @@
 			continue
 		case known && !old.Report.Departing && reflect.DeepEqual(old.Node, recent.Entry.Node):
 			continue
+		case broughtBack(s, recent.Entry, now):
+			continue
 		}
 		one, more := c.withoutInstances(s, state.RegistrySnapshot{
 			Put:     []member.RegistryEntry{recent.Entry},
--- a/internal/ctrl/registry.go
+++ b/internal/ctrl/registry.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/store"
 )
 
 const (
@@ -77,15 +78,17 @@
 // are removed at once, or only after a grace period if the store may have lost
 // entries.
 func (c Registry) handleSnapshot(s state.State, e state.RegistrySnapshot, now time.Time) (state.State, []state.Action) {
-	if e.Version < s.Routing.RegistryVersion {
+	if outdated(s, e) {
 		return s, nil
 	}
 	before := s
 	r := s.Routing
-	r.RegistryVersion = e.Version
+	r.RegistryVersion, r.RegistryEra = e.Version, r.StoreEra
 	r.RegistryConfirmed = now
 	s = s.WithRouting(r)
-	e, actions := c.withoutInstances(s, e)
+	s, e, actions := withoutStale(s, e, now)
+	e, unread := c.withoutInstances(s, e)
+	actions = append(actions, unread...)
 	nodes := c.knownEndpoints(s)
 	unknown := func(name string) bool {
 		_, known := nodes[name]
@@ -93,7 +96,7 @@
 	}
 	removed := append(slices.DeleteFunc(slices.Clone(e.Unusable), unknown), e.Removed...)
 	if e.Complete {
-		removed = c.missingEndpoints(s, e.Put)
+		removed = c.missingEndpoints(s, append(slices.Collect(maps.Values(s.Routing.StaleEntries)), e.Put...))
 	}
 	vanished := slices.DeleteFunc(slices.Clone(removed), unknown)
 	storeLoss := float64(len(vanished)) > massRemovalShare*float64(len(nodes))
@@ -123,6 +126,12 @@
 	return s, actions
 }
 
+// outdated reports whether e is older than what the instance knows of the registry.
+func outdated(s state.State, e state.RegistrySnapshot) bool {
+	r := s.Routing
+	return !r.SameEra(e.Era) || r.RegistryEra == r.StoreEra && e.Version < r.RegistryVersion
+}
+
 // handlePeersFound adds peers that were discovered. This instance makes itself known to
 // those that it did not know: in a large fleet the rotation of heartbeats takes many
 // minutes, and until a peer knows this instance it sends it no news. An instance that has
@@ -304,7 +313,7 @@
 	}
 	next[name] = now
 	s.Routing.Departed = next
-	return s
+	return withLeaver(s, name, now)
 }
 
 // repeatHeartbeats repeats recent changes to all peers, and forgets departed
@@ -432,8 +441,8 @@
 				},
 			},
 		})
-		s = c.setNodes(s, nodes)
 		s = c.markDeparted(s, name, now)
+		s = c.setNodes(s, nodes)
 		actions = append(actions, state.Note{
 			Event: "endpoint",
 			Pairs: []string{"endpoint", name, "state", "gone", "reason", "did not register again after the store outage"},
@@ -507,18 +516,18 @@
 // handleHeartbeat applies what a peer reports about endpoints and about other
 // instances.
 func (c Registry) handleHeartbeat(s state.State, e state.Heartbeat, now time.Time) (state.State, []state.Action) {
-	peers := e.Relay.Peers
+	others := e.Relay.Peers
 	if e.Relay.Addr != "" && !e.Stopping {
-		peers = append(slices.Clone(peers), member.Node{
+		others = append(slices.Clone(others), member.Node{
 			Name:   e.Name,
 			Role:   member.Instance,
 			Addr:   e.Relay.Addr,
 			Domain: e.Relay.Domain,
 		})
 	}
-	s = c.addPeers(s, peers, now)
+	s = c.addPeers(s, others, now)
 	s = recordPeerStatus(s, e)
-	s, actions := c.handleRecentEntries(s, e)
+	s, actions := c.handleRecentEntries(s, e, now)
 	for _, name := range e.Drained {
 		n, ok := s.Members.Find(name)
 		if !ok || n.Report.Departing || staleDeparture(s, e, name) {
@@ -539,19 +548,44 @@
 			Source:  e.Name,
 		}))
 	}
-	if e.Relay.StoreReachable && e.Relay.RegistryVersion > 0 && e.Relay.RegistryVersion <= s.Routing.RegistryVersion {
+	s, fetches := compareRegistry(s, e, now)
+	return s, append(actions, fetches...)
+}
+
+// compareRegistry compares the version of the registry that the sender of e knows with that
+// of this instance, which fetches a newer one if the store does not answer it.
+func compareRegistry(s state.State, e state.Heartbeat, now time.Time) (state.State, []state.Action) {
+	if !e.Relay.StoreReachable || e.Relay.RegistryVersion == 0 {
+		return s, nil
+	}
+	known, other := s.Routing.RegistryStamp(), registryStamp(s, e)
+	if other.Era == known.Era && !known.Before(other) {
 		// The peer can reach the store, so it would know of a later change.
 		s.Routing.RegistryConfirmed = now
 	}
-	if s.Routing.StoreReachable || !e.Relay.StoreReachable || e.Relay.RegistryVersion <= s.Routing.RegistryVersion {
-		return s, actions
+	if s.Routing.StoreReachable || !known.Before(other) {
+		return s, nil
 	}
-	return s, append(actions, state.FetchRegistry{
-		From: member.Node{
-			Name: e.Name,
-			Addr: e.Relay.Addr,
+	return s, []state.Action{
+		state.FetchRegistry{
+			From: member.Node{
+				Name: e.Name,
+				Addr: e.Relay.Addr,
+			},
 		},
-	})
+	}
+}
+
+// registryStamp returns the version of the registry that the sender of e knows.
+func registryStamp(s state.State, e state.Heartbeat) store.Stamp {
+	era := e.Relay.Era
+	if s.Routing.SameEra(era) {
+		era = s.Routing.StoreEra
+	}
+	return store.Stamp{
+		Era:     era,
+		Version: e.Relay.RegistryVersion,
+	}
 }
 
 // recordPeerStatus records whether the store answers the sender of e. If it does again, the
--- a/internal/ctrl/signals.go
+++ b/internal/ctrl/signals.go
@@ -104,7 +104,7 @@
 // noteReplaced logs the endpoints whose signals end since a new incarnation of them has
 // registered.
 func (Signals) noteReplaced(s state.State, e state.RegistrySnapshot) []state.Action {
-	if e.Version < s.Routing.RegistryVersion {
+	if outdated(s, e) {
 		return nil
 	}
 	var actions []state.Action
--- a/internal/ctrl/step.go
+++ b/internal/ctrl/step.go
@@ -38,6 +38,8 @@
 // order in which they run.
 func Forwarding() []Controller {
 	return []Controller{
+		// Before all that compare versions of the store.
+		Eras{},
 		Alarms{},
 		// Before Registry, which replaces incarnations.
 		Signals{},
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -27,6 +27,7 @@
 		Site:    r.Site,
 		Listing: r.RegistryVersion,
 		Follows: r.StoreReachable,
+		Era:     r.Era,
 		Lease: &rpcapi.Lease{
 			Version: r.Lease.Version,
 			Value:   r.Lease.Value,
@@ -82,6 +83,7 @@
 		Site:            m.GetSite(),
 		RegistryVersion: m.GetListing(),
 		StoreReachable:  m.GetFollows(),
+		Era:             min(max(m.GetEra(), 0), store.MaxEra),
 		Lease: store.Row{
 			Version: m.GetLease().GetVersion(),
 			Value:   m.GetLease().GetValue(),
@@ -176,6 +178,7 @@
 // registrySnapshot is the endpoints that an instance knows, as peers exchange them.
 type registrySnapshot struct {
 	Version int64                  `json:"Version"`
+	Era     int64                  `json:"Era,omitempty"`
 	Entries []member.RegistryEntry `json:"Entries"`
 }
 
@@ -184,6 +187,7 @@
 func encodeSnapshot(s *state.State) ([]byte, error) {
 	snapshot := registrySnapshot{
 		Version: s.Routing.RegistryVersion,
+		Era:     s.Routing.RegistryEra,
 	}
 	for _, r := range [...]member.Role{member.Engine, member.Service} {
 		for _, e := range s.Members.Nodes(r) {
@@ -203,6 +207,7 @@
 func decodeSnapshot(data []byte, from string) (state.RegistrySnapshot, error) {
 	var snapshot struct {
 		Version int64             `json:"Version"`
+		Era     int64             `json:"Era"`
 		Entries []json.RawMessage `json:"Entries"`
 	}
 	if err := json.Unmarshal(data, &snapshot); err != nil {
@@ -210,6 +215,7 @@
 	}
 	out := state.RegistrySnapshot{
 		Version:  snapshot.Version,
+		Era:      min(max(snapshot.Era, 0), store.MaxEra),
 		Complete: true,
 		Source:   from,
 	}
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -20,6 +20,8 @@
 	tally *filter.Tally
 	// served remembers the parts of prompts that endpoints have served.
 	served *poison.Served
+	// rejoin holds a value while the instance has to look for its row in the store.
+	rejoin chan struct{}
 	// tables are the tables of the store that the instance follows. They are set before
 	// the loop runs.
 	tables []*watch.Table
@@ -63,6 +65,11 @@
 		for _, t := range x.tables {
 			t.Renew()
 		}
+	case state.Rejoin:
+		select {
+		case x.rejoin <- struct{}{}:
+		default:
+		}
 	case state.Announce:
 		logs.Alarm(x.parts.Log, a.Alarm)
 	case state.Note:
--- a/internal/relay/join.go
+++ b/internal/relay/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/juju/errors"
@@ -44,17 +45,30 @@
 		return errors.Trace(err)
 	}
 	for first := true; ctx.Err() == nil; first = false {
-		interval := rejoinIntervalOf(len(i.Loop.View().Routing.Peers))
+		peers := len(i.Loop.View().Routing.Peers)
+		interval := rejoinIntervalOf(peers)
 		if err := i.register(ctx, first); err != nil {
 			i.parts.Log.Debug().Str("event", "join").Err(err).Send()
 			interval = joinRetryDelay
 		}
-		// Wait fails only when ctx ends, which the loop checks.
-		_ = retry.Wait(ctx, interval)
+		i.waitToJoin(ctx, interval, eraSpreadOf(peers))
 	}
 	return nil
 }
 
+// waitToJoin waits for interval, or for a random time within spread once the store may have
+// lost the row of the instance.
+func (i *Relay) waitToJoin(ctx context.Context, interval, spread time.Duration) {
+	limited, cancel := context.WithTimeout(ctx, interval)
+	defer cancel()
+	select {
+	case <-i.rejoin:
+		// Wait fails only when ctx ends, which the caller checks.
+		_ = retry.Wait(ctx, rand.N(spread+1))
+	case <-limited.Done():
+	}
+}
+
 // rejoinIntervalOf returns the time between two discoveries of an instance with the
 // given number of peers.
 func rejoinIntervalOf(peers int) time.Duration {
@@ -73,6 +87,7 @@
 	self := i.parts.Self
 	own := store.Row{
 		Key: instancesTable + "/" + self.Name,
+		Era: b.Era,
 	}
 	found := state.PeersFound{}
 	for _, r := range b.Rows {
--- a/internal/relay/problems.go
+++ b/internal/relay/problems.go
@@ -26,8 +26,10 @@
 	table string
 	log   zerolog.Logger
 	meter rowMeter
-	// versions holds the version of each row that can't be used, by key.
+	// versions holds the version of each row that can't be used, by key, in the given era
+	// of the store.
 	versions map[string]int64
+	era      int64
 }
 
 func newProblemLog(table string, log zerolog.Logger, m rowMeter) *problemLog {
@@ -42,6 +44,10 @@
 // update logs the problems of the rows of b that are new.
 func (l *problemLog) update(b store.Batch, problems []store.Problem) {
 	old := l.versions
+	if b.Era != l.era {
+		// Another row may have the same version now.
+		old, l.era = nil, b.Era
+	}
 	if b.Complete {
 		l.versions = make(map[string]int64, len(problems))
 	} else {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,6 +68,11 @@
 	// sends another one. Larger fleets wait longer, up to maxHedgeInterval.
 	hedgeInterval    = 400 * time.Millisecond
 	maxHedgeInterval = time.Second
+	// eraSpread is the time for each instance over which the reads of whole tables in a new
+	// era of the store are spread, so that they are 200 a second of each table.
+	// maxEraSpread leaves a configuration the rest of the time that it has.
+	eraSpread    = 5 * time.Millisecond
+	maxEraSpread = time.Second
 	// heartbeatInterval is the time between two rounds of heartbeats, and
 	// heartbeatsPerRound the number that an instance of a fleet of hundreds sends in
 	// one, times the number of its peers.
@@ -200,7 +205,9 @@
 	gate      *gate
 	operators *watch.Table
 	registry  *watch.Table
-	done      chan struct{}
+	// rejoin receives a value when the instance has to look for its row in the store.
+	rejoin <-chan struct{}
+	done   chan struct{}
 }
 
 // New returns an instance that is started by Run.
@@ -210,6 +217,7 @@
 		gauge:  &load.Gauge{},
 		tally:  &filter.Tally{},
 		served: &poison.Served{},
+		rejoin: make(chan struct{}, 1),
 	}
 	orderLease := lease.New(leaseKey, p.Self.Incarnation(),
 		lease.WithLength(leaseTTL, leaseRenewInterval),
@@ -222,6 +230,7 @@
 	gate := newGate(loop, p.Now, p.Log, p.Meter)
 	operators, registry := p.Decoder.Tables()
 	hedging := watch.WithHedging(func() time.Duration { return hedgeIntervalOf(len(loop.View().Routing.Peers)) })
+	spread := watch.WithSpread(func() time.Duration { return eraSpreadOf(len(loop.View().Routing.Peers)) })
 	newSink := func(table string) controlSink {
 		return controlSink{
 			loop:     loop,
@@ -232,10 +241,10 @@
 	}
 	operatorsTable := watch.New(p.Store, operators, operatorSink{
 		controlSink: newSink("operators"),
-	}, hedging, watch.WithLongPoll(operatorLongPoll), watch.WithPause(func() time.Duration { return operatorPause(loop.View(), p.Now()) }))
+	}, hedging, spread, watch.WithLongPoll(operatorLongPoll), watch.WithPause(func() time.Duration { return operatorPause(loop.View(), p.Now()) }))
 	registryTable := watch.New(p.Store, registry, registrySink{
 		controlSink: newSink("registry"),
-	}, hedging, watch.WithLongPoll(registryLongPoll), watch.WithInterval(func() time.Duration { return registryReadInterval(loop.View(), p.Now()) }))
+	}, hedging, spread, watch.WithLongPoll(registryLongPoll), watch.WithInterval(func() time.Duration { return registryReadInterval(loop.View(), p.Now()) }))
 	exec.tables = []*watch.Table{operatorsTable, registryTable}
 	return &Relay{
 		Loop:      loop,
@@ -245,6 +254,7 @@
 		gate:      gate,
 		operators: operatorsTable,
 		registry:  registryTable,
+		rejoin:    exec.rejoin,
 		done:      make(chan struct{}),
 	}
 }
@@ -267,6 +277,12 @@
 	return min(hedgeInterval*time.Duration((peers+smallFleet)/smallFleet), maxHedgeInterval)
 }
 
+// eraSpreadOf returns the time over which an instance with the given number of peers
+// spreads its reads of whole tables in a new era of the store.
+func eraSpreadOf(peers int) time.Duration {
+	return min(eraSpread*time.Duration(peers), maxEraSpread)
+}
+
 // operatorPause returns the mean pause between two waits for changes of the operators'
 // table at now. There is none where the news of peers can't be relied on.
 func operatorPause(s *state.State, now time.Time) time.Duration {
--- a/internal/relay/sinks.go
+++ b/internal/relay/sinks.go
@@ -36,6 +36,11 @@
 func (s operatorSink) HandleBatch(ctx context.Context, b store.Batch) {
 	events, problems := s.decoder.Operator(b)
 	s.problems.update(b, problems)
+	if b.Era != s.loop.View().Routing.StoreEra {
+		s.send(ctx, state.EraFound{
+			Era: b.Era,
+		})
+	}
 	for _, e := range events {
 		s.send(ctx, e)
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -355,10 +355,11 @@
 	require.NotEqual(t, soak.NewPlan(7, size, time.Minute).String(), soak.NewPlan(8, size, time.Minute).String())
 }
 
-// drawnApart reports whether steps of kind k come from a random source of their own, so
-// that seeds from before them keep all others.
-func drawnApart(k soak.Kind) bool {
-	return k == soak.EndpointPause || k == soak.Limits || k == soak.EndpointAnnounce || k == soak.EndpointQuiet
+// drawnApart reports whether s comes from a random source of its own, so that seeds from
+// before such steps keep all others.
+func drawnApart(s soak.Step) bool {
+	k := s.Kind
+	return s.Apart || k == soak.EndpointPause || k == soak.Limits || k == soak.EndpointAnnounce || k == soak.EndpointQuiet
 }
 
 // New kinds of steps must not change the steps of seeds that failed.
@@ -381,13 +382,14 @@
 		}, time.Duration(c.seconds)*time.Second)
 		for _, s := range p.Steps {
 			kinds[s.Kind]++
-			if !drawnApart(s.Kind) {
+			if !drawnApart(s) {
 				_, _ = fmt.Fprintln(h, s)
 			}
 		}
 		require.Equal(t, c.sum, h.Sum64(), "seed %d", c.seed)
 		require.Positive(t, kinds[soak.EndpointPause])
 		require.Positive(t, kinds[soak.Limits])
+		require.Positive(t, kinds[soak.StoreOlder])
 	}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -74,6 +74,9 @@
 	// KillTakers kills up to three instances, each as it takes the lease for orders, and
 	// restarts them.
 	KillTakers
+	// StoreOlder makes the store go away and come back from a copy that is some seconds
+	// old, in a new era.
+	StoreOlder
 )
 
 // seriesKinds is how many kinds addSeries draws from. Later kinds are drawn from a
@@ -83,7 +86,7 @@
 var kindNames = [...]string{
 	"stop", "kill", "pause", "reload", "link", "store-slow", "store-away", "store-part", "store-lose", "store-forget",
 	"end-crash", "end-cut", "end-late", "end-mute", "end-full", "end-fail", "end-stray", "end-leave", "end-vanish", "weights", "change", "end-pause", "limits", "end-announce", "end-quiet",
-	"bulk", "store-silent", "kill-takers",
+	"bulk", "store-silent", "kill-takers", "store-older",
 }
 
 // String returns the name of k.
@@ -105,6 +108,9 @@
 	Mode Mode
 	// Draw is a random number for further choices of the executor.
 	Draw uint64
+	// Apart is set for steps that are drawn beside a return of the store from an older
+	// copy. Seeds keep the other steps that they had before there were such returns.
+	Apart bool
 }
 
 // String returns the step as a line of the plan file.
@@ -172,6 +178,7 @@
 		at += d.milliseconds(200, 2500)
 	}
 	d.addSignals(seed, length)
+	d.addEras(seed, length)
 	p := Plan{
 		Seed: seed,
 	}
@@ -267,6 +274,29 @@
 	}
 }
 
+// addEras adds steps in which the store comes back from an older copy, each right after
+// changes that the copy may lack and with other trouble at its end.
+func (d *generator) addEras(seed uint64, length time.Duration) {
+	d.rand = rand.New(rand.NewPCG(seed, 4))
+	first := len(d.steps)
+	for at := firstStep + d.milliseconds(0, 8000); at < length; at += d.milliseconds(9000, 22000) {
+		for range 1 + d.rand.IntN(3) {
+			d.add(at-d.milliseconds(0, 1500), []Kind{Change, Weights, EndpointDepart, EndpointVanish, EndpointCrash}[d.rand.IntN(5)])
+		}
+		s := d.add(at, StoreOlder)
+		s.Duration = d.milliseconds(50, 2500)
+		end := at + s.Duration
+		for range 1 + d.rand.IntN(2) {
+			kind := []Kind{Kill, Stop, Pause, Link, StoreSlow, StoreUnavailableToOne, StoreLoseResponses, Weights, Change}[d.rand.IntN(9)]
+			s := d.add(end-d.milliseconds(0, 300)+d.milliseconds(0, 600), kind)
+			s.Holder = kind <= Pause && d.rand.IntN(2) == 0
+		}
+	}
+	for i := range d.steps[first:] {
+		d.steps[first+i].Apart = true
+	}
+}
+
 func (d *generator) add(at time.Duration, kind Kind) *Step {
 	d.steps = append(d.steps, Step{
 		Kind:     kind,
--- a/internal/soak/signals_test.go
+++ b/internal/soak/signals_test.go
@@ -24,7 +24,7 @@
 	kinds := map[soak.Kind]int{}
 	for _, s := range p.Steps {
 		kinds[s.Kind]++
-		if !drawnApart(s.Kind) {
+		if !drawnApart(s) {
 			others.WriteString(s.String() + "\n")
 		}
 	}
--- a/internal/state/action.go
+++ b/internal/state/action.go
@@ -104,6 +104,10 @@
 // before are abandoned, since their responses may be lost.
 type RenewReads struct{}
 
+// Rejoin has the instance look for its row in the table of instances soon. It results in a
+// [PeersFound] event.
+type Rejoin struct{}
+
 // SendOrder orders an engine to load new weights. It results in an [Ordered] event.
 type SendOrder struct {
 	// Endpoint is the engine.
@@ -162,6 +166,9 @@
 // Key implements Action.
 func (RenewReads) Key() string { return "renew" }
 
+// Key implements Action.
+func (Rejoin) Key() string { return "rejoin" }
+
 // Key implements Action.
 func (a SendOrder) Key() string { return "order/" + a.Endpoint.Node.Name }
 
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -146,6 +146,9 @@
 	RegistryVersion int64
 	// StoreReachable is set if the sender can reach the platform's store.
 	StoreReachable bool
+	// Era is the era of the store, in which the versions of its rows count; 0 if it has
+	// none or the sender does not know it.
+	Era int64
 	// The row of the lease for orders, and for how long the sender has known it to
 	// be unchanged.
 	Lease    store.Row
@@ -211,8 +214,10 @@
 	// set, which means that a peer knows the age.
 	Age   time.Duration
 	Dated bool
-	// Row is the version of the store's row that holds it, or 0 if a peer reported it.
+	// Row is the version of the store's row that holds it, or 0 if a peer reported it. Era
+	// is the store's era in which it was read.
 	Row int64
+	Era int64
 }
 
 // RegistrySnapshot is a read of the registry of endpoints: a complete snapshot or
@@ -226,8 +231,9 @@
 	// never have named one.
 	Unusable []string
 	// Version is the registry version. It increases with each change of the
-	// registry.
+	// registry within an era of the store. Era is the era.
 	Version int64
+	Era     int64
 	// Complete is set if Put holds all entries of the registry.
 	Complete bool
 	// Source names the store or the peer that the entries came from.
@@ -259,6 +265,12 @@
 	Overdue bool
 }
 
+// EraFound reports the era of the platform's store.
+type EraFound struct {
+	// Era is the era.
+	Era int64
+}
+
 // SiteConfirmed reports that the store answered a read of the operators' settings.
 // Changes found by that read are delivered before it.
 type SiteConfirmed struct{}
@@ -463,6 +475,9 @@
 // Event implements Event.
 func (HeartbeatFailed) Event() string { return "unanswered" }
 
+// Event implements Event.
+func (EraFound) Event() string { return "era" }
+
 // Event implements Event.
 func (SiteConfirmed) Event() string { return "heard" }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -17,6 +17,7 @@
 	"github.com/baobabtally/baobabtally/pkg/poison"
 	"github.com/baobabtally/baobabtally/pkg/prefix"
 	"github.com/baobabtally/baobabtally/pkg/site"
+	"github.com/baobabtally/baobabtally/pkg/store"
 	"github.com/baobabtally/baobabtally/pkg/weight"
 )
 
@@ -105,8 +106,16 @@
 	// Undated holds the desired versions that were found at the start, by model, until it is
 	// known since when they are desired. Invariant: the map is never written in place.
 	Undated map[string]DesiredVersion
+	// StoreEra is the era of the platform's store, the greatest one of which this instance
+	// learned; 0 if the store has none. Versions of one era do not compare with those of
+	// another. StoreEraSince is when this instance saw it rise, and zero if it has not since
+	// the start.
+	StoreEra      int64
+	StoreEraSince time.Time
 	// RegistryVersion is the known registry version; 0 before the registry was read.
+	// RegistryEra is the era in which it was read.
 	RegistryVersion int64
+	RegistryEra     int64
 	// StoreIndex indexes the contents of the stores of cached prompts. It is separate from
 	// the index of the engines, because its entries for frequently used blocks would
 	// displace theirs.
@@ -131,9 +140,15 @@
 	// Departed maps endpoints whose entries were removed recently to the time of the
 	// removal. Invariant: the map is never written in place.
 	Departed map[string]time.Time
+	// Left holds the endpoints that departed within the last minute, or were departing when
+	// the store's era rose. Invariant: the map is never written in place.
+	Left map[string]Leaver
+	// StaleEntries holds the registry entries that an older copy of the store may have brought
+	// back: their endpoints are in Left. Invariant: the map is never written in place.
+	StaleEntries map[string]member.RegistryEntry
 	// The endpoints that are departing or departed, and those that were read as
-	// ready, each with the registry version that says so. Invariant: the maps are
-	// never written in place.
+	// ready, each with the registry version of StoreEra that says so. Invariant: the
+	// maps are never written in place.
 	DepartureVersions map[string]int64
 	ReadyVersions     map[string]int64
 	// NewsAt is when the last change came up that all peers need to learn of from this
@@ -174,6 +189,14 @@
 	ReadAt time.Time
 }
 
+// Leaver is an endpoint that is departing or has departed.
+type Leaver struct {
+	// Start identifies its incarnation; empty if it is not known.
+	Start string
+	// At is when this instance learned that it departs, or that the store's era rose since.
+	At time.Time
+}
+
 // NewerSite is a newer configuration that a peer has.
 type NewerSite struct {
 	// Version is the version of that configuration.
@@ -295,6 +318,21 @@
 	return s.At
 }
 
+// RegistryStamp returns the version of the registry that the instance knows.
+func (r Routing) RegistryStamp() store.Stamp {
+	return store.Stamp{
+		Era:     r.RegistryEra,
+		Version: r.RegistryVersion,
+	}
+}
+
+// SameEra reports whether versions that a peer of the given era states compare with those of
+// this instance. A peer of an older release states none: that matters only once the era has
+// risen.
+func (r Routing) SameEra(era int64) bool {
+	return era == r.StoreEra || era == 0 && r.StoreEraSince.IsZero()
+}
+
 // WithRouting returns a copy of s with r.
 func (s State) WithRouting(r Routing) State {
 	s.Routing = r
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -45,7 +45,8 @@
 	// Rows returns all rows of table. It limits the time for each of its calls.
 	Rows(ctx context.Context, table string) (store.Batch, error)
 	// Changes returns the rows that changed after a version. If there are none,
-	// it waits for the first change up to the given time.
+	// it waits for the first change up to the given time. With store.ErrCompacted the
+	// batch holds the era alone.
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Batch, error)
 }
 
@@ -90,8 +91,11 @@
 	overdue bool
 	// renewed is closed and replaced by Renew.
 	renewed atomic.Pointer[chan struct{}]
+	// spread returns the longest time by which the first read of a new era is delayed.
+	spread func() time.Duration
 	// version is the version of the newest change read, and rows the version of
-	// each row.
+	// each row. They are valid in the given era of the store.
+	era     int64
 	version int64
 	rows    map[string]int64
 	// synced is true if the next read can request the changes after version.
@@ -129,6 +133,13 @@
 	return func(t *Table) { t.hedging = interval }
 }
 
+// WithSpread sets the function that returns the longest time by which a table that finds a
+// new era of the store delays its read of all rows. Many instances find it at the same
+// moment.
+func WithSpread(spread func() time.Duration) Option {
+	return func(t *Table) { t.spread = spread }
+}
+
 // New returns a table that is started by Run.
 func New(s source, name string, sink Sink, opts ...Option) *Table {
 	t := &Table{
@@ -273,7 +284,16 @@
 		return t.readAll(ctx)
 	}
 	b, err := t.changes(ctx, t.nextWait(), renewed)
-	if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrMalformed) {
+	compacted := errors.Is(err, store.ErrCompacted)
+	if (err == nil || compacted) && b.Era != t.era {
+		// A version of the last era means nothing in this one.
+		t.synced = false
+		if err := t.delay(ctx); err != nil {
+			return errors.Trace(err)
+		}
+		return t.readAll(ctx)
+	}
+	if compacted || errors.Is(err, store.ErrMalformed) {
 		// Malformed changes would be returned again after the same version.
 		t.synced = false
 		return t.readAll(ctx)
@@ -364,6 +384,14 @@
 	return r
 }
 
+// delay waits for a random time within the spread.
+func (t *Table) delay(ctx context.Context) error {
+	if t.spread == nil {
+		return nil
+	}
+	return t.sleep(ctx, rand.N(t.spread()+1), nil)
+}
+
 func (t *Table) readAll(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
@@ -373,7 +401,10 @@
 	}
 	b.Complete = true
 	if !t.upToDate(b) {
-		return errors.Errorf("the store returned version %d, older than version %d read before: read again until it has caught up", b.Version, t.version)
+		return errors.Errorf("the store returned version %d of era %d, older than version %d of era %d read before: read again until it has caught up", b.Version, b.Era, t.version, t.era)
+	}
+	if b.Era != t.era {
+		t.era, t.version = b.Era, b.Version
 	}
 	t.rows = map[string]int64{}
 	t.synced = true
@@ -384,6 +415,9 @@
 // upToDate reports whether b, which holds the complete table, includes everything
 // that was read before.
 func (t *Table) upToDate(b store.Batch) bool {
+	if b.Era != t.era {
+		return b.Era > t.era
+	}
 	if b.Version < t.version {
 		return false
 	}
--- a/internal/watch/table_test.go
+++ b/internal/watch/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -169,6 +170,90 @@
 	require.Equal(t, []store.Batch{rows(5, true, "new"), rows(6, true, "newer")}, got.batches)
 }
 
+// In a new era the versions go back: what was read before must not make the rows of the
+// store look outdated, and its changes must not be taken for those that follow.
+func TestTableIsReadAgainInNewEra(t *testing.T) {
+	inEra := func(b store.Batch, era int64) store.Batch {
+		b.Era = era
+		return b
+	}
+	all := inEra(rows(30, true, "new"), 1)
+	older := inEra(rows(4, true, "older"), 2)
+	for name, second := range map[string]response{
+		"changes": {
+			batch: inEra(rows(40, false, "not all"), 2),
+		},
+		"no changes": {
+			batch: inEra(rows(40, false), 2),
+		},
+		"beyond the newest version": {
+			err: store.ErrCompacted,
+		},
+		"beyond the newest version, with the era": {
+			batch: store.Batch{
+				Era: 2,
+			},
+			err: store.ErrCompacted,
+		},
+	} {
+		s := &fakeStore{
+			responses: []response{
+				{
+					batch: all,
+				},
+				second,
+				{
+					batch: older,
+				},
+				{
+					batch: inEra(rows(5, false, "next"), 2),
+				},
+			},
+		}
+		got := follow(t, s, 2*time.Second)
+		require.Equal(t, []string{"rows", "changes", "rows", "changes"}, s.calls[:4], name)
+		require.Equal(t, []store.Batch{all, older, inEra(rows(5, false, "next"), 2)}, got.batches, name)
+		require.EqualValues(t, 4, s.after[3], name)
+	}
+}
+
+// Many instances find a new era at the same moment: their reads of all rows are spread.
+func TestReadsOfNewEraAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var at []time.Duration
+		for range 20 {
+			s := &fakeStore{
+				responses: []response{
+					{
+						batch: rows(3, true, "a"),
+					},
+					{
+						batch: store.Batch{
+							Era: 1,
+						},
+						err: store.ErrCompacted,
+					},
+					{
+						batch: store.Batch{
+							Era:     1,
+							Version: 1,
+						},
+					},
+				},
+			}
+			begin := time.Now()
+			got := &timingSink{}
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			require.NoError(t, watch.New(s, "op", got, watch.WithLongPoll(time.Second), watch.WithSpread(func() time.Duration { return time.Second })).Run(ctx))
+			cancel()
+			require.Len(t, got.batchAt, 2)
+			at = append(at, got.batchAt[1].Sub(begin))
+		}
+		require.LessOrEqual(t, slices.Max(at), time.Second)
+		require.Greater(t, slices.Max(at)-slices.Min(at), 300*time.Millisecond)
+	})
+}
+
 func TestReadIsRetriedAfterErrors(t *testing.T) {
 	s := &fakeStore{
 		responses: []response{
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -23,6 +23,9 @@
 	// takeoverDelay is how much longer each rival waits than the one ahead of it
 	// before it takes a released lease: a few round trips to the table.
 	takeoverDelay = 100 * time.Millisecond
+	// eraTokens is the number of fencing tokens of an era. Those of an era begin above all
+	// of the one before, since the table may have forgotten the last ones.
+	eraTokens = 1 << 20
 	// maxClockAge is how long a reading of the table's clock is extrapolated. Clocks
 	// whose rates differ by 100 ppm diverge by 60 ms in this time.
 	maxClockAge = 10 * time.Minute
@@ -59,6 +62,9 @@
 	// maxSeen is the greatest fencing token that was seen in a row. Tokens do not go
 	// back when a row is lost or replaced by one that can't be read.
 	maxSeen int64
+	// era is the table's era, and 0 for a table that has none. Invariant: row, clock and
+	// unchangedSince were learned in it.
+	era int64
 	// inFlightUntil is the time until which an order of this instance may be in
 	// flight; zero if it sent none.
 	inFlightUntil time.Time
@@ -123,11 +129,11 @@
 		return Op{}, l, false
 	}
 	holder, token := decodeHolder(l.row.Value)
-	if l.informedByPeer(holder, now) || l.releasing && !l.unchangedSince.IsZero() && holder != l.self {
+	if l.informedByPeer(holder, now) || l.releasing && !l.unchangedSince.IsZero() && !l.mayRelease(holder, token, now) {
 		return Op{}, l, false
 	}
 	l.nextCall = now.Add(l.renewInterval)
-	if holder != l.self {
+	if holder != l.self && !now.Before(l.heldUntil) {
 		l.nextCall = now.Add(l.renewInterval * time.Duration(1+l.rivalsAhead))
 	}
 	if takeover, ok := l.takeoverTime(); ok && now.Before(takeover) {
@@ -138,6 +144,7 @@
 		Row: store.Row{
 			Key:     l.key,
 			Version: l.row.Version,
+			Era:     l.era,
 		},
 	}
 	l.calling = true
@@ -157,15 +164,37 @@
 	case l.unchangedSince.IsZero():
 		return nil
 	case l.releasing:
-		return encodeReleased(token, l.idleTime(now), l.clockBound(now), l.note)
+		return encodeReleased(max(token, l.token), l.idleTime(now), l.clockBound(now), l.note, l.era)
+	case l.mayRestore(token, now):
+		return l.heldRow(l.token, idle && !l.due, now)
 	case holder == l.self && now.Before(l.heldUntil):
 		return l.heldRow(token, idle && !l.due, now)
 	case l.mayTake(holder, now):
-		return l.heldRow(max(token, l.maxSeen)+1, idle, now)
+		return l.heldRow(l.nextToken(token), idle, now)
 	}
 	return nil
 }
 
+// nextToken returns the fencing token with which this instance takes a lease whose row
+// has the given one.
+func (l Lease) nextToken(token int64) int64 { return max(token, l.maxSeen, l.era*eraTokens) + 1 }
+
+// current reports whether the row was written in the table's era. Any other one may come
+// from an older copy of the table: it does not show who held the lease last.
+func (l Lease) current() bool { return eraOf(l.row.Value) == l.era }
+
+// mayRelease reports whether this instance holds the lease, so that it can release it.
+func (l Lease) mayRelease(holder string, token int64, now time.Time) bool {
+	return holder == l.self && l.current() || l.mayRestore(token, now)
+}
+
+// mayRestore reports whether this instance holds the lease, but the row with the given
+// token comes from an older copy of the table that has lost this. Rivals wait until the
+// lease has expired, from when they see the copy.
+func (l Lease) mayRestore(token int64, now time.Time) bool {
+	return !l.current() && now.Before(l.heldUntil) && token <= l.token
+}
+
 // mustDeclare reports whether the row has to say that orders follow before the next
 // renewal.
 func (l Lease) mustDeclare(now time.Time) bool {
@@ -182,6 +211,7 @@
 		idle:     idle && l.quietPeriod > 0,
 		idleTime: l.idleTime(now),
 		note:     l.note,
+		era:      l.era,
 	}.encode()
 }
 
@@ -189,6 +219,9 @@
 // this instance may take the lease. The quiet period follows the end of the lease, unless
 // the row says that no orders were sent under it.
 func (l Lease) takeoverWait() time.Duration {
+	if !l.current() {
+		return l.length + l.quietPeriod + Margin
+	}
 	if idle, ok := heldIdleTime(l.row.Value); ok {
 		return max(l.length+Margin, l.quietPeriod-idle)
 	}
@@ -203,8 +236,12 @@
 }
 
 // mayTake reports whether this instance may take the lease. If the row still names
-// this instance, no other instance has held the lease since.
+// this instance, no other instance has held the lease since, unless the row comes from an
+// older copy of the table.
 func (l Lease) mayTake(holder string, now time.Time) bool {
+	if !l.current() && (l.row.Version != 0 || l.era > 1) {
+		return now.Sub(l.unchangedSince) >= l.takeoverWait()
+	}
 	switch holder {
 	case l.self:
 		return l.quietPeriod > 0 || now.Sub(l.unchangedSince) >= l.length+Margin
@@ -224,7 +261,7 @@
 // of it may take it earlier. It returns false if the lease is not known to be released.
 func (l Lease) takeoverTime() (time.Time, bool) {
 	holder, token := decodeHolder(l.row.Value)
-	if holder != "" || token == 0 || l.unchangedSince.IsZero() || l.releasing {
+	if holder != "" || token == 0 || l.unchangedSince.IsZero() || l.releasing || !l.current() {
 		return time.Time{}, false
 	}
 	rest := min(max(l.quietPeriod-idleTimeOf(l.row.Value), 0), l.length+l.quietPeriod+Margin)
@@ -254,10 +291,40 @@
 	l = l.withRow(row)
 	l.unchangedSince = since
 	l.peerSince = since
-	if holder, _ := decodeHolder(row.Value); holder != l.self {
+	return l.withoutLostHold().withTakeoverScheduled()
+}
+
+// withoutLostHold returns the lease without the hold of this instance if the row shows
+// that it ended.
+func (l Lease) withoutLostHold() Lease {
+	holder, token := decodeHolder(l.row.Value)
+	if holder != l.self && (l.current() || token > l.token) {
 		l.heldUntil = time.Time{}
 	}
-	return l.withTakeoverScheduled()
+	return l
+}
+
+// WithEra returns the lease after the table's era became known at now. Rows and readings of
+// the clock of an earlier era do not count any more: the row has to be read again, and no
+// instance takes the lease before one that was held then must have expired.
+func (l Lease) WithEra(era int64, now time.Time) Lease {
+	if era <= l.era {
+		return l
+	}
+	l.era = era
+	l.row = store.Row{
+		Key: l.key,
+	}
+	l.unchangedSince, l.peerSince = time.Time{}, time.Time{}
+	l.clock = store.Clock{}
+	switch {
+	case now.Before(l.heldUntil):
+		l.nextCall = now
+	case l.maxSeen > 0:
+		// The holder reads first, and the others may learn its row from a peer.
+		l.nextCall = now.Add(takeoverDelay * time.Duration(1+l.rivalsAhead))
+	}
+	return l
 }
 
 // withUnchangedSince returns the lease with the knowledge that the row has been
@@ -295,19 +362,20 @@
 		}
 		err = nil
 	}
-	if err != nil || row.Version < l.row.Version {
+	if err != nil || row.Version < l.row.Version || row.Era != l.era && row.Version != 0 {
 		return l
 	}
 	if l.unchangedSince.IsZero() || row.Version != l.row.Version {
 		l.unchangedSince = now
 	}
-	l = l.withRow(row)
-	if holder, _ := decodeHolder(row.Value); holder != l.self {
-		l.heldUntil = time.Time{}
-	}
-	if age, ok := l.clock.Since(clockOf(row.Value)); ok {
+	l = l.withRow(row).withoutLostHold()
+	if age, ok := l.clock.Since(clockOf(row.Value)); ok && l.current() {
 		l = l.withUnchangedSince(now.Add(-age))
 	}
+	if _, token := decodeHolder(row.Value); l.mayRestore(token, now) {
+		l.nextCall = now
+		return l
+	}
 	return l.withTakeoverScheduled()
 }
 
@@ -321,7 +389,7 @@
 
 // WithClock returns the lease with a reading of the table's clock.
 func (l Lease) WithClock(c store.Clock) Lease {
-	if c.Reading > 0 {
+	if c.Reading > 0 && c.Era == l.era {
 		l.clock = c
 	}
 	return l
@@ -339,7 +407,7 @@
 // WithPut returns the lease after a write that was planned as op.
 func (l Lease) WithPut(op Op, version int64, err error) Lease {
 	l.calling = false
-	if err != nil {
+	if err != nil || op.Row.Era != l.era {
 		// The row has to be read first: a write whose response was lost may have
 		// renewed the lease, but only confirmed renewals count.
 		l.row.Version = 0
@@ -408,8 +476,14 @@
 	return l
 }
 
-// Note returns the text in the last row that was seen.
-func (l Lease) Note() string { return noteOf(l.row.Value) }
+// Note returns the text in the last row that was seen. It is empty if the row may come from
+// an older copy of the table, whose clock may be another one.
+func (l Lease) Note() string {
+	if !l.current() {
+		return ""
+	}
+	return noteOf(l.row.Value)
+}
 
 // TableTime returns an upper bound of the table's clock at now. It returns false if the
 // clock is not known.
@@ -424,7 +498,7 @@
 func (l Lease) AgeOfLater(version int64, now time.Time) (time.Duration, bool) {
 	clock, known := l.TableTime(now)
 	written := clockOf(l.row.Value)
-	if !known || written <= 0 || written > clock || l.row.Version == 0 || version <= l.row.Version {
+	if !known || !l.current() || written <= 0 || written > clock || l.row.Version == 0 || version <= l.row.Version {
 		return 0, false
 	}
 	return clock - written, true
--- a/pkg/lease/row.go
+++ b/pkg/lease/row.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/baobabtally/baobabtally/pkg/store"
 )
 
 const (
@@ -28,24 +30,34 @@
 	idleTime time.Duration
 	// note is the text that the holder passes on to the next ones.
 	note string
+	// era is the table's era for which the row was written; 0 if it has none.
+	era int64
 }
 
 // encode returns the row: the fencing token, the holder, the clock in milliseconds, the
-// time without orders in milliseconds if the holder sends none, and the note. Fields that
-// are unknown at the end are left out.
+// time without orders in milliseconds if the holder sends none, the note and the era.
+// Fields that are unknown at the end are left out.
 func (h held) encode() []byte {
 	idle := ""
 	if h.idle {
 		idle = formatMillis(h.idleTime)
 	}
-	return joinFields(strconv.FormatInt(h.token, 10), h.holder, formatClock(h.clock), idle, h.note)
+	return joinFields(strconv.FormatInt(h.token, 10), h.holder, formatClock(h.clock), idle, h.note, formatEra(h.era))
+}
+
+// encodeReleased returns the row of a released lease. Its holder is empty, and the clock,
+// the note and the era follow the time, in milliseconds, for which no order has been in
+// flight. That time is negative if an order may still be in flight.
+func encodeReleased(token int64, idleTime, clock time.Duration, note string, era int64) []byte {
+	return joinFields(strconv.FormatInt(token, 10), "", formatMillis(idleTime), formatClock(clock), note, formatEra(era))
 }
 
-// encodeReleased returns the row of a released lease. Its holder is empty, and the clock
-// and the note follow the time, in milliseconds, for which no order has been in flight.
-// That time is negative if an order may still be in flight.
-func encodeReleased(token int64, idleTime, clock time.Duration, note string) []byte {
-	return joinFields(strconv.FormatInt(token, 10), "", formatMillis(idleTime), formatClock(clock), note)
+// formatEra returns an era, or "" if there is none.
+func formatEra(era int64) string {
+	if era == 0 {
+		return ""
+	}
+	return strconv.FormatInt(era, 10)
 }
 
 // joinFields joins fields with spaces, without those at the end that are empty or an
@@ -105,6 +117,16 @@
 	return note
 }
 
+// eraOf returns the era for which a row was written, or 0 if it states none.
+func eraOf(value []byte) int64 {
+	text, _ := fieldAt(value, 3)
+	era, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || era < 0 || era > store.MaxEra {
+		return 0
+	}
+	return era
+}
+
 // clockOf returns an upper bound of the table's clock when the row was sent, or 0 if
 // it is not known.
 func clockOf(value []byte) time.Duration {
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -23,14 +23,21 @@
 	ErrMalformed = errors.ConstError("the table's answer can't be decoded: check its address and version")
 )
 
+// MaxEra is the greatest era that counts. A greater one can't be right, and products of
+// eras do not overflow.
+const MaxEra = 1 << 40
+
 // Row is a versioned key-value pair of the table.
 type Row struct {
 	// Key is unique in the table.
 	Key string
 	// Value is opaque to the table.
 	Value []byte
-	// Version increases with each write. It is greater than 0 for a row that exists.
+	// Version increases with each write within an era. It is greater than 0 for a row
+	// that exists.
 	Version int64
+	// Era is the store's era in which Version was read; 0 if the store has none.
+	Era int64
 	// Err says why the row can't be read; nil if it can. Value is then not valid, and
 	// Key and Version may be zero.
 	Err error
@@ -77,6 +84,9 @@
 	Reading time.Duration
 	// SentAt is the local time at which the call that returned the reading was sent.
 	SentAt time.Time
+	// Era is the store's era as far as it is known, which need not be that of the last
+	// reading: Reading is 0 then. It is 0 for a store that has none.
+	Era int64
 }
 
 // Since returns a lower bound of the time between stamp, an earlier value of the
@@ -87,3 +97,18 @@
 	}
 	return c.Reading - stamp, true
 }
+
+// Stamp orders versions of a store that may come back from an older copy. Within an era
+// versions increase; in the next one they are given out again.
+type Stamp struct {
+	Era     int64
+	Version int64
+}
+
+// Before reports whether s is older than o.
+func (s Stamp) Before(o Stamp) bool {
+	if s.Era != o.Era {
+		return s.Era < o.Era
+	}
+	return s.Version < o.Version
+}
