lease: mark a row of an earlier era, so that the wait outlasts restarts

Change: who reads such a row replaces it by one of this era without a holder, which says by the table's clock from when the lease may be taken. A holder that the copy forgot may write its row over that.

--- a/pkg/lease/era_test.go
+++ b/pkg/lease/era_test.go
@@ -172,7 +172,8 @@
 	return l.WithOrderInFlight(now)
 }
 
-// A holder whose renewals the table has lost goes on without a gap.
+// A holder whose renewals the table has lost goes on without a gap, also if a rival has marked
+// the row.
 func TestHolderRestoresItsRow(t *testing.T) {
 	tab := copiedTable{
 		era:   1,
@@ -191,9 +192,45 @@
 		if !held.IsZero() && back.IsZero() && now.Sub(held) > 2*time.Second {
 			back = now
 			tab.comeBack(time.Hour, 0, now)
+			rival := lease.New("lease/orders", "b@1", lease.WithLength(1800*time.Millisecond, 700*time.Millisecond), lease.WithQuietPeriod(3*time.Second))
+			for i := range 2 {
+				op, next, ok := rival.Plan(now.Add(time.Duration(i) * time.Minute))
+				require.True(t, ok)
+				op.Sent = now
+				rival = tab.do(next, op, false, false)
+			}
+			require.Equal(t, rival.Row(), tab.row)
 		}
 		require.True(t, held.IsZero() || l.Valid(now, now))
 	}
 	require.False(t, back.IsZero())
 	require.EqualValues(t, 1<<20+1, l.FencingToken(), "it is the same hold")
 }
+
+// Instances that end before they have observed the row for long enough must not leave the
+// lease without a holder: they mark since when it may be free.
+func TestRowOfEarlierEraIsMarked(t *testing.T) {
+	tab := copiedTable{
+		era:   1,
+		clock: time.Hour,
+	}
+	tab.put(store.Row{
+		Value: []byte("1048577 x@1 3600000 3000  1"),
+	}, start)
+	tab.comeBack(0, 0, start)
+	now, starts := start, 0
+	var l lease.Lease
+	for now.Sub(start) < 8*time.Second {
+		if now.Sub(start) >= time.Duration(starts)*2*time.Second {
+			starts++
+			l = lease.New("lease/orders", fmt.Sprintf("n@%d", starts), lease.WithLength(1800*time.Millisecond, 700*time.Millisecond), lease.WithQuietPeriod(3*time.Second))
+		}
+		if op, next, ok := l.Plan(now); ok {
+			l = tab.do(next, op, false, false)
+		}
+		require.False(t, l.Valid(now, now) && now.Sub(start) < 5800*time.Millisecond)
+		now = now.Add(100 * time.Millisecond)
+	}
+	require.True(t, l.Valid(now, now))
+	require.EqualValues(t, 2<<20+1, l.FencingToken())
+}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -65,6 +65,8 @@
 	// era is the table's era, and 0 for a table that has none. Invariant: row, clock and
 	// unchangedSince were learned in it.
 	era int64
+	// risen reports whether the era rose since this instance knows the row.
+	risen bool
 	// inFlightUntil is the time until which an order of this instance may be in
 	// flight; zero if it sent none.
 	inFlightUntil time.Time
@@ -169,6 +171,8 @@
 		return l.heldRow(l.token, idle && !l.due, now)
 	case holder == l.self && now.Before(l.heldUntil):
 		return l.heldRow(token, idle && !l.due, now)
+	case !l.current():
+		return l.markRow(token, now)
 	case l.mayTake(holder, now):
 		return l.heldRow(l.nextToken(token), idle, now)
 	}
@@ -180,8 +184,26 @@
 func (l Lease) nextToken(token int64) int64 { return max(token, l.maxSeen, l.era*eraTokens) + 1 }
 
 // current reports whether the row was written in the table's era. Any other one may come
-// from an older copy of the table: it does not show who held the lease last.
-func (l Lease) current() bool { return eraOf(l.row.Value) == l.era }
+// from an older copy of the table: it does not show who held the lease last. A missing row
+// shows that nobody did only in the first era, and one without an era, of an older release,
+// counts there until the era rises.
+func (l Lease) current() bool {
+	era := eraOf(l.row.Value)
+	return era == l.era || era == 0 && l.era <= 1 && !l.risen
+}
+
+// markRow returns the row that replaces one of an earlier era. It has no holder, and says that
+// the lease may have been held, and orders sent, until the latest time at which that is
+// possible. Instances that start later need not observe the row for that long themselves.
+func (l Lease) markRow(token int64, now time.Time) []byte {
+	return encodeReleased(max(token, l.maxSeen, 1), -l.length-Margin, l.clockBound(now), "", l.era)
+}
+
+// marked reports whether the row is that of markRow: nobody has held the lease in this era.
+func (l Lease) marked() bool {
+	holder, token := decodeHolder(l.row.Value)
+	return holder == "" && l.era > 0 && eraOf(l.row.Value) == l.era && token <= l.era*eraTokens
+}
 
 // mayRelease reports whether this instance holds the lease, so that it can release it.
 func (l Lease) mayRelease(holder string, token int64, now time.Time) bool {
@@ -189,10 +211,10 @@
 }
 
 // mayRestore reports whether this instance holds the lease, but the row with the given
-// token comes from an older copy of the table that has lost this. Rivals wait until the
-// lease has expired, from when they see the copy.
+// token comes from an older copy of the table that has lost this, or replaces one. Rivals
+// wait until the lease has expired, from when they see the copy.
 func (l Lease) mayRestore(token int64, now time.Time) bool {
-	return !l.current() && now.Before(l.heldUntil) && token <= l.token
+	return (!l.current() || l.marked()) && now.Before(l.heldUntil) && token <= l.token
 }
 
 // mustDeclare reports whether the row has to say that orders follow before the next
@@ -219,9 +241,6 @@
 // this instance may take the lease. The quiet period follows the end of the lease, unless
 // the row says that no orders were sent under it.
 func (l Lease) takeoverWait() time.Duration {
-	if !l.current() {
-		return l.length + l.quietPeriod + Margin
-	}
 	if idle, ok := heldIdleTime(l.row.Value); ok {
 		return max(l.length+Margin, l.quietPeriod-idle)
 	}
@@ -231,17 +250,13 @@
 // informedByPeer reports whether a peer recently confirmed that another instance holds
 // the lease, so that the table does not have to be read.
 func (l Lease) informedByPeer(holder string, now time.Time) bool {
-	return !l.peerSince.IsZero() && l.peerSince.Equal(l.unchangedSince) && holder != l.self && holder != "" &&
+	return l.current() && !l.peerSince.IsZero() && l.peerSince.Equal(l.unchangedSince) && holder != l.self && holder != "" &&
 		now.Sub(l.unchangedSince) < l.takeoverWait()
 }
 
 // mayTake reports whether this instance may take the lease. If the row still names
-// this instance, no other instance has held the lease since, unless the row comes from an
-// older copy of the table.
+// this instance, no other instance has held the lease since.
 func (l Lease) mayTake(holder string, now time.Time) bool {
-	if !l.current() && (l.row.Version != 0 || l.era > 1) {
-		return now.Sub(l.unchangedSince) >= l.takeoverWait()
-	}
 	switch holder {
 	case l.self:
 		return l.quietPeriod > 0 || now.Sub(l.unchangedSince) >= l.length+Margin
@@ -298,7 +313,7 @@
 // that it ended.
 func (l Lease) withoutLostHold() Lease {
 	holder, token := decodeHolder(l.row.Value)
-	if holder != l.self && (l.current() || token > l.token) {
+	if holder != l.self && (l.current() && !l.marked() || token > l.token) {
 		l.heldUntil = time.Time{}
 	}
 	return l
@@ -312,6 +327,7 @@
 		return l
 	}
 	l.era = era
+	l.risen = l.risen || l.maxSeen > 0
 	l.row = store.Row{
 		Key: l.key,
 	}
@@ -420,6 +436,9 @@
 	l.unchangedSince = op.Sent
 	l.nextCall = op.Sent.Add(l.renewInterval)
 	holder, token := decodeHolder(op.Row.Value)
+	if l.marked() && !l.releasing {
+		return l.withTakeoverScheduled()
+	}
 	l.heldUntil = time.Time{}
 	if holder == l.self {
 		l.heldUntil = op.Sent.Add(l.length)
