lease, ctrl: peers' rows of another era don't count, the era of the start is no change

Measured: tests of pkg/lease and internal/ctrl pass; TestEraOfTheStartIsNoChange fails on the commit before.

--- a/internal/ctrl/eras.go
+++ b/internal/ctrl/eras.go
@@ -58,7 +58,7 @@
 	before := r.StoreEra
 	r.StoreEra = era
 	s.Lease = s.Lease.WithEra(era, now)
-	if r.StoreSince.IsZero() && r.RegistryVersion == 0 {
+	if before == 0 && r.RegistryVersion == 0 {
 		// The era in which the instance started.
 		return s.WithRouting(r), nil
 	}
--- a/internal/ctrl/eras_test.go
+++ b/internal/ctrl/eras_test.go
@@ -29,11 +29,11 @@
 	return c
 }
 
-// notes returns how many notes of the given event the last step wrote.
-func (c *testInstance) notes(event string) int {
+// eraNotes returns how many notes of a new era the last step wrote.
+func (c *testInstance) eraNotes() int {
 	n := 0
 	for _, a := range c.actions {
-		if note, ok := a.(state.Note); ok && note.Event == event {
+		if note, ok := a.(state.Note); ok && note.Event == "era" {
 			n++
 		}
 	}
@@ -45,7 +45,7 @@
 func TestRegistryOfNewEraCounts(t *testing.T) {
 	c := instanceInEra(t, "e1", "e2")
 	c.step(eraSnapshot(2, 7, "e1", "e3"))
-	require.Equal(t, 1, c.notes("era"))
+	require.Equal(t, 1, c.eraNotes())
 	require.True(t, slices.ContainsFunc(c.actions, func(a state.Action) bool { return a.Key() == "rejoin" }))
 	require.Equal(t, []string{"e1", "e2", "e3"}, c.pool())
 	c.step(eraSnapshot(1, 200, "e1", "e2"))
@@ -58,11 +58,21 @@
 		Era:     2,
 	})
 	require.Equal(t, []string{"e1"}, c.pool())
-	require.Zero(t, c.notes("era"))
+	require.Zero(t, c.eraNotes())
 	ok, why := c.state.Ready(c.now)
 	require.True(t, ok, why)
 }
 
+// The era in which an instance starts is no change, also if the store did not answer first.
+func TestEraOfTheStartIsNoChange(t *testing.T) {
+	c := newTestInstance()
+	c.step(state.StoreStatus{})
+	c.step(eraSnapshot(5, 100, "e1"))
+	require.Zero(t, c.eraNotes())
+	require.EqualValues(t, 5, c.state.Routing.StoreEra)
+	require.Zero(t, c.state.Routing.StoreEraSince)
+}
+
 // Endpoints that departed must not come back with an older copy, unless they start anew,
 // write their entry again, or stay in the registry.
 func TestOlderCopyBringsNoEndpointBack(t *testing.T) {
@@ -117,7 +127,7 @@
 			Lease: store.Row{
 				Key:     "lease/orders",
 				Version: 149,
-				Value:   []byte("3 n1@1"),
+				Value:   []byte("3 n1@1 50000   1"),
 			},
 			DepartureVersions: map[string]int64{
 				"e1": 150,
@@ -139,11 +149,15 @@
 	h.Relay.Era = 2
 	c.step(h)
 	require.Equal(t, []string{"e2", "e9"}, c.pool())
+	require.Zero(t, c.state.Lease.Row().Version, "an older copy may have brought the row back")
+	h.Relay.Lease.Value = []byte("3 n1@1 50000   2")
+	c.step(h)
 	require.EqualValues(t, 149, c.state.Lease.Row().Version)
 	h.Relay.Era = 3
 	h.Relay.Lease.Version = 4
+	h.Relay.Lease.Value = []byte("3 n1@1 50000   3")
 	c.step(h)
-	require.Equal(t, 1, c.notes("era"), "a peer has found the next era")
+	require.Equal(t, 1, c.eraNotes(), "a peer has found the next era")
 	require.EqualValues(t, 4, c.state.Lease.Row().Version)
 	require.Zero(t, ctrl.HeartbeatOf(c.state).Relay.RegistryVersion, "this instance has not read the registry in it")
 	c.advance(time.Second)
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -303,7 +303,12 @@
 	if row.Version == l.row.Version {
 		return l.withUnchangedSince(since)
 	}
-	l = l.withRow(row)
+	next := l.withRow(row)
+	if !next.current() {
+		// To mark it takes a reading of the table's clock.
+		return l
+	}
+	l = next
 	l.unchangedSince = since
 	l.peerSince = since
 	return l.withoutLostHold().withTakeoverScheduled()
