httpd, holds, ledger: bytes that callers hold are a bound of admission

Cause: bodies were read whole and kept, headers were parsed at any size at the ready address, and nothing bounded connections: a crowd of 120 to 240 clients took a process of each front end beyond 88 MB or out of descriptors.

Change: one ledger of bytes for bodies, header fields, connections and answers of plain services. Its bound follows from the collector's limit. A body of a declared length that does not fit is refused before it is read, one without as soon as it no longer fits, with 503, not run, and Retry-After from the rate of freed bytes; the caller may still write meanwhile. A quarter is left to what is small, and one team gets half at most. A caller must send, or read, 4 KB in 15 s. Connections are bounded by the descriptors; at the bound the one that keeps the server waiting longest makes room.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -38,6 +38,9 @@
 	// machine.
 	maxHeldBytes = 12 << 20
 	blockBytes   = 64 << 10
+	// blockCopies is how often a block is held: as it was read, and as a part of the
+	// answer.
+	blockCopies = 2
 
 	headerRequestID      = "X-Request-Id"
 	headerLastEventID    = "Last-Event-Id"
@@ -52,12 +55,34 @@
 	firstChunkTimeout time.Duration
 	chunkTimeout      time.Duration
 	// held is how many bytes the answers of plain services hold beyond their first blocks.
-	held atomic.Int64
+	held  atomic.Int64
+	holds holder
 }
 
 // Option configures a Client.
 type Option func(*Client)
 
+// holder keeps a ledger of bytes.
+type holder interface {
+	// Hold holds bytes for owner. If they don't fit, it returns false and after what time
+	// they may.
+	Hold(owner string, n int64) (time.Duration, bool)
+	// Free ends what Hold began.
+	Free(owner string, n int64)
+}
+
+// noLedger holds any number of bytes.
+type noLedger struct{}
+
+// Hold does nothing.
+func (noLedger) Hold(string, int64) (time.Duration, bool) { return 0, true }
+
+// Free does nothing.
+func (noLedger) Free(string, int64) {}
+
+// WithHolds counts the answers of plain services in the ledger of h.
+func WithHolds(h holder) Option { return func(c *Client) { c.holds = h } }
+
 // WithFirstChunkTimeout sets the timeout for the first chunk of a response.
 func WithFirstChunkTimeout(d time.Duration) Option {
 	return func(c *Client) { c.firstChunkTimeout = d }
@@ -79,6 +104,7 @@
 		},
 		firstChunkTimeout: defaultFirstChunkTimeout,
 		chunkTimeout:      defaultChunkTimeout,
+		holds:             noLedger{},
 	}
 	for _, o := range opts {
 		o(c)
--- a/internal/client/service.go
+++ b/internal/client/service.go
@@ -79,7 +79,9 @@
 func (s *serviceReply) Close() {
 	s.x.close(s.resp.Body)
 	s.client.held.Add(-s.reserved)
-	s.reserved = 0
+	for ; s.reserved > 0; s.reserved -= blockBytes {
+		s.client.holds.Free("", blockCopies*blockBytes)
+	}
 }
 
 // Next returns the complete body as one chunk. It reads it in blocks, since a buffer that
@@ -128,6 +130,10 @@
 		s.client.held.Add(-blockBytes)
 		return errors.New("too many long answers are being read: send the request again later")
 	}
+	if _, ok := s.client.holds.Hold("", blockCopies*blockBytes); !ok {
+		s.client.held.Add(-blockBytes)
+		return errors.New("the instance holds too many bytes for callers: send the request again later")
+	}
 	s.reserved += blockBytes
 	return nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/uuid"
@@ -17,6 +18,7 @@
 	"github.com/baobabtally/baobabtally/internal/core"
 	"github.com/baobabtally/baobabtally/internal/front"
 	"github.com/baobabtally/baobabtally/internal/halt"
+	"github.com/baobabtally/baobabtally/internal/holds"
 	"github.com/baobabtally/baobabtally/internal/httpd"
 	"github.com/baobabtally/baobabtally/internal/meter"
 	"github.com/baobabtally/baobabtally/internal/peer"
@@ -38,6 +40,9 @@
 	idleTimeout = 30 * time.Second
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
+	// memoryShare is the share of the machine's memory that is set as the garbage
+	// collector's soft limit.
+	memoryShare = 0.6
 	// drainTimeout is how long in-flight requests may continue when an instance
 	// stops.
 	drainTimeout = 5 * time.Minute
@@ -72,9 +77,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * (1 << 20)))
+	}
+	keeper := holds.New(holds.Limit())
+	if err := holds.Register(m, keeper); err != nil {
+		return nil, err
+	}
 	table, object, list := plat.NewTable(s.Table, admin.ConfigKey), plat.NewObjectStore(s.Object), plat.NewList(s.List)
 	peers := peer.NewClient(secret)
-	endpoints := client.New(client.WithChunkTimeout(time.Duration(s.Gap)), client.WithFirstChunkTimeout(time.Duration(s.First)))
+	endpoints := client.New(client.WithChunkTimeout(time.Duration(s.Gap)), client.WithFirstChunkTimeout(time.Duration(s.First)), client.WithHolds(keeper))
 	signal := grace.New()
 	i := &Instance{
 		settings: s,
@@ -101,7 +113,7 @@
 			Grace:     signal,
 		}),
 	}
-	i.server = i.newServer(secret)
+	i.server = i.newServer(secret, keeper)
 	return i, nil
 }
 
@@ -172,7 +184,7 @@
 }
 
 // newServer returns the HTTP server for callers, peers and operators.
-func (i *Instance) newServer(secret []byte) *httpd.Server {
+func (i *Instance) newServer(secret []byte, keeper *holds.Keeper) *httpd.Server {
 	e := echo.New()
 	front.Mount(e, i.core.Handler, i.core.Loop, stream.NewSigner(secret), i.grace)
 	e.GET("/metrics", echo.WrapHandler(i.meter.Handler()))
@@ -186,5 +198,7 @@
 		httpd.WithIdleTimeout(func() time.Duration { return idleTimeout }),
 		httpd.WithHeaderTimeout(readHeaderTimeout),
 		httpd.WithReadTimeout(readTimeout),
-		httpd.WithMaxHeaderBytes(maxHeaderBytes))
+		httpd.WithMaxHeaderBytes(maxHeaderBytes),
+		httpd.WithHolds(keeper),
+		httpd.WithMaxConnections(holds.Connections(0)))
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -23,6 +22,9 @@
 const (
 	// maxBodyBytes bounds the body of a request.
 	maxBodyBytes = 4 << 20
+	// completionCopies is how often a completion request is held: as it came, decoded, as
+	// a prompt, and as it is sent to an engine.
+	completionCopies = 4
 	// maxKeyBytes bounds an idempotency key.
 	maxKeyBytes = 200
 	// maxLabelsBytes bounds the header that holds the labels of a request.
@@ -75,7 +77,7 @@
 
 // generate serves a chat or text completion.
 func (f Front) generate(c echo.Context, kind chain.Kind) error {
-	r, err := f.readRequest(c)
+	r, err := f.readRequest(c, completionCopies)
 	if err != nil {
 		return writeProblem(c, r.ID, err)
 	}
@@ -106,7 +108,7 @@
 
 // service serves a call to a plain service.
 func (f Front) service(c echo.Context) error {
-	r, err := f.readRequest(c)
+	r, err := f.readRequest(c, 1)
 	if err != nil {
 		return writeProblem(c, r.ID, err)
 	}
@@ -134,8 +136,9 @@
 	return nil
 }
 
-// readRequest reads the parts that are common to all requests.
-func (f Front) readRequest(c echo.Context) (chain.Request, error) {
+// readRequest reads the parts that are common to all requests. The body is held copies
+// times.
+func (f Front) readRequest(c echo.Context, copies int64) (chain.Request, error) {
 	req := c.Request()
 	r := chain.Request{
 		ID:      uuid.NewString(),
@@ -150,9 +153,12 @@
 		return r, err
 	}
 	r.Labels = labels
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), req.Body, maxBodyBytes))
+	body, err := httpd.ReadBody(c.Response(), req, maxBodyBytes, copies, r.Secret)
 	var large *http.MaxBytesError
+	var crowded httpd.Crowded
 	switch {
+	case errors.As(err, &crowded):
+		return r, fault.New(fault.Overload, "the instance holds too many bytes for callers: send the request again later").WithRetry(crowded.Wait)
 	case errors.As(err, &large):
 		return r, fault.New(fault.Large, "the body is over %d bytes: send less", maxBodyBytes)
 	case err != nil:
--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -90,6 +90,12 @@
 	logged bool
 	// id identifies the current request, if it is known.
 	id string
+	// hold is what the connection and its request hold.
+	hold hold
+	// pace is how fast the caller sends and reads.
+	pace pace
+	// evicted is true once the connection was closed to make room for others.
+	evicted bool
 }
 
 func newConn(inner net.Conn, s *Server) *conn {
@@ -106,6 +112,7 @@
 // returns an error once the connection is to be closed.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
+		c.beginRead(len(p))
 		n, err := c.Conn.Read(p)
 		next := c.noteRead(n, len(p), err)
 		if next == readOn {
@@ -114,10 +121,28 @@
 		if next == leave {
 			c.leave()
 		}
+		if n > 0 && !c.holdHeader(p[:n]) {
+			return 0, io.EOF
+		}
 		return n, err
 	}
 }
 
+// beginRead follows the progress of a body. http.Server reads single bytes once it has the
+// whole body.
+func (c *conn) beginRead(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != handling {
+		return
+	}
+	if size == 1 {
+		c.pace.endBody()
+		return
+	}
+	c.pace.beginBody(time.Now())
+}
+
 // step is what follows a read.
 type step uint8
 
@@ -142,6 +167,8 @@
 		case c.phase == handling && size == 1:
 			// http.Server reads single bytes to notice that the caller left.
 			c.ahead = true
+		case c.phase == handling:
+			c.pace.received += n
 		}
 		return pass
 	}
@@ -177,17 +204,44 @@
 // Write writes to the connection. It logs a response whose end can't be written since the
 // server was closed.
 func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
+	total := 0
+	for {
+		c.beginWrite()
+		n, err := c.Conn.Write(p[total:])
+		total += n
+		again, lost := c.noteWritten(n, err)
+		if again {
+			continue
+		}
+		if lost {
+			c.cut(graceEnded, grace.ErrEnded)
+		}
+		return total, err
+	}
+}
+
+func (c *conn) beginWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pace.writing = time.Now()
+}
+
+// noteWritten records the result of a write. It reports whether the rest is to be written,
+// since a slow caller has made progress, and whether the end of a response is lost.
+func (c *conn) noteWritten(n int, err error) (again, lost bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
 	if n > 0 {
-		c.lastByte, c.answered = time.Now(), true
+		c.lastByte, c.answered = now, true
 	}
-	lost := err != nil && c.served && c.server.closing.Load()
-	c.mu.Unlock()
-	if lost {
-		c.cut(graceEnded, grace.ErrEnded)
+	c.pace.writing = time.Time{}
+	if c.pace.unread && n >= minProgress && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.pace.unread = false
+		_ = c.SetWriteDeadline(time.Time{})
+		return true, false
 	}
-	return n, err
+	return false, err != nil && c.served && c.server.closing.Load()
 }
 
 // CloseWrite closes the write side, so that the caller can read a response to a
@@ -224,6 +278,8 @@
 		t = expired
 	case c.phase == reading:
 		t = c.since.Add(c.server.headerTimeout)
+	case c.phase == handling && c.pace.stalled:
+		t = expired
 	case c.phase == handling:
 		t = c.deadline
 	}
@@ -256,6 +312,8 @@
 		next = reading
 	}
 	c.ahead, c.kept, c.id = false, true, ""
+	c.pace = pace{}
+	c.endHold()
 	c.served, c.finished, c.logged = false, false, false
 	c.ending = open
 	if c.server.aborting.Load() {
@@ -361,6 +419,7 @@
 	}
 	c.mu.Lock()
 	c.setPhase(closed)
+	c.endHold()
 	c.mu.Unlock()
 	c.server.remove(c)
 	return err
@@ -407,6 +466,8 @@
 		return false, 0, nil
 	case c.server.closing.Load() && (unread || unfinished):
 		return true, graceEnded, grace.ErrEnded
+	case c.evicted:
+		return true, crowdedOut, errCrowded
 	case unread:
 		return true, unreadReason(c.readErr), c.readErr
 	}
--- a/internal/httpd/cut.go
+++ b/internal/httpd/cut.go
@@ -29,11 +29,13 @@
 	headerLate
 	// readFailed means that the header could not be read.
 	readFailed
+	// crowdedOut means that the connection was closed to make room for others.
+	crowdedOut
 )
 
 // String returns the name of the reason in logs and metrics.
 func (r reason) String() string {
-	return [...]string{"broken", "caller", "panic", "grace", "header", "read"}[r%6]
+	return [...]string{"broken", "caller", "panic", "grace", "header", "read", "crowd"}[r%7]
 }
 
 // unreadReason returns why a header was not read to its end.
@@ -84,11 +86,13 @@
 	unused
 	// stopped means that the server stops.
 	stopped
+	// crowded means that the connection makes room for others.
+	crowded
 )
 
 // String returns the name of the reason in logs and metrics.
 func (e ending) String() string {
-	return [...]string{"open", "idle", "unused", "stop"}[e%4]
+	return [...]string{"open", "idle", "unused", "stop", "crowd"}[e%5]
 }
 
 // logClosed logs and counts a connection that is closed between requests. If it is kept,
@@ -166,6 +170,7 @@
 	}()
 	s.handler.ServeHTTP(out, r)
 	c.markFinished()
+	c.takeRefused(out, r)
 }
 
 // recovered ends a request whose handler panicked with p at site.
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/baobabtally/baobabtally/internal/holds"
 	"github.com/baobabtally/baobabtally/pkg/grace"
 )
 
@@ -66,6 +67,12 @@
 	fail          func(w http.ResponseWriter, id string)
 	headerTimeout time.Duration
 	settleTime    time.Duration
+	// holds keeps the ledger of what callers' requests hold.
+	holds *holds.Keeper
+	// maxConns bounds the open connections; 0 for no limit.
+	maxConns int
+	// progressTime is how long a caller may send or read next to nothing.
+	progressTime time.Duration
 	// draining is true once responses ask callers to close their connections, stopping
 	// once no more connections are accepted, aborting once no more requests are, and
 	// closing once connections with a request are closed.
@@ -124,6 +131,17 @@
 // that did not announce the close, since the caller's next request may be on its way.
 func WithSettleTime(d time.Duration) Option { return func(s *Server) { s.settleTime = d } }
 
+// WithHolds counts what connections and requests hold in k, and refuses what does not fit.
+func WithHolds(k *holds.Keeper) Option { return func(s *Server) { s.holds = k } }
+
+// WithMaxConnections bounds the open connections; 0 is no limit. At the limit the one that
+// has kept the server waiting longest is closed for a new one.
+func WithMaxConnections(n int) Option { return func(s *Server) { s.maxConns = n } }
+
+// WithProgressTime sets within what time a caller must send minProgress bytes of a body, or
+// read as many of a response.
+func WithProgressTime(d time.Duration) Option { return func(s *Server) { s.progressTime = d } }
+
 // WithReadTimeout limits the time to read a complete request.
 func WithReadTimeout(d time.Duration) Option { return func(s *Server) { s.inner.ReadTimeout = d } }
 
@@ -143,6 +161,8 @@
 		fail:          func(w http.ResponseWriter, _ string) { w.WriteHeader(http.StatusBadGateway) },
 		headerTimeout: defaultHeaderTimeout,
 		settleTime:    defaultSettleTime,
+		holds:         holds.New(0),
+		progressTime:  defaultProgressTime,
 		grace:         grace.New(),
 		conns:         map[*conn]struct{}{},
 		quiet:         make(chan struct{}, 1),
@@ -234,6 +254,7 @@
 		l = l.WithNext(s.idle(), time.Now())
 		for _, c := range s.connections() {
 			c.endIfIdle(l.current, s.headerTimeout)
+			c.endIfStalled(time.Now(), s.progressTime)
 		}
 	}
 }
@@ -414,18 +435,11 @@
 	return out
 }
 
-// add registers a connection.
-func (s *Server) add(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conns[c] = struct{}{}
-}
-
 // remove unregisters a connection.
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.conns, c)
+	s.drop(c)
 	if len(s.conns) == 0 && s.empty != nil {
 		close(s.empty)
 		s.empty = nil
@@ -456,6 +470,21 @@
 // Accept accepts a connection. It is called by one goroutine. When the deadline of drain
 // has passed, it accepts what is left in the backlog and closes the listener.
 func (l *listener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := newConn(nc, l.server); l.server.admit(c) {
+			return c, nil
+		}
+		l.server.meter.Closed(crowded.String())
+		_ = nc.Close()
+	}
+}
+
+// accept accepts a connection, or one of those that are left in the backlog.
+func (l *listener) accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	for errors.Is(err, os.ErrDeadlineExceeded) && l.server.stopping.Load() {
 		if !l.extend() {
@@ -474,9 +503,7 @@
 	}
 	l.accepted = true
 	l.left--
-	c := newConn(nc, l.server)
-	l.server.add(c)
-	return c, nil
+	return nc, nil
 }
 
 // extend sets the next deadline of a draining listener while connections are left in its
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -37,6 +37,8 @@
 	// Linger is how long an instance that is stopping still accepts calls, until the
 	// load balancer has noticed that it is not ready.
 	Linger Duration `toml:"linger"`
+	// Memory is the memory of the instance's machine in MB; 0 for no bound.
+	Memory int `toml:"memory"`
 	// Level is the lowest level that is logged.
 	Level string `toml:"level"`
 	// Callers are the API keys.
@@ -149,6 +151,7 @@
 	} {
 		require(v >= Duration(100*time.Millisecond), key, "write at least 100ms")
 	}
+	require(s.Memory == 0 || s.Memory >= minMemory, "memory", "write the machine's memory in MB, at least 64, or leave it out")
 	require(s.Distance >= 0 && s.Linger >= 0, "linger", "write a duration that is not negative")
 	require((s.Secret.File == "") != (s.Secret.Env == ""), "secret", "name either a file or an environment variable")
 	_, known := levels[s.Level]
@@ -181,6 +184,9 @@
 	return 0
 }
 
+// minMemory is the least memory of a machine in MB.
+const minMemory = 64
+
 // minSecretBytes is the least length of a secret.
 const minSecretBytes = 16
 
