link: a body without a length ends only behind a whole request

Cause: an engine that answers a long upload at once, sends a part and resets was read as complete: the write of the request takes the reset's error, and a read after it finds the end of the connection. Statuses above 599 were returned as responses.

Change: at the end of a body without a length or chunks, the request must have been written whole. Statuses outside 100 to 599 are no responses.

Measured: TestResetDuringUploadIsNoEnd, TestEndDuringUploadIsNoEnd and TestStatusOutOfRangeIsNoResponse (600) fail on the code before and pass now; the early answer of an engine that reads on is still whole. go test -race ./internal/link passes.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -32,6 +32,8 @@
 	// maxRefusals is how many refused requests a connection remembers. It is
 	// not kept after one more, so that none of them is forgotten.
 	maxRefusals = 64
+	// maxStatus is the highest status of a response (RFC 9110, 15).
+	maxStatus = 599
 	// maxErrorBytes limits how much of a malformed response an error message
 	// quotes, in bytes.
 	maxErrorBytes = 200
@@ -43,6 +45,11 @@
 // errChunkedHTTP10 means that the framing of a response is faulty (RFC 9112, 6.1).
 const errChunkedHTTP10 = errors.ConstError("the answer has chunks, which HTTP/1.0 does not have: check the endpoint")
 
+// errUnsent means that the connection ended before the request was sent. The end of a
+// response that has neither a length nor chunks can't be told from a failure then: a reset
+// that ends the write of the request lets a read find the end of the connection.
+const errUnsent = errors.ConstError("the connection ended while the request was being sent: check the endpoint")
+
 // Request is an HTTP request. Its fields are sent unchanged.
 type Request struct {
 	// Method, Path and Host form the request line and the Host header.
@@ -168,6 +175,8 @@
 	}
 	resp.Body = &responseBody{
 		ReadCloser: resp.Body,
+		conn:       c,
+		unframed:   unframed(resp),
 		guard:      c.guard,
 		ctx:        ctx,
 		stop:       stop,
@@ -201,7 +210,7 @@
 		if req.EchoHeader == "" || resp.Header.Get(req.EchoHeader) == c.echo {
 			return resp, nil
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || resp.ContentLength > maxStaleBytes {
+		if unframed(resp) || resp.ContentLength > maxStaleBytes {
 			break
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBytes+1))
@@ -236,9 +245,9 @@
 			return nil, truncateError(err)
 		}
 		switch {
-		case resp.StatusCode >= http.StatusOK:
+		case resp.StatusCode >= http.StatusOK && resp.StatusCode <= maxStatus:
 			return resp, nil
-		case resp.StatusCode < http.StatusContinue, resp.StatusCode == http.StatusSwitchingProtocols:
+		case resp.StatusCode < http.StatusContinue, resp.StatusCode > maxStatus, resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.Errorf("status %d answers no request of ours: check the endpoint", resp.StatusCode)
 		}
 	}
@@ -266,6 +275,25 @@
 	}
 }
 
+// unframed reports whether only the end of the connection ends the body of resp.
+func unframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// awaitWritten waits until the request is written, and returns an error if it was not
+// written completely. An endpoint that responds early must read on.
+func (c *Conn) awaitWritten() error {
+	if c.writeOK {
+		return nil
+	}
+	if err := <-c.writeDone; err != nil {
+		c.writeDone <- err
+		return errors.Annotate(errUnsent, err.Error())
+	}
+	c.writeOK = true
+	return nil
+}
+
 // truncateError returns err, shortened if it quotes much of a response.
 func truncateError(err error) error {
 	text := err.Error()
@@ -332,6 +360,9 @@
 // ends.
 type responseBody struct {
 	io.ReadCloser
+	conn *Conn
+	// unframed is true if only the end of the connection ends the body.
+	unframed bool
 	guard *unackedGuard
 	ctx   context.Context
 	stop  func() bool
@@ -342,6 +373,11 @@
 // Read reads from the body and detects its end.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if b.unframed && errors.Is(err, io.EOF) {
+		if lost := b.conn.awaitWritten(); lost != nil {
+			err = lost
+		}
+	}
 	if errors.Is(err, io.EOF) {
 		// If the context has already ended, abort may have set a deadline on
 		// the connection, so it can't be reused.
