client, whole: a reset is no end of an answer, and 000 no status

Cause: net/http takes a reset during the upload for the end of a body that has neither a length nor chunks, and returns statuses such as 000, which a plain service's caller got.

Change: connections tell a reset (their state) from an end; statuses outside 200 to 599 are errors, since the library itself skips interim ones; an answer without a length or chunks that came before the call was sent whole is broken.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/baobabtally/baobabtally/internal/call"
+	"github.com/baobabtally/baobabtally/internal/whole"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 )
 
@@ -129,13 +130,13 @@
 	return c.openStream(ctx, a)
 }
 
-func newTransport(disableKeepAlives bool) *http.Transport {
-	dialer := &net.Dialer{
+func newTransport(disableKeepAlives bool) http.RoundTripper {
+	dial := whole.Dial((&net.Dialer{
 		Timeout: dialTimeout,
-	}
-	return &http.Transport{
+	}).DialContext)
+	return whole.Transport(&http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			nc, err := dialer.DialContext(ctx, network, addr)
+			nc, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
@@ -149,7 +150,7 @@
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	})
 }
 
 // exchange is one HTTP request whose watchdog cancels it when no data arrives.
@@ -157,6 +158,8 @@
 	// sent is set once the request has a connection, because bytes may be sent
 	// from then on.
 	sent *atomic.Bool
+	// written is set once the request was written whole.
+	written *atomic.Bool
 	// reused is set if that connection has served another request before.
 	reused   *atomic.Bool
 	cancel   context.CancelFunc
@@ -172,6 +175,7 @@
 	x := exchange{
 		sent:     &atomic.Bool{},
 		reused:   &atomic.Bool{},
+		written:  &atomic.Bool{},
 		cancel:   cancel,
 		timedOut: &atomic.Bool{},
 	}
@@ -184,6 +188,7 @@
 			x.sent.Store(true)
 			x.reused.Store(info.Reused)
 		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { x.written.Store(info.Err == nil) },
 	}
 	return httptrace.WithClientTrace(ctx, trace), x
 }
--- a/internal/client/service.go
+++ b/internal/client/service.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 
+	"github.com/juju/errors"
+
 	"github.com/baobabtally/baobabtally/internal/call"
+	"github.com/baobabtally/baobabtally/internal/whole"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 )
 
@@ -52,6 +54,10 @@
 	}, nil
 }
 
+// errUnsent means that an answer that neither a length nor chunks end came before the call
+// was sent. Its end can't be told from that of a service that failed.
+const errUnsent = errors.ConstError("the connection ended while the call was being sent: check the service")
+
 // serviceReply reads the response of a plain service.
 type serviceReply struct {
 	client  *Client
@@ -101,6 +107,9 @@
 		blocks = append(blocks, block.Bytes())
 		total += n
 		if n < blockBytes && total <= maxServiceBodyBytes {
+			if !whole.Framed(s.resp) && !s.x.written.Load() {
+				return chain.Chunk{}, 0, s.x.failure(errUnsent)
+			}
 			return chain.Chunk{
 				Data: bytes.Join(blocks, nil),
 				End:  true,
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -363,9 +363,9 @@
 	conn *Conn
 	// unframed is true if only the end of the connection ends the body.
 	unframed bool
-	guard *unackedGuard
-	ctx   context.Context
-	stop  func() bool
+	guard    *unackedGuard
+	ctx      context.Context
+	stop     func() bool
 	// complete is true if EOF was reached before the context ended.
 	complete bool
 }
