--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/internal/whole"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/policy"
 	"github.com/baobabtally/baobabtally/pkg/site"
@@ -33,6 +34,10 @@
 // endless.
 const errResponseTooLarge = errors.ConstError("the answer is over 8 MB: check who answers at this address")
 
+// errUnframed means that a response has neither a length nor chunks, one of which the
+// responses of all instances have, so that its end shows that it is whole.
+const errUnframed = errors.ConstError("the answer has neither a length nor chunks: check who answers at this address")
+
 // Client calls other instances. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
@@ -116,13 +121,13 @@
 	return &http.Client{
 		Transport: bearerTransport{
 			token: encodeToken(secret),
-			next: &http.Transport{
-				DialContext:         dialer.DialContext,
+			next: whole.Transport(&http.Transport{
+				DialContext:         whole.Dial(dialer.DialContext),
 				MaxIdleConnsPerHost: 2,
 				IdleConnTimeout:     10 * time.Second,
 				// The limit also applies to interim (1xx) responses.
 				MaxResponseHeaderBytes: maxHeaderBytes,
-			},
+			}),
 		},
 	}
 }
@@ -144,7 +149,7 @@
 // response.
 type bearerTransport struct {
 	token string
-	next  *http.Transport
+	next  http.RoundTripper
 }
 
 // RoundTrip sends a copy of r with the token.
@@ -152,18 +157,22 @@
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+b.token)
 	resp, err := b.next.RoundTrip(r)
-	if err == nil {
-		resp.Body = &limitedBody{
-			ReadCloser: resp.Body,
-			remaining:  maxResponseBytes,
-		}
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = &limitedBody{
+		ReadCloser: resp.Body,
+		framed:     whole.Framed(resp),
+		remaining:  maxResponseBytes,
 	}
-	return resp, err
+	return resp, nil
 }
 
-// limitedBody is a body that fails once more than remaining bytes were read.
+// limitedBody is a body that fails once more than remaining bytes were read, or at its end
+// if that is not framed.
 type limitedBody struct {
 	io.ReadCloser
+	framed    bool
 	remaining int64
 }
 
@@ -174,11 +183,18 @@
 	if b.remaining < 0 {
 		return n, errResponseTooLarge
 	}
+	if !b.framed && errors.Is(err, io.EOF) {
+		return n, errUnframed
+	}
 	return n, err
 }
 
 // CloseIdleConnections lets http.Client close the idle connections of next.
-func (b bearerTransport) CloseIdleConnections() { b.next.CloseIdleConnections() }
+func (b bearerTransport) CloseIdleConnections() {
+	if c, ok := b.next.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
 
 // encodeToken returns the bearer token of secret.
 func encodeToken(secret []byte) string { return hex.EncodeToString(secret) }
