plat: a reset or status 000 confirms no object

Cause: the object store took any status below 400 for success, and a reset answer without a length for one that ended.

--- /dev/null
+++ b/internal/plat/odd_test.go
@@ -0,0 +1,54 @@
+package plat_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabtally/baobabtally/internal/plat"
+)
+
+// answer answers the head of each request with response and resets the connection.
+func answer(t *testing.T, response string) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, response)
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+// A status that is none says nothing of an object, and an answer without a length that was
+// reset during an upload does not confirm it.
+func TestOddAnswerOfObjectStoreIsAnError(t *testing.T) {
+	for _, status := range []string{"000", "099", "999"} {
+		o := plat.NewObjectStore(answer(t, "HTTP/1.1 "+status+" x\r\nContent-Length: 2\r\n\r\n{}"))
+		_, err := o.Get(t.Context(), "k")
+		require.Error(t, err, status)
+		require.Error(t, o.Put(t.Context(), "k", []byte("x")), status)
+		o.Close()
+	}
+	target := answer(t, "HTTP/1.1 200 OK\r\n\r\npart")
+	for range 20 {
+		o := plat.NewObjectStore(target)
+		require.Error(t, o.Put(t.Context(), "k", make([]byte, 8<<20)))
+		o.Close()
+	}
+}
--- a/internal/plat/table.go
+++ b/internal/plat/table.go
@@ -16,6 +16,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/baobabtally/baobabtally/internal/whole"
 	"github.com/baobabtally/baobabtally/pkg/store"
 )
 
@@ -198,10 +199,10 @@
 		Timeout: dialTimeout,
 	}
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+		Transport: whole.Transport(&http.Transport{
+			DialContext:         whole.Dial(dialer.DialContext),
 			MaxIdleConnsPerHost: 8,
 			IdleConnTimeout:     10 * time.Second,
-		},
+		}),
 	}
 }
