--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -8,19 +8,20 @@
 const (
 	// restBytes and restShare are what a process needs without callers: a fixed part of
 	// the heap, and the part of the limit that its knowledge of the fleet may grow to.
-	restBytes = 16 << 20
-	restShare = 0.125
+	restBytes = 12 << 20
+	restShare = 1.0 / 16
 	// heldShare is the part of the remaining heap that may be held. The rest is garbage
 	// between two collections.
-	heldShare = 0.75
+	heldShare = 0.9
 	// minBudget lets a single request of the usual limit be served on any machine.
 	minBudget = 8 << 20
 	// Small is the size in bytes up to which an entry may use the reserve.
 	Small = 64 << 10
-	// reserveShare is the part of the ledger that is left to small entries, and
-	// ownerShare the part that the large entries of one owner may take together.
-	reserveShare = 0.25
-	ownerShare   = 0.5
+	// reserveShare is the part of the ledger that is left to small entries.
+	reserveShare = 0.15
+	// ownerFactor is how many times as much as remains free the large entries of one owner
+	// may take together: six sevenths if it is alone, six thirteenths if there are two.
+	ownerFactor = 6
 	// rateTime is the time over which the rate of freed bytes is averaged.
 	rateTime = 2 * time.Second
 	// minWait and maxWait bound the advised wait.
@@ -76,11 +77,12 @@
 		return false
 	case size <= Small:
 		return true
-	case float64(l.held) <= reserveShare*limit:
+	case float64(l.held) <= reserveShare*limit && owned == 0:
 		// A single large entry may take what nobody else uses.
-		return owned == 0 || float64(owned+size) <= ownerShare*limit
+		return true
 	}
-	return total <= (1-reserveShare)*limit && float64(owned+size) <= ownerShare*limit
+	free := (1-reserveShare)*limit - total
+	return free >= 0 && (owned == 0 || float64(owned+size) <= ownerFactor*free)
 }
 
 // WithHeld returns the ledger with n more bytes held.
