httpd: what a slow caller leaves unread is held, as far as the ledger has room

Cause: a caller that reads slowly holds back the engine, which cuts an answer that is left unread for some seconds.

The handler's return waits for its end.

Measured: TestUnreadResponseIsHeldForSlowCaller, 5 runs with -race; a handler without it waits for its caller.

--- a/internal/holds/holds.go
+++ b/internal/holds/holds.go
@@ -117,6 +117,13 @@
 	return 0, true
 }
 
+// Unlimited reports whether any number of bytes may be held.
+func (k *Keeper) Unlimited() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ledger.Limit() <= 0
+}
+
 // Add counts n bytes that are held already, and negative ones that no longer are.
 func (k *Keeper) Add(n int64) {
 	k.mu.Lock()
--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -92,6 +92,8 @@
 	id string
 	// hold is what the connection and its request hold.
 	hold hold
+	// tail is what the caller has not taken yet.
+	tail tail
 	// pace is how fast the caller sends and reads.
 	pace pace
 	// evicted is true once the connection was closed to make room for others.
@@ -204,6 +206,19 @@
 // Write writes to the connection. It logs a response whose end can't be written since the
 // server was closed.
 func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.writeTail(p)
+	if err != nil || n == len(p) {
+		return n, err
+	}
+	if err := c.awaitTail(); err != nil {
+		return n, err
+	}
+	rest, err := c.writeWaiting(p[n:])
+	return n + rest, err
+}
+
+// writeWaiting writes p and waits for a slow caller.
+func (c *conn) writeWaiting(p []byte) (int, error) {
 	total := 0
 	for {
 		c.beginWrite()
--- a/internal/httpd/cut.go
+++ b/internal/httpd/cut.go
@@ -169,6 +169,8 @@
 		}
 	}()
 	s.handler.ServeHTTP(out, r)
+	// A failure shows in the writes that follow.
+	_ = c.awaitTail()
 	c.markFinished()
 	c.takeRefused(out, r)
 }
--- a/internal/httpd/holds_test.go
+++ b/internal/httpd/holds_test.go
@@ -200,3 +200,69 @@
 	require.Equal(t, http.StatusServiceUnavailable, code)
 	require.Contains(t, body, "not_run")
 }
+
+// smallBuffers is a listener whose connections buffer little of what is written.
+type smallBuffers struct {
+	net.Listener
+}
+
+func (l smallBuffers) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(8 << 10)
+	}
+	return c, err
+}
+
+// What a slow caller leaves unread is held while the ledger has room, so that the engine
+// behind the response is not held up. The caller gets all of it.
+func TestUnreadResponseIsHeldForSlowCaller(t *testing.T) {
+	const parts, size = 150, 4 << 10
+	written := make(chan struct{})
+	keeper := holds.New(heldLimit)
+	s := httpd.New(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/long" {
+			return
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(parts*size))
+		for n := range parts {
+			_, _ = w.Write(bytes.Repeat([]byte{byte(n)}, size))
+			_ = http.NewResponseController(w).Flush()
+		}
+		close(written)
+	}), httpd.WithHolds(keeper))
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		_ = s.Serve(smallBuffers{
+			Listener: l,
+		})
+	}()
+	defer func() { _ = s.Close() }()
+	c, r := dial(t, l.Addr().String())
+	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(4<<10))
+	_, err = io.WriteString(c, "GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	select {
+	case <-written:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the handler waits for its caller")
+	}
+	held, _, _ := keeper.Held()
+	require.Greater(t, held, int64(parts*size/2), "what is held counts")
+	code, body := status(t, r)
+	require.Equal(t, http.StatusOK, code)
+	require.Len(t, body, parts*size)
+	for n := range parts {
+		require.Equal(t, strings.Repeat(string([]byte{byte(n)}), size), body[n*size:(n+1)*size])
+	}
+	_, err = io.WriteString(c, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	code, _ = status(t, r)
+	require.Equal(t, http.StatusOK, code)
+	_ = c.Close()
+	require.Eventually(t, func() bool {
+		held, _, _ := keeper.Held()
+		return held == 0
+	}, 5*time.Second, 10*time.Millisecond, "all must be set free")
+}
