--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/baobabtally/baobabtally/internal/call"
+	"github.com/baobabtally/baobabtally/internal/whole"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 )
 
@@ -38,6 +39,9 @@
 	// machine.
 	maxHeldBytes = 12 << 20
 	blockBytes   = 64 << 10
+	// blockCopies is how often a block is held: as it was read, and as a part of the
+	// answer.
+	blockCopies = 2
 
 	headerRequestID      = "X-Request-Id"
 	headerLastEventID    = "Last-Event-Id"
@@ -52,12 +56,34 @@
 	firstChunkTimeout time.Duration
 	chunkTimeout      time.Duration
 	// held is how many bytes the answers of plain services hold beyond their first blocks.
-	held atomic.Int64
+	held  atomic.Int64
+	holds holder
 }
 
 // Option configures a Client.
 type Option func(*Client)
 
+// holder keeps a ledger of bytes.
+type holder interface {
+	// Hold holds bytes for owner. If they don't fit, it returns false and after what time
+	// they may.
+	Hold(owner string, n int64) (time.Duration, bool)
+	// Free ends what Hold began.
+	Free(owner string, n int64)
+}
+
+// noLedger holds any number of bytes.
+type noLedger struct{}
+
+// Hold does nothing.
+func (noLedger) Hold(string, int64) (time.Duration, bool) { return 0, true }
+
+// Free does nothing.
+func (noLedger) Free(string, int64) {}
+
+// WithHolds counts the answers of plain services in the ledger of h.
+func WithHolds(h holder) Option { return func(c *Client) { c.holds = h } }
+
 // WithFirstChunkTimeout sets the timeout for the first chunk of a response.
 func WithFirstChunkTimeout(d time.Duration) Option {
 	return func(c *Client) { c.firstChunkTimeout = d }
@@ -79,6 +105,7 @@
 		},
 		firstChunkTimeout: defaultFirstChunkTimeout,
 		chunkTimeout:      defaultChunkTimeout,
+		holds:             noLedger{},
 	}
 	for _, o := range opts {
 		o(c)
@@ -103,13 +130,13 @@
 	return c.openStream(ctx, a)
 }
 
-func newTransport(disableKeepAlives bool) *http.Transport {
-	dialer := &net.Dialer{
+func newTransport(disableKeepAlives bool) http.RoundTripper {
+	dial := whole.Dial((&net.Dialer{
 		Timeout: dialTimeout,
-	}
-	return &http.Transport{
+	}).DialContext)
+	return whole.Transport(&http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			nc, err := dialer.DialContext(ctx, network, addr)
+			nc, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
@@ -123,7 +150,7 @@
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	})
 }
 
 // exchange is one HTTP request whose watchdog cancels it when no data arrives.
@@ -131,6 +158,8 @@
 	// sent is set once the request has a connection, because bytes may be sent
 	// from then on.
 	sent *atomic.Bool
+	// written is set once the request was written whole.
+	written *atomic.Bool
 	// reused is set if that connection has served another request before.
 	reused   *atomic.Bool
 	cancel   context.CancelFunc
@@ -146,6 +175,7 @@
 	x := exchange{
 		sent:     &atomic.Bool{},
 		reused:   &atomic.Bool{},
+		written:  &atomic.Bool{},
 		cancel:   cancel,
 		timedOut: &atomic.Bool{},
 	}
@@ -158,6 +188,7 @@
 			x.sent.Store(true)
 			x.reused.Store(info.Reused)
 		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { x.written.Store(info.Err == nil) },
 	}
 	return httptrace.WithClientTrace(ctx, trace), x
 }
--- a/internal/client/service.go
+++ b/internal/client/service.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 
+	"github.com/juju/errors"
+
 	"github.com/baobabtally/baobabtally/internal/call"
+	"github.com/baobabtally/baobabtally/internal/whole"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 )
 
@@ -52,6 +54,10 @@
 	}, nil
 }
 
+// errUnsent means that an answer that neither a length nor chunks end came before the call
+// was sent. Its end can't be told from that of a service that failed.
+const errUnsent = errors.ConstError("the connection ended while the call was being sent: check the service")
+
 // serviceReply reads the response of a plain service.
 type serviceReply struct {
 	client  *Client
@@ -79,7 +85,9 @@
 func (s *serviceReply) Close() {
 	s.x.close(s.resp.Body)
 	s.client.held.Add(-s.reserved)
-	s.reserved = 0
+	for ; s.reserved > 0; s.reserved -= blockBytes {
+		s.client.holds.Free("", blockCopies*blockBytes)
+	}
 }
 
 // Next returns the complete body as one chunk. It reads it in blocks, since a buffer that
@@ -99,6 +107,9 @@
 		blocks = append(blocks, block.Bytes())
 		total += n
 		if n < blockBytes && total <= maxServiceBodyBytes {
+			if !whole.Framed(s.resp) && !s.x.written.Load() {
+				return chain.Chunk{}, 0, s.x.failure(errUnsent)
+			}
 			return chain.Chunk{
 				Data: bytes.Join(blocks, nil),
 				End:  true,
@@ -128,6 +139,10 @@
 		s.client.held.Add(-blockBytes)
 		return errors.New("too many long answers are being read: send the request again later")
 	}
+	if _, ok := s.client.holds.Hold("", blockCopies*blockBytes); !ok {
+		s.client.held.Add(-blockBytes)
+		return errors.New("the instance holds too many bytes for callers: send the request again later")
+	}
 	s.reserved += blockBytes
 	return nil
 }
