--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -6,6 +6,7 @@
 	"github.com/baobabtally/baobabtally/internal/ctrl"
 	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/allot"
 	"github.com/baobabtally/baobabtally/pkg/site"
 )
 
@@ -17,16 +18,35 @@
 	Tell(ctx context.Context, e state.Event) error
 }
 
+// granter grants credit of teams' allotments.
+type granter interface {
+	Grant(a allot.Ask) allot.Answer
+}
+
 // Server implements rpcapi.Peer, the API for other instances.
 type Server struct {
 	loop loop
+	// granter is nil if the instance divides no allotments.
+	granter granter
+}
+
+// Option configures a Server.
+type Option func(*Server)
+
+// WithGranter has g answer asks for credit.
+func WithGranter(g granter) Option {
+	return func(s *Server) { s.granter = g }
 }
 
 // NewServer returns a server for the control thread l.
-func NewServer(l loop) Server {
-	return Server{
+func NewServer(l loop, opts ...Option) Server {
+	s := Server{
 		loop: l,
 	}
+	for _, o := range opts {
+		o(&s)
+	}
+	return s
 }
 
 // Beat posts a peer's heartbeat to the control thread and returns this instance's
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/baobabtally/baobabtally/internal/peer"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/internal/watch"
+	"github.com/baobabtally/baobabtally/pkg/allot"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/grace"
 	"github.com/baobabtally/baobabtally/pkg/lease"
@@ -105,6 +106,8 @@
 	SendHeartbeat(ctx context.Context, to member.Node, p state.Heartbeat) (state.Heartbeat, error)
 	Site(ctx context.Context, from member.Node) (site.Site, error)
 	RegistrySnapshot(ctx context.Context, from member.Node) (state.RegistrySnapshot, error)
+	// Grant asks a peer for credit of teams' allotments.
+	Grant(ctx context.Context, to member.Node, a allot.Ask) (allot.Answer, error)
 }
 
 // endpoints calls endpoints.
@@ -184,6 +187,8 @@
 	RetryShare float64
 	RetryExtra float64
 	RetrySpan  time.Duration
+	// Allot is what is tolerated beyond the allotments of teams.
+	Allot allot.Bounds
 }
 
 // Relay is an instance that forwards requests according to routes. Its
@@ -198,6 +203,7 @@
 
 	parts     Parts
 	gate      *gate
+	allotter  *allotter
 	operators *watch.Table
 	registry  *watch.Table
 	done      chan struct{}
@@ -220,6 +226,7 @@
 		ctrl.WithControllers(ctrl.Forwarding()...))
 	exec.loop = loop
 	gate := newGate(loop, p.Now, p.Log, p.Meter)
+	allotter := newAllotter(loop, p)
 	operators, registry := p.Decoder.Tables()
 	hedging := watch.WithHedging(func() time.Duration { return hedgeIntervalOf(len(loop.View().Routing.Peers)) })
 	newSink := func(table string) controlSink {
@@ -239,10 +246,11 @@
 	exec.tables = []*watch.Table{operatorsTable, registryTable}
 	return &Relay{
 		Loop:      loop,
-		Handler:   exec.chain(gate),
-		Peer:      peer.NewServer(loop),
+		Handler:   exec.chain(allotter, gate),
+		Peer:      peer.NewServer(loop, peer.WithGranter(allotter)),
 		parts:     p,
 		gate:      gate,
+		allotter:  allotter,
 		operators: operatorsTable,
 		registry:  registryTable,
 		done:      make(chan struct{}),
@@ -286,7 +294,7 @@
 }
 
 // chain builds the filter chain.
-func (x *executor) chain(g *gate) chain.Handler {
+func (x *executor) chain(a *allotter, g *gate) chain.Handler {
 	p := x.parts
 	return chain.Build(
 		newForwarder(x, p),
@@ -306,6 +314,7 @@
 			view: x.loop,
 		},
 		filter.NewAccount(x.tally, p.Meter),
+		a,
 		g,
 	)
 }
@@ -329,7 +338,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group run.Group
-	for _, actor := range []func(context.Context) error{i.Loop.Run, i.operators.Run, i.registry.Run, i.join, i.gate.run} {
+	for _, actor := range []func(context.Context) error{i.Loop.Run, i.operators.Run, i.registry.Run, i.join, i.gate.run, i.allotter.run} {
 		group.Add(func() error {
 			err := actor(ctx)
 			if err == nil {
--- a/pkg/allot/doc.go
+++ b/pkg/allot/doc.go
@@ -12,7 +12,7 @@
 //
 //	receipt, ok := w.Take(team, limit, cost, now)
 //	...
-//	g, answer := g.WithAsk(w.Ask("n1", now), limits, now)
+//	g, answer := g.WithAsk(w.Ask("n1", true, now), limits, now)
 //	w.Answered("n1", answer, now)
 //
 // Nothing here starts a goroutine, reads a clock or sends a message. Times are those of a
--- a/pkg/allot/fleet_test.go
+++ b/pkg/allot/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,9 +23,9 @@
 	wallet  *Wallet
 	grantor Grantor
 	boots   int
-	// asksTo is the instance that this one takes for the grantor, and asked when the ask
+	// holder is the instance that this one takes for the grantor, and asked when the ask
 	// in flight was sent; zero if there is none.
-	asksTo   int
+	holder   int
 	asked    time.Time
 	cutUntil time.Time
 	// deafUntil is until when answers to this instance are lost.
@@ -101,7 +102,7 @@
 				continue
 			}
 			if !f.now.Before(f.told) {
-				in.asksTo = f.holder
+				in.holder = f.holder
 			}
 			for cost, ok := arrivals(i); ok; cost, ok = arrivals(i) {
 				f.request(in, cost)
@@ -135,11 +136,13 @@
 	if !in.asked.IsZero() || f.now.Before(in.wallet.NextAsk()) {
 		return
 	}
-	a := in.wallet.Ask(f.instances[in.asksTo].name, f.now)
+	name, stay := in.wallet.Target(f.instances[in.holder].name, f.now)
+	a := in.wallet.Ask(name, stay, f.now)
+	to := slices.IndexFunc(f.instances, func(in *instance) bool { return in.name == name })
 	in.asked, in.listed = f.now, in.waiting > 0
 	f.send(message{
 		from: i,
-		to:   in.asksTo,
+		to:   to,
 		boot: in.boots,
 		ask:  &a,
 	})
--- a/pkg/allot/touch.go
+++ b/pkg/allot/touch.go
@@ -53,9 +53,10 @@
 	return t.session != "" && t.answered && t.grantor == to && !t.Alone(now)
 }
 
-// WithSent returns the contact after an ask was sent at now.
-func (t Touch) WithSent(to string, now time.Time) Touch {
-	if t.Renews(to, now) {
+// WithSent returns the contact after an ask was sent at now, which renews the contact or
+// not.
+func (t Touch) WithSent(renewing bool, now time.Time) Touch {
+	if renewing {
 		t.until = now.Add(Hold + holdMargin)
 	}
 	t.answered = false
--- a/pkg/allot/wallet.go
+++ b/pkg/allot/wallet.go
@@ -182,17 +182,33 @@
 	return w.sent.Add(keepInterval)
 }
 
-// Ask returns the ask to send to the instance to at now.
-func (w *Wallet) Ask(to string, now time.Time) Ask {
+// Target returns the instance to ask at now, and whether the instance stays with it or joins
+// it. Holder is the one that the fleet takes for the grantor; empty if none is known. The
+// grantor before it is asked for what it has as long as it counts this instance.
+func (w *Wallet) Target(holder string, now time.Time) (string, bool) {
+	joined := w.touch.Grantor()
+	switch {
+	case holder == "":
+		return joined, true
+	case joined != "" && !w.failed && !w.touch.Alone(now):
+		return joined, joined == holder
+	}
+	return holder, true
+}
+
+// Ask returns the ask to send to the instance to at now. It renews the contact only if the
+// instance is to stay.
+func (w *Wallet) Ask(to string, stay bool, now time.Time) Ask {
+	renewing := stay && w.touch.Renews(to, now)
 	ask := Ask{
 		From:      w.name,
 		Instances: w.divisor(),
-		Renew:     w.touch.Renews(to, now),
+		Renew:     renewing,
 		Session:   w.touch.session,
 		Hold:      Hold,
 		Teams:     map[string]Demand{},
 	}
-	w.touch = w.touch.WithSent(to, now)
+	w.touch = w.touch.WithSent(renewing, now)
 	w.sent = now
 	w.needy, w.low = false, false
 	for team, a := range w.accounts {
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -173,6 +173,8 @@
 	// Invariant: never modified.
 	teams map[string]Team
 	keys  map[string]string
+	// limited reports whether any team has an allotment.
+	limited bool
 }
 
 // Option configures a Site.
@@ -204,6 +206,7 @@
 	return func(s *Site) {
 		for _, t := range teams {
 			s.teams[t.Name] = t
+			s.limited = s.limited || t.Limit.Limited()
 			for _, k := range t.Keys {
 				s.keys[k] = t.Name
 			}
@@ -294,3 +297,9 @@
 	name, ok := s.keys[key]
 	return s.teams[name], ok
 }
+
+// Limited reports whether any team has an allotment.
+func (s Site) Limited() bool { return s.limited }
+
+// Limit returns the allotment of the named team.
+func (s Site) Limit(team string) allot.Limit { return s.teams[team].Limit }
