--- a/pkg/allot/grantor.go
+++ b/pkg/allot/grantor.go
@@ -79,9 +79,10 @@
 
 // pool is the bucket of one team.
 type pool struct {
-	// level is the credit, and accrued the reading of Grantor.accrual to which it includes
-	// what accrues.
+	// level is the credit at the team's rate, steady that at the steady rate, and accrued
+	// the reading of Grantor.accrual up to which they include what accrues.
 	level   float64
+	steady  float64
 	accrued float64
 	// due is when the request that was refused last is told to come back.
 	due time.Time
@@ -94,7 +95,8 @@
 	bounds Bounds
 	// resets counts the pauses after which everything was forgotten.
 	resets int
-	// asked is when the last ask came.
+	// began is when the first ask came, and asked when the last one did.
+	began time.Time
 	asked time.Time
 	// accrual is the time for which the whole rate would have accrued so far: each instance in
 	// touch contributes its part. In seconds.
@@ -128,7 +130,7 @@
 // Level returns the credit of a team, in units, as of its last ask.
 func (g Grantor) Level(team string) float64 {
 	p, _ := g.pools.Get(team)
-	return p.level
+	return max(p.level, p.steady)
 }
 
 // WithAsk returns the grantor after a, and the answer. Known is the number of instances
@@ -163,9 +165,12 @@
 	if !g.asked.IsZero() && pause > pauseThreshold {
 		next := NewGrantor(g.id, g.bounds)
 		next.resets = g.resets + 1
-		next.asked = now
+		next.began, next.asked = now, now
 		return next
 	}
+	if g.began.IsZero() {
+		g.began = now
+	}
 	if !g.asked.IsZero() && pause > 0 {
 		g.accrual += g.share * pause.Seconds()
 	}
@@ -202,49 +207,75 @@
 func (g Grantor) withDemand(team string, d Demand, p Plan, now time.Time) (Grantor, Grant) {
 	// The bucket of a team that was not asked for yet has accrued since the session began.
 	b, _ := g.pools.Get(team)
-	b.level += p.Rate * (g.accrual - b.accrued)
-	b.accrued = g.accrual
-	// A limit that was lowered binds at once, also for what was saved up or owed before.
-	full := p.Cap * g.share
-	b.level = max(min(b.level, full), -p.Deficit)
+	b = b.accrue(p, g.accrual, g.share)
+	usesSteady := now.Sub(g.began) >= p.Window+p.Life
 	grant := Grant{
 		Life: p.Life,
 	}
 	give := func(amount float64) {
 		b.level -= amount
+		b.steady -= amount
 		grant.Amount += amount
 	}
-	give(min(max(d.Debt, 0), max(b.level, 0)))
+	give(min(max(d.Debt, 0), max(b.credit(usesSteady), 0)))
 	refused := max(d.Refused, 0)
 	for _, need := range d.Needs {
+		credit := b.credit(usesSteady)
 		switch {
 		case need <= 0:
-		case b.level > 0 && b.level+p.Deficit >= need:
+		case credit > 0 && credit+p.Deficit >= need:
 			give(need)
 		default:
 			grant.Short = true
 			refused += need
 		}
 	}
-	if spare := b.level - reserveLevel*full; spare > 0 {
+	if spare := b.level - reserveLevel*p.Cap*g.share; spare > 0 {
 		give(min(max(d.Want, 0), spare))
 	}
-	b.due = dueAfter(b, refused, p.Rate*g.share, now)
+	rate := p.Rate
+	if usesSteady {
+		rate = max(rate, p.Steady)
+	}
+	b.due = dueAfter(b.due, -b.credit(usesSteady), refused, rate*g.share, now)
 	grant.Wait = max(b.due.Sub(now), 0)
 	g.pools = g.pools.Set(team, b)
 	return g, grant
 }
 
+// accrue returns the pool with what accrued until the given reading of Grantor.accrual,
+// while the given share of the instances is in touch. A limit that was lowered binds at
+// once, also for what was saved up or used before.
+func (b pool) accrue(p Plan, accrual, share float64) pool {
+	passed := accrual - b.accrued
+	b.accrued = accrual
+	b.level = min(b.level+p.Rate*passed, p.Cap*share)
+	b.steady = min(b.steady+p.Steady*passed, p.SteadyCap*share)
+	// Neither falls so low by itself that the limits below matter within one window.
+	b.level = max(b.level, -p.Deficit-p.Steady*p.Window.Seconds())
+	b.steady = max(b.steady, -p.Deficit-p.Cap)
+	return b
+}
+
+// credit returns what the pool holds in one of its buckets.
+func (b pool) credit(usesSteady bool) float64 {
+	if usesSteady {
+		return max(b.level, b.steady)
+	}
+	return b.level
+}
+
 // dueAfter returns when the last of the requests that were refused has credit, after
-// requests of the given cost were refused at now. Credit accrues at rate.
-func dueAfter(b pool, refused, rate float64, now time.Time) time.Time {
+// requests of the given cost were refused at now. Before is when the one before them has
+// it, and lacking is how much credit is missing. It accrues at rate.
+func dueAfter(before time.Time, lacking, refused, rate float64, now time.Time) time.Time {
 	latest := now.Add(maxWait)
 	if rate <= 0 {
 		return latest
 	}
-	due := now.Add(seconds(-b.level / rate))
-	if b.due.After(due) {
-		due = b.due
+	due := now.Add(seconds(lacking / rate))
+	if before.After(due) {
+		due = before
 	}
 	due = due.Add(seconds(refused / rate))
 	if due.After(latest) {
--- a/pkg/allot/plan.go
+++ b/pkg/allot/plan.go
@@ -3,18 +3,18 @@
 import "time"
 
 const (
-	// minLife and maxLife bound the time for which granted credit is valid. A shorter
-	// one would expire before it is used, a longer one idle at instances without traffic.
-	minLife = 200 * time.Millisecond
-	maxLife = 600 * time.Millisecond
-	// lifeShare, deficitShare and overdraftShare divide what the platform tolerates:
-	// credit that is spent late, the grantor's deficit, and the overdrafts of all
-	// instances. Their sum stays below 1.
-	lifeShare      = 0.4
-	deficitShare   = 0.125
-	overdraftShare = 0.45
-	// minCapTime is the time of accrual that a bucket holds at least.
-	minCapTime = 0.25
+	// life is how long granted credit is valid. Requests wait for most of it, so that it is
+	// used at once.
+	life = 200 * time.Millisecond
+	// The shares of the overage and of the slack that are kept for the overdrafts of all
+	// instances and for the grantor's deficit. The slack does not grow with the rate, and
+	// lets small teams have a request at an instance that is out of touch.
+	overdraftOverage = 0.1
+	overdraftSlack   = 0.6
+	deficitOverage   = 0.05
+	deficitSlack     = 0.1
+	// steadyCapTime is the time of accrual that the bucket of the steady rate holds.
+	steadyCapTime = 0.1
 )
 
 // Bounds is what the platform tolerates beyond an allotment: in each span of length Window
@@ -30,10 +30,19 @@
 
 // Plan is how an allotment is divided. Amounts are in units.
 type Plan struct {
-	// Rate is what accrues a second over all instances, and Cap the most that is saved up.
+	// Rate is what accrues a second over all instances, and Cap the most that is saved up:
+	// the burst and what the platform tolerates beyond it.
 	Rate float64
 	Cap  float64
-	// Deficit is how far the grantor's bucket may fall below zero, so that large
+	// Steady is the rate of use at which each window holds as much as the platform
+	// tolerates, and SteadyCap what the bucket of that rate holds. A request needs credit
+	// in one of the two buckets and is taken from both.
+	Steady    float64
+	SteadyCap float64
+	// Window is how long a grantor that knows nothing of the use before it has to leave
+	// the steady rate alone.
+	Window time.Duration
+	// Deficit is how far the grantor's buckets may fall below zero, so that large
 	// requests are granted as often as small ones.
 	Deficit float64
 	// Overdraft is what one instance may admit before it has credit.
@@ -45,21 +54,27 @@
 // Plan divides l among the given number of instances, so that what they admit in any
 // window stays within b.
 func (b Bounds) Plan(l Limit, instances int) Plan {
-	n := float64(max(instances, 1))
 	window := b.Window.Seconds()
-	allotted := l.Rate*window + l.Burst
-	room := b.Overage*allotted + b.Slack
+	overage := b.Overage * (l.Rate*window + l.Burst)
+	overdrafts := overdraftOverage*overage + overdraftSlack*b.Slack
 	p := Plan{
 		Rate:      l.Rate,
-		Cap:       max(l.Burst, minCapTime*l.Rate),
-		Deficit:   deficitShare * room,
-		Overdraft: overdraftShare * room / n,
-		Life:      min(max(seconds(lifeShare*room/l.Rate), minLife), maxLife),
+		Cap:       l.Burst,
+		Window:    b.Window,
+		Deficit:   deficitOverage*overage + deficitSlack*b.Slack,
+		Overdraft: overdrafts / float64(max(instances, 1)),
+		Life:      life,
 	}
-	if window > 0 {
-		left := allotted + room - p.Cap - p.Deficit - n*p.Overdraft
-		p.Rate = min(p.Rate, max(left, 0)/(window+p.Life.Seconds()))
+	if window <= 0 {
+		return p
 	}
+	// What is granted in a window may be used until the end of its life.
+	span := window + p.Life.Seconds()
+	most := l.Rate*window + l.Burst + overage + b.Slack - overdrafts - p.Deficit
+	p.Cap = max(l.Burst, most-l.Rate*span)
+	p.Rate = min(l.Rate, max(most-p.Cap, 0)/span)
+	p.SteadyCap = min(p.Cap, steadyCapTime*l.Rate)
+	p.Steady = max(most-p.SteadyCap, 0) / span
 	return p
 }
 
--- a/pkg/allot/purse.go
+++ b/pkg/allot/purse.go
@@ -67,7 +67,7 @@
 	}
 	next := p.WithoutExpired(now)
 	paid := Receipt{
-		expires: now.Add(maxLife),
+		expires: now.Add(life),
 	}
 	rest := cost
 	for i := range next.pieces[:next.count] {
--- a/pkg/allot/wallet.go
+++ b/pkg/allot/wallet.go
@@ -250,7 +250,7 @@
 		if !ok {
 			continue
 		}
-		if expires := w.sent.Add(min(grant.Life, maxLife)); grant.Amount > 0 && now.Before(expires) && !w.sent.Before(a.changed) {
+		if expires := w.sent.Add(min(grant.Life, life)); grant.Amount > 0 && now.Before(expires) && !w.sent.Before(a.changed) {
 			a.purse = a.purse.WithGrant(grant.Amount, expires)
 		}
 		a.wait, a.heard = grant.Wait, now
