--- a/internal/relay/allot.go
+++ b/internal/relay/allot.go
@@ -117,7 +117,7 @@
 		if ok {
 			return paid, nil
 		}
-		return paid, a.refuse(r, cost)
+		return paid, a.refuse(r, limit, cost)
 	}
 	answered := a.answered
 	a.expedite()
@@ -135,7 +135,7 @@
 	if paid, ok = a.wallet.Take(r.Team, limit, cost, a.now()); ok {
 		return paid, nil
 	}
-	return paid, a.refuse(r, cost)
+	return paid, a.refuse(r, limit, cost)
 }
 
 // expedite wakes run if an ask is due before run would send it. The caller holds mu.
@@ -150,12 +150,12 @@
 }
 
 // refuse returns the refusal of r. The caller holds mu.
-func (a *allotter) refuse(r chain.Request, cost float64) error {
+func (a *allotter) refuse(r chain.Request, limit allot.Limit, cost float64) error {
 	//nolint:gosec // The spread of refusals needs no secrecy.
 	wait := a.wallet.Refuse(r.Team, cost, rand.Float64(), a.now())
 	a.meter.Refused("allotment")
 	a.log.Warn().Str("event", "refuse").Str("request", r.ID).Str("team", r.Team).Str("route", r.Route.Name).
-		Str("reason", "allotment").Float64("cost", cost).Stringer("wait", wait.Round(time.Millisecond)).
+		Str("reason", "allotment").Float64("cost", cost).Float64("rate", limit.Rate).Stringer("wait", wait.Round(time.Millisecond)).
 		Bool("alone", a.alone).Send()
 	return fault.New(fault.Limited, "team %s has used up its allotment: come back later or send less", r.Team).WithRetry(wait)
 }
@@ -257,7 +257,7 @@
 	s := a.view.View()
 	a.grantorMu.Lock()
 	defer a.grantorMu.Unlock()
-	next, answer := a.grantor.WithAsk(ask, len(s.Routing.Peers)+1, s.Routing.Site.Limit, a.now())
+	next, answer := a.grantor.WithAsk(ask, listedInstances(s), s.Routing.Site.Limit, a.now())
 	a.grantor = next
 	return answer
 }
@@ -278,5 +278,17 @@
 	if s.Routing.PeerHeardAt.IsZero() && holderName(s) != s.Self.Name {
 		return 0
 	}
-	return len(s.Routing.Peers) + 1
+	return listedInstances(s)
+}
+
+// listedInstances returns the number of instances in the platform's list, this one
+// included. Seeds, whose names are their addresses, are listed by their names as well.
+func listedInstances(s *state.State) int {
+	n := 1
+	for _, p := range s.Routing.Peers {
+		if p.Name != p.Addr {
+			n++
+		}
+	}
+	return n
 }
--- a/pkg/allot/grantor.go
+++ b/pkg/allot/grantor.go
@@ -77,17 +77,6 @@
 	instances int
 }
 
-// pool is the bucket of one team.
-type pool struct {
-	// level is the credit at the team's rate, steady that at the steady rate, and accrued
-	// the reading of Grantor.accrual up to which they include what accrues.
-	level   float64
-	steady  float64
-	accrued float64
-	// due is when the request that was refused last is told to come back.
-	due time.Time
-}
-
 // Grantor holds the buckets of all teams. It starts with nobody in touch and no credit.
 // The zero value is not usable; see NewGrantor. It is immutable.
 type Grantor struct {
@@ -207,20 +196,19 @@
 func (g Grantor) withDemand(team string, d Demand, p Plan, now time.Time) (Grantor, Grant) {
 	// The bucket of a team that was not asked for yet has accrued since the session began.
 	b, _ := g.pools.Get(team)
-	b = b.accrue(p, g.accrual, g.share)
-	usesSteady := now.Sub(g.began) >= p.Window+p.Life
+	b = b.accrue(p, g.began, now, g.accrual, g.share)
+	wide := p.Window > 0 && now.Sub(g.began) >= p.Window+p.Life
 	grant := Grant{
 		Life: p.Life,
 	}
 	give := func(amount float64) {
-		b.level -= amount
-		b.steady -= amount
+		b = b.withGrant(amount)
 		grant.Amount += amount
 	}
-	give(min(max(d.Debt, 0), max(b.credit(usesSteady), 0)))
+	give(min(max(d.Debt, 0), max(b.credit(p, wide), 0)))
 	refused := max(d.Refused, 0)
 	for _, need := range d.Needs {
-		credit := b.credit(usesSteady)
+		credit := b.credit(p, wide)
 		switch {
 		case need <= 0:
 		case credit > 0 && credit+p.Deficit >= need:
@@ -234,37 +222,15 @@
 		give(min(max(d.Want, 0), spare))
 	}
 	rate := p.Rate
-	if usesSteady {
+	if wide {
 		rate = max(rate, p.Steady)
 	}
-	b.due = dueAfter(b.due, -b.credit(usesSteady), refused, rate*g.share, now)
+	b.due = dueAfter(b.due, -b.credit(p, wide), refused, rate*g.share, now)
 	grant.Wait = max(b.due.Sub(now), 0)
 	g.pools = g.pools.Set(team, b)
 	return g, grant
 }
 
-// accrue returns the pool with what accrued until the given reading of Grantor.accrual,
-// while the given share of the instances is in touch. A limit that was lowered binds at
-// once, also for what was saved up or used before.
-func (b pool) accrue(p Plan, accrual, share float64) pool {
-	passed := accrual - b.accrued
-	b.accrued = accrual
-	b.level = min(b.level+p.Rate*passed, p.Cap*share)
-	b.steady = min(b.steady+p.Steady*passed, p.SteadyCap*share)
-	// Neither falls so low by itself that the limits below matter within one window.
-	b.level = max(b.level, -p.Deficit-p.Steady*p.Window.Seconds())
-	b.steady = max(b.steady, -p.Deficit-p.Cap)
-	return b
-}
-
-// credit returns what the pool holds in one of its buckets.
-func (b pool) credit(usesSteady bool) float64 {
-	if usesSteady {
-		return max(b.level, b.steady)
-	}
-	return b.level
-}
-
 // dueAfter returns when the last of the requests that were refused has credit, after
 // requests of the given cost were refused at now. Before is when the one before them has
 // it, and lacking is how much credit is missing. It accrues at rate.
--- a/pkg/allot/plan.go
+++ b/pkg/allot/plan.go
@@ -9,7 +9,7 @@
 	// The shares of the overage and of the slack that are kept for the overdrafts of all
 	// instances and for the grantor's deficit. The slack does not grow with the rate, and
 	// lets small teams have a request at an instance that is out of touch.
-	overdraftOverage = 0.1
+	overdraftOverage = 0.05
 	overdraftSlack   = 0.6
 	deficitOverage   = 0.05
 	deficitSlack     = 0.1
@@ -39,8 +39,10 @@
 	// in one of the two buckets and is taken from both.
 	Steady    float64
 	SteadyCap float64
+	// Most is what may be granted in a window and the life of a grant.
+	Most float64
 	// Window is how long a grantor that knows nothing of the use before it has to leave
-	// the steady rate alone.
+	// the steady rate and the rest of the window alone.
 	Window time.Duration
 	// Deficit is how far the grantor's buckets may fall below zero, so that large
 	// requests are granted as often as small ones.
@@ -71,6 +73,7 @@
 	// What is granted in a window may be used until the end of its life.
 	span := window + p.Life.Seconds()
 	most := l.Rate*window + l.Burst + overage + b.Slack - overdrafts - p.Deficit
+	p.Most = max(most, 0)
 	p.Cap = max(l.Burst, most-l.Rate*span)
 	p.Rate = min(l.Rate, max(most-p.Cap, 0)/span)
 	p.SteadyCap = min(p.Cap, steadyCapTime*l.Rate)
--- /dev/null
+++ b/pkg/allot/pool.go
@@ -0,0 +1,101 @@
+package allot
+
+import "time"
+
+const (
+	// slots is the number of intervals into which a window of use is divided.
+	slots = 64
+	// spreadTime is the time over which what is left of a window is given out, so that a
+	// team that asks for more does not use it all at once.
+	spreadTime = 2 * time.Second
+	// farFall is the share of its former rate below which a limit counts as having fallen
+	// far: what was used under it before does not delay its own.
+	farFall = 0.5
+)
+
+// pool is the grantor's bucket of one team. A request needs credit in one of three parts,
+// each of which alone keeps every window within what the plan allows: it accrues at the
+// team's rate, at the steady rate, or is left of the last window. It is taken from all of
+// them. The zero value is empty. It is immutable.
+type pool struct {
+	// level is the credit at the team's rate, and steady that at the steady rate.
+	level  float64
+	steady float64
+	// left is what may be given out of the rest of the window.
+	left float64
+	// rate is the team's rate as of at, when the pool last accrued, and accrued the
+	// reading of Grantor.accrual then.
+	rate    float64
+	at      time.Time
+	accrued float64
+	// used holds what was granted, and what may have accrued at instances out of touch, by
+	// interval; slot is the number of the last interval, and sum the sum of all. Invariant:
+	// the interval n is at n modulo the length.
+	used [slots + 1]float64
+	slot int64
+	sum  float64
+	// due is when the request that was refused last is told to come back.
+	due time.Time
+}
+
+// at returns the pool with what accrued until now in a session that began at began.
+// Accrual is the grantor's reading, and share the part of the instances that is in touch.
+func (b pool) accrue(p Plan, began, now time.Time, accrual, share float64) pool {
+	if b.rate > 0 && p.Rate < farFall*b.rate {
+		b.level = max(b.level, -p.Deficit)
+		b.steady = max(b.steady, -p.Deficit)
+	}
+	since := began
+	if !b.at.IsZero() {
+		since = b.at
+	}
+	b = b.advance(p, now.Sub(began))
+	passed := accrual - b.accrued
+	b.record(p.Rate * max(now.Sub(since).Seconds()-passed, 0))
+	b.rate, b.at, b.accrued = p.Rate, now, accrual
+	// No window holds more than most, so that neither part falls lower by itself.
+	most := p.Deficit + p.Most
+	b.level = max(min(b.level+p.Rate*passed, p.Cap*share), -most)
+	b.steady = max(min(b.steady+p.Steady*passed, p.SteadyCap*share), -most)
+	b.left = max(min(b.left+max(p.Most-b.sum, 0)*passed/spreadTime.Seconds(), p.SteadyCap*share), -p.Deficit)
+	return b
+}
+
+// advance returns the pool with the intervals up to the given time since the session began.
+func (b pool) advance(p Plan, since time.Duration) pool {
+	length := (p.Window + p.Life) / slots
+	if length <= 0 {
+		return b
+	}
+	slot := int64(since / length)
+	for n := max(b.slot+1, slot-slots); n <= slot; n++ {
+		at := &b.used[n%(slots+1)]
+		b.sum = max(b.sum-*at, 0)
+		*at = 0
+	}
+	b.slot = max(b.slot, slot)
+	return b
+}
+
+// record adds to what was used in the last interval.
+func (b *pool) record(amount float64) {
+	b.used[b.slot%(slots+1)] += amount
+	b.sum += amount
+}
+
+// credit returns what may be granted. Only a grantor that knows the last window is wide.
+func (b pool) credit(p Plan, wide bool) float64 {
+	if !wide {
+		return b.level
+	}
+	return max(b.level, b.steady, min(b.left, p.Most-p.Deficit-b.sum))
+}
+
+// withGrant returns the pool after amount was granted.
+func (b pool) withGrant(amount float64) pool {
+	b.level -= amount
+	b.steady -= amount
+	b.left -= amount
+	b.record(amount)
+	return b
+}
