--- a/pkg/allot/pool.go
+++ b/pkg/allot/pool.go
@@ -15,8 +15,9 @@
 
 // pool is the grantor's bucket of one team. A request needs credit in one of three parts,
 // each of which alone keeps every window within what the plan allows: it accrues at the
-// team's rate, at the steady rate, or is left of the last window. It is taken from all of
-// them. The zero value is empty. It is immutable.
+// team's rate, at the steady rate, or is left of the last window. It is taken from the
+// first two, and from the third where they have none. The zero value is empty. It is
+// immutable.
 type pool struct {
 	// level is the credit at the team's rate, and steady that at the steady rate.
 	level  float64
@@ -38,16 +39,19 @@
 	due time.Time
 }
 
-// at returns the pool with what accrued until now in a session that began at began.
+// accrue returns the pool with what accrued until now in a session that began at began.
 // Accrual is the grantor's reading, and share the part of the instances that is in touch.
 func (b pool) accrue(p Plan, began, now time.Time, accrual, share float64) pool {
 	if b.rate > 0 && p.Rate < farFall*b.rate {
 		b.level = max(b.level, -p.Deficit)
 		b.steady = max(b.steady, -p.Deficit)
 	}
-	since := began
-	if !b.at.IsZero() {
-		since = b.at
+	// What may have accrued elsewhere before the last window does not matter.
+	since := now.Add(-p.Window - p.Life)
+	for _, t := range [...]time.Time{began, b.at} {
+		if t.After(since) {
+			since = t
+		}
 	}
 	b = b.advance(p, now.Sub(began))
 	passed := accrual - b.accrued
@@ -93,9 +97,11 @@
 
 // withGrant returns the pool after amount was granted.
 func (b pool) withGrant(amount float64) pool {
+	if max(b.level, b.steady) <= 0 {
+		b.left -= amount
+	}
 	b.level -= amount
 	b.steady -= amount
-	b.left -= amount
 	b.record(amount)
 	return b
 }
