--- a/pkg/allot/touch.go
+++ b/pkg/allot/touch.go
@@ -23,10 +23,13 @@
 	until time.Time
 	// answered reports whether the last ask was answered.
 	answered bool
+	// joined reports whether any grantor was joined since the start.
+	joined bool
 }
 
 // NewTouch returns the contact of an instance that starts at now. A grantor may still
-// count its previous incarnation.
+// count its previous incarnation, so it waits before it is alone. It may join at once, as a
+// grantor counts both incarnations as one instance.
 func NewTouch(now time.Time) Touch {
 	return Touch{
 		until: now.Add(Hold + holdMargin),
@@ -69,12 +72,13 @@
 func (t Touch) WithAnswer(from, session string, now time.Time) Touch {
 	t.answered = true
 	switch {
-	case t.Alone(now):
+	case t.Alone(now) || !t.joined:
 		return Touch{
 			grantor:  from,
 			session:  session,
 			until:    now.Add(Hold + holdMargin),
 			answered: true,
+			joined:   true,
 		}
 	case t.grantor == from && t.session != session:
 		t.session = ""
