--- a/internal/oper/trace.go
+++ b/internal/oper/trace.go
@@ -178,6 +178,9 @@
 
 // describeRefusal explains why a request was refused before an attempt was made.
 func describeRefusal(f map[string]string) string {
+	if f["reason"] == "allotment" {
+		return fmt.Sprintf("refused before it was sent: team %s has used up its allotment of %s a second and has credit again after %s: not run", f["team"], f["rate"], f["wait"])
+	}
 	if f["wait"] != "" {
 		return fmt.Sprintf("refused before it was sent (%s wait %s of team %s): not run", f["reason"], f["wait"], f["team"])
 	}
--- a/internal/relay/allot.go
+++ b/internal/relay/allot.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -292,3 +294,39 @@
 	}
 	return n
 }
+
+// TeamUse is what an instance uses of a team's allotment.
+type TeamUse struct {
+	// Team is the team, and Limit its allotment over all instances.
+	Team  string
+	Limit allot.Limit
+	// Use is the recent use through this instance, in units a second, and Balance its
+	// credit; it is negative by what is owed.
+	Use     float64
+	Balance float64
+}
+
+// AllotmentUse returns the teams with the most use through this instance, at most n.
+func (i *Relay) AllotmentUse(n int) []TeamUse { return i.allotter.use(n) }
+
+func (a *allotter) use(n int) []TeamUse {
+	s := a.view.View().Routing.Site
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	var out []TeamUse
+	for team, use := range a.wallet.Teams(now) {
+		if limit := s.Limit(team); limit.Limited() {
+			out = append(out, TeamUse{
+				Team:    team,
+				Limit:   limit,
+				Use:     use,
+				Balance: a.wallet.Balance(team, now),
+			})
+		}
+	}
+	slices.SortFunc(out, func(x, y TeamUse) int {
+		return cmp.Or(cmp.Compare(y.Use, x.Use), strings.Compare(x.Team, y.Team))
+	})
+	return out[:min(n, len(out))]
+}
--- a/pkg/allot/wallet.go
+++ b/pkg/allot/wallet.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// keepInterval is the time between two asks of an instance without demand. Several
-	// of them fit into Hold.
-	keepInterval = 350 * time.Millisecond
-	// topUpInterval and needInterval are the times between two asks for credit in advance
-	// and for requests that wait, and the parts of them for each instance of a large
-	// fleet, which all ask the same grantor.
+	// keepInterval, topUpInterval and needInterval are the times between two asks without
+	// demand, for credit in advance and for requests that wait. Instances of a large
+	// fleet, which all ask the same grantor, wait longer for each of them, but at most
+	// maxInterval, which fits into Hold.
+	keepInterval     = 350 * time.Millisecond
+	maxInterval      = 600 * time.Millisecond
 	topUpInterval    = 100 * time.Millisecond
 	topUpPerInstance = 1500 * time.Microsecond
 	needInterval     = 10 * time.Millisecond
@@ -177,9 +177,9 @@
 	case w.needy:
 		return w.sent.Add(max(needInterval, n*needPerInstance))
 	case w.low:
-		return w.sent.Add(max(topUpInterval, n*topUpPerInstance))
+		return w.sent.Add(min(max(topUpInterval, n*topUpPerInstance), maxInterval))
 	}
-	return w.sent.Add(keepInterval)
+	return w.sent.Add(min(max(keepInterval, n*topUpPerInstance), maxInterval))
 }
 
 // Target returns the instance to ask at now, and whether the instance stays with it or joins
@@ -256,7 +256,7 @@
 		a.wait, a.heard = grant.Wait, now
 		a.dryUntil = time.Time{}
 		if grant.Short {
-			a.dryUntil = now.Add(min(grant.Wait, max(topUpInterval, time.Duration(w.divisor())*topUpPerInstance)))
+			a.dryUntil = now.Add(min(grant.Wait, topUpInterval))
 		}
 	}
 }
--- a/pkg/site/codec_test.go
+++ b/pkg/site/codec_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/baobabtally/baobabtally/pkg/allot"
 	"github.com/baobabtally/baobabtally/pkg/site"
 )
 
@@ -15,7 +16,8 @@
 	`"Routes":[{"Name":"r","Host":"h","Prefix":"/p/","Kind":2,"Resumable":true,"Timeout":5,"Target":6,"Gap":7,` +
 	`"Priority":8,"Attempts":9,"Anonymous":true,"Prompts":true,"Targets":[{"Service":"s","Weight":10}]}],` +
 	`"Services":[{"Name":"s","Connections":11,"Slots":12,"Memory":13,"Models":["m"],"Store":"a","Domain":"d","Follows":14,"Token":15,"Link":16}],` +
-	`"Teams":[{"Name":"t","Keys":["k"],"Ranked":true,"Priority":17,"Dedicated":true}]}`
+	`"Teams":[{"Name":"t","Keys":["k"],"Ranked":true,"Priority":17,"Dedicated":true,` +
+	`"Limit":{"Rate":18,"Burst":19,"Unit":1,"Plain":20}}]}`
 
 // TestEncodedFieldNamesAreStable guards against a renamed field: instances of other
 // versions decode these names and drop a field with another name without an error.
@@ -65,6 +67,12 @@
 			Ranked:    true,
 			Priority:  17,
 			Dedicated: true,
+			Limit: allot.Limit{
+				Rate:  18,
+				Burst: 19,
+				Unit:  allot.Tokens,
+				Plain: 20,
+			},
 		}))
 	data, err := site.Marshal(s)
 	require.NoError(t, err)
