--- a/internal/relay/allot.go
+++ b/internal/relay/allot.go
@@ -25,9 +25,9 @@
 	askTimeout = 250 * time.Millisecond
 	// creditWaitShare is the share of its latency target for which a request may wait
 	// for credit, within the bounds that follow.
-	creditWaitShare = 0.1
+	creditWaitShare = 0.2
 	minCreditWait   = 20 * time.Millisecond
-	maxCreditWait   = 100 * time.Millisecond
+	maxCreditWait   = askTimeout
 	// unlimitedInterval is the time between two looks at a configuration without
 	// allotments.
 	unlimitedInterval = 500 * time.Millisecond
@@ -119,15 +119,17 @@
 		if ok {
 			return paid, nil
 		}
-		return paid, a.refuse(r, limit, cost)
+		return paid, a.refuse(r, limit, cost, true)
 	}
 	answered := a.answered
 	a.expedite()
 	a.mu.Unlock()
 	timer := time.NewTimer(creditWait(r))
 	defer timer.Stop()
+	heard := false
 	select {
 	case <-answered:
+		heard = true
 	case <-timer.C:
 	case <-ctx.Done():
 		return paid, fault.New(fault.Limited, "the caller left while the request waited for credit: send it again")
@@ -137,7 +139,7 @@
 	if paid, ok = a.wallet.Take(r.Team, limit, cost, a.now()); ok {
 		return paid, nil
 	}
-	return paid, a.refuse(r, limit, cost)
+	return paid, a.refuse(r, limit, cost, heard)
 }
 
 // expedite wakes run if an ask is due before run would send it. The caller holds mu.
@@ -151,14 +153,15 @@
 	}
 }
 
-// refuse returns the refusal of r. The caller holds mu.
-func (a *allotter) refuse(r chain.Request, limit allot.Limit, cost float64) error {
+// refuse returns the refusal of r. Heard is whether the last ask has ended. The caller
+// holds mu.
+func (a *allotter) refuse(r chain.Request, limit allot.Limit, cost float64, heard bool) error {
 	//nolint:gosec // The spread of refusals needs no secrecy.
 	wait := a.wallet.Refuse(r.Team, cost, rand.Float64(), a.now())
 	a.meter.Refused("allotment")
 	a.log.Warn().Str("event", "refuse").Str("request", r.ID).Str("team", r.Team).Str("route", r.Route.Name).
 		Str("reason", "allotment").Float64("cost", cost).Float64("rate", limit.Rate).Stringer("wait", wait.Round(time.Millisecond)).
-		Bool("alone", a.alone).Send()
+		Bool("alone", a.alone).Bool("heard", heard).Send()
 	return fault.New(fault.Limited, "team %s has used up its allotment: come back later or send less", r.Team).WithRetry(wait)
 }
 
