allot: lines of credit while a team has used little of its window

Change: an answer gives each instance a line, which it may draw without waiting. All lines together are half of what is left of three quarters of the window; the pool reckons with them, and an instance that is lost counts as having drawn its own.

--- a/pkg/allot/grantor.go
+++ b/pkg/allot/grantor.go
@@ -65,6 +65,10 @@
 	Amount float64 `json:"Amount"`
 	// Life is how long the credit is valid, from when the ask was sent.
 	Life time.Duration `json:"Life"`
+	// Line is what may be admitted without credit until LineLife has passed since the ask
+	// was sent. It takes the place of earlier ones.
+	Line     float64       `json:"Line"`
+	LineLife time.Duration `json:"LineLife"`
 	// Short is set if some need was not granted.
 	Short bool `json:"Short"`
 	// Wait is the time after which a request that is refused now would have credit.
@@ -96,7 +100,9 @@
 	share     float64
 	instances int
 	contacts  *immutable.Map[string, contact]
-	pools     *immutable.Map[string, pool]
+	// lost counts the contacts that were lost, also by a restart.
+	lost  int
+	pools *immutable.Map[string, pool]
 }
 
 // NewGrantor returns a grantor whose sessions are identified by id, which no other
@@ -126,6 +132,9 @@
 // that the grantor itself knows, and limitOf returns the allotment of a team.
 func (g Grantor) WithAsk(a Ask, known int, limitOf func(team string) Limit, now time.Time) (Grantor, Answer) {
 	g = g.at(now)
+	if _, counted := g.contacts.Get(a.From); counted && a.Session == "" {
+		g.lost++
+	}
 	if a.Renew && a.Session == g.Session() {
 		g.contacts = g.contacts.Set(a.From, contact{
 			until:     now.Add(min(a.Hold, Hold)),
@@ -180,6 +189,7 @@
 		name, c, _ := it.Next()
 		if !now.Before(c.until) {
 			contacts = contacts.Delete(name)
+			g.lost++
 			continue
 		}
 		inTouch++
@@ -197,6 +207,7 @@
 	// The bucket of a team that was not asked for yet has accrued since the session began.
 	b, _ := g.pools.Get(team)
 	b = b.accrue(p, g.began, now, g.accrual, g.share)
+	b = b.withPeriod(now.Sub(g.began), g.lost)
 	wide := p.Window > 0 && now.Sub(g.began) >= p.Window+p.Life
 	grant := Grant{
 		Life: p.Life,
@@ -205,10 +216,13 @@
 		b = b.withGrant(amount)
 		grant.Amount += amount
 	}
-	give(min(max(d.Debt, 0), max(b.credit(p, wide), 0)))
+	// What was drawn on a line is granted in any case.
+	drawn := max(d.Debt-p.Overdraft, 0)
+	give(drawn)
+	give(min(max(d.Debt-drawn, 0), max(b.credit(p, g.instances, wide), 0)))
 	refused := max(d.Refused, 0)
 	for _, need := range d.Needs {
-		credit := b.credit(p, wide)
+		credit := b.credit(p, g.instances, wide)
 		switch {
 		case need <= 0:
 		case credit > 0 && credit+p.Deficit >= need:
@@ -223,9 +237,11 @@
 	}
 	rate := p.Rate
 	if wide {
+		grant.LineLife = lineLife
+		b, grant.Line = b.withLine(p, g.instances, g.share)
 		rate = max(rate, p.Steady)
 	}
-	b.due = dueAfter(b.due, -b.credit(p, wide), refused, rate*g.share, now)
+	b.due = dueAfter(b.due, -b.credit(p, g.instances, wide), refused, rate*g.share, now)
 	grant.Wait = max(b.due.Sub(now), 0)
 	g.pools = g.pools.Set(team, b)
 	return g, grant
--- a/pkg/allot/pool.go
+++ b/pkg/allot/pool.go
@@ -8,6 +8,15 @@
 	// spreadTime is the time over which what is left of a window is given out, so that a
 	// team that asks for more does not use it all at once.
 	spreadTime = 2 * time.Second
+	// lineLife is how long a line of credit is valid, and lineSpan for how long the grantor
+	// reckons with it at least: until what was drawn was reported, or the instance is out of
+	// touch and counts as having drawn all of it.
+	lineLife = 800 * time.Millisecond
+	lineSpan = 2 * time.Second
+	// lineReserve is the share of a window that lines leave alone, and lineShare the share of
+	// the rest that they take.
+	lineReserve = 0.25
+	lineShare   = 0.5
 	// farFall is the share of its former rate below which a limit counts as having fallen
 	// far: what was used under it before does not delay its own.
 	farFall = 0.5
@@ -35,6 +44,12 @@
 	used [slots + 1]float64
 	slot int64
 	sum  float64
+	// lines holds the longest line of one instance in the current and in the last period of
+	// lineSpan, by the parity of its number, which is period. lost is the number of
+	// instances out of touch whose lines are in sum.
+	lines  [2]float64
+	period int64
+	lost   int
 	// due is when the request that was refused last is told to come back.
 	due time.Time
 }
@@ -87,12 +102,37 @@
 	b.sum += amount
 }
 
-// credit returns what may be granted. Only a grantor that knows the last window is wide.
-func (b pool) credit(p Plan, wide bool) float64 {
+// credit returns what may be granted, while the given number of instances have lines. Only
+// a grantor that knows the last window is wide.
+func (b pool) credit(p Plan, instances int, wide bool) float64 {
 	if !wide {
 		return b.level
 	}
-	return max(b.level, b.steady, min(b.left, p.Most-p.Deficit-b.sum))
+	rest := p.Most - p.Deficit - b.sum - float64(instances)*max(b.lines[0], b.lines[1])
+	return min(max(b.level, b.steady, b.left), rest)
+}
+
+// withPeriod returns the pool at the given time since the session began, at which so many
+// instances were lost. They may have drawn their lines without a report.
+func (b pool) withPeriod(since time.Duration, lost int) pool {
+	period := int64(since / lineSpan)
+	for n := max(b.period+1, period-1); n <= period; n++ {
+		b.lines[n%2] = 0
+	}
+	b.period = period
+	b.record(float64(lost-b.lost) * max(b.lines[0], b.lines[1]))
+	b.lost = lost
+	return b
+}
+
+// withLine returns the pool after a line of credit was given to one of the given number of
+// instances, and the line. There is one only while the team has used little of the window.
+func (b pool) withLine(p Plan, instances int, share float64) (pool, float64) {
+	rest := (1-lineReserve)*p.Most - p.Deficit - b.sum
+	line := max(rest, 0) * lineShare * share / float64(max(instances, 1))
+	at := &b.lines[b.period%2]
+	*at = max(*at, line)
+	return b, line
 }
 
 // withGrant returns the pool after amount was granted.
--- a/pkg/allot/purse.go
+++ b/pkg/allot/purse.go
@@ -148,9 +148,3 @@
 	p.own = 0
 	return p
 }
-
-// WithDebt returns the purse with a debt of the given amount.
-func (p Purse) WithDebt(debt float64) Purse {
-	p.debt = debt
-	return p
-}
--- a/pkg/allot/wallet.go
+++ b/pkg/allot/wallet.go
@@ -48,6 +48,9 @@
 	needs []float64
 	// refused is the cost of the requests that were refused since the last ask.
 	refused float64
+	// line is what may be admitted without credit, beside the overdraft, until lineEnd.
+	line    float64
+	lineEnd time.Time
 	// dryUntil is the time until which no request is worth an ask, and wait the time, as of
 	// heard, after which a refused request has credit.
 	dryUntil time.Time
@@ -118,7 +121,7 @@
 // Take pays for a request of a team at now. It returns false if there is no credit.
 func (w *Wallet) Take(team string, l Limit, cost float64, now time.Time) (Receipt, bool) {
 	a := w.account(team, l, now)
-	next, paid, ok := a.purse.WithPayment(cost, a.plan.Overdraft, now)
+	next, paid, ok := a.purse.WithPayment(cost, a.overdraft(now), now)
 	if ok {
 		a.purse = next
 		paid.Team = team
@@ -226,7 +229,8 @@
 			d.Want = max(a.reserve(now)-max(a.purse.Balance(now), 0), 0)
 		}
 		a.needs, a.refused = nil, 0
-		if d.Debt > 0 || d.Want > 0 || d.Refused > 0 || len(d.Needs) > 0 {
+		// Teams with traffic renew their lines.
+		if d.Debt > 0 || d.Want > 0 || d.Refused > 0 || len(d.Needs) > 0 || now.Sub(a.used) < idleTime {
 			ask.Teams[team] = d
 		}
 	}
@@ -253,6 +257,10 @@
 		if expires := w.sent.Add(min(grant.Life, life)); grant.Amount > 0 && now.Before(expires) && !w.sent.Before(a.changed) {
 			a.purse = a.purse.WithGrant(grant.Amount, expires)
 		}
+		a.line = 0
+		if !w.sent.Before(a.changed) {
+			a.line, a.lineEnd = grant.Line, w.sent.Add(min(grant.LineLife, lineLife))
+		}
 		a.wait, a.heard = grant.Wait, now
 		a.dryUntil = time.Time{}
 		if grant.Short {
@@ -279,6 +287,7 @@
 		a.limit = l
 		a.changed = now
 		a.purse = a.purse.WithoutCredit()
+		a.line = 0
 	}
 	w.settle(a, now)
 	return a
@@ -295,10 +304,6 @@
 		// The previous incarnation may have used the overdraft in this window.
 		a.plan.Overdraft = 0
 	}
-	if a.purse.debt > a.plan.Overdraft {
-		// A limit that was lowered binds at once, also for what is owed.
-		a.purse = a.purse.WithDebt(a.plan.Overdraft)
-	}
 	begin := a.accrued
 	if since := w.touch.Since(); since.After(begin) {
 		begin = since
@@ -325,7 +330,15 @@
 	return expected
 }
 
+// overdraft returns what may be owed at now.
+func (a *account) overdraft(now time.Time) float64 {
+	if now.Before(a.lineEnd) {
+		return a.plan.Overdraft + a.line
+	}
+	return a.plan.Overdraft
+}
+
 // isLow reports whether credit runs low.
 func (a *account) isLow(now time.Time) bool {
-	return a.purse.debt > a.plan.Overdraft/2 || a.purse.Balance(now) < a.reserve(now)/2
+	return a.purse.debt > a.overdraft(now)/2 || a.purse.Balance(now) < a.reserve(now)/2
 }
