--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -127,25 +127,18 @@
 // Plan returns the call to make to the table at now and the lease after sending it. It
 // returns false if no call is due; the lease may have changed then, too.
 func (l Lease) Plan(now time.Time) (Op, Lease, bool) {
-	if now.Before(l.nextCall) && !l.mustDeclare(now) {
-		return Op{}, l, false
-	}
-	if l.nextCall.IsZero() && !l.releasing && l.rivalsAhead > 0 {
+	if l.nextCall.IsZero() && !l.releasing {
 		// The rivals ahead read the row first, and their heartbeats may tell of it.
 		l.nextCall = now.Add(l.rivalsDelay())
+	}
+	if now.Before(l.nextCall) && !l.mustDeclare(now) {
 		return Op{}, l, false
 	}
 	holder, token := decodeHolder(l.row.Value)
 	if l.informedByPeer(holder, now) || l.releasing && !l.unchangedSince.IsZero() && !l.mayRelease(holder, token, now) {
 		return Op{}, l, false
 	}
-	l.nextCall = now.Add(l.renewInterval)
-	if holder != l.self && !now.Before(l.heldUntil) {
-		l.nextCall = now.Add(l.renewInterval * time.Duration(1+l.rivalsAhead))
-	}
-	if takeover, ok := l.takeoverTime(); ok && now.Before(takeover) {
-		l.nextCall = takeover
-	}
+	l.nextCall = l.callAfter(holder, now)
 	op := Op{
 		Sent: now,
 		Row: store.Row{
@@ -164,6 +157,17 @@
 	return op, l, true
 }
 
+// callAfter returns when the call after one at now is due.
+func (l Lease) callAfter(holder string, now time.Time) time.Time {
+	if takeover, ok := l.takeoverTime(); ok && now.Before(takeover) {
+		return takeover
+	}
+	if holder != l.self && !now.Before(l.heldUntil) {
+		return now.Add(l.renewInterval * time.Duration(1+l.rivalsAhead))
+	}
+	return now.Add(l.renewInterval)
+}
+
 // rowToWrite returns the value to write to the row, or nil if the row has to be read.
 func (l Lease) rowToWrite(holder string, token int64, now time.Time) []byte {
 	idle := l.idleTime(now) >= 0
