--- /dev/null
+++ b/pkg/admit/delay.go
@@ -0,0 +1,90 @@
+package admit
+
+import "time"
+
+const (
+	// delaySmoothing is the weight of an answer in the average of a delay.
+	delaySmoothing = 0.15
+	// openWeight is the number of open requests that count half of their age.
+	openWeight = 4
+	// yieldFrom and yieldTo are the shares of the target between which the delay of
+	// urgent work makes none and nearly all of it give way.
+	yieldFrom = 0.6
+	yieldTo   = 1.2
+	// mostYield is the largest share of urgent work that gives way. What is left shows
+	// whether the engines have room again.
+	mostYield = 0.8
+)
+
+// Delay is how long the engines of a service take to the first byte of the work of a
+// rank. The zero value knows nothing.
+type Delay struct {
+	typical time.Duration
+	// open is the number of requests without a first byte, and began the sum of when
+	// they began, after epoch.
+	open  int
+	began time.Duration
+	epoch time.Time
+}
+
+// WithBegun returns d after a request was sent at now.
+func (d Delay) WithBegun(now time.Time) Delay {
+	if d.open == 0 {
+		d.epoch, d.began = now, 0
+	}
+	d.open++
+	d.began += now.Sub(d.epoch)
+	return d
+}
+
+// WithEnded returns d after the first byte, or the end without one, of a request that was
+// sent at began.
+func (d Delay) WithEnded(began time.Time) Delay {
+	d.open--
+	d.began -= began.Sub(d.epoch)
+	return d
+}
+
+// WithAnswer returns d after a first byte that took the given time.
+func (d Delay) WithAnswer(took time.Duration) Delay {
+	if d.typical == 0 {
+		d.typical = took
+	}
+	d.typical += time.Duration(delaySmoothing * float64(took-d.typical))
+	return d
+}
+
+// WithOverdue returns d after a first byte, which took the given time, of work that other
+// work goes before. It says something only if it was fast.
+func (d Delay) WithOverdue(took time.Duration) Delay {
+	if took >= d.typical {
+		return d
+	}
+	return d.WithAnswer(took)
+}
+
+// Typical returns how long first bytes took, as a moving average; 0 if that is not known.
+func (d Delay) Typical() time.Duration { return d.typical }
+
+// Expected returns how long the first byte of a request takes that is sent at now. While
+// a queue builds up, the age of open requests tells sooner than answers do: an open
+// request has spent half of its time on average.
+func (d Delay) Expected(now time.Time) time.Duration {
+	if d.open <= 0 {
+		return d.typical
+	}
+	age := now.Sub(d.epoch) - d.began/time.Duration(d.open)
+	return max(d.typical, 2*age*time.Duration(d.open)/time.Duration(d.open+openWeight))
+}
+
+// Yields reports whether the urgent request id, which the engines would have to answer
+// within target, is to give way to others. It answers a burst of urgent work: first come,
+// first served would make all of it late; so some is served behind the rest, in what room
+// that leaves.
+func (d Delay) Yields(id string, target time.Duration, now time.Time) bool {
+	if target <= 0 {
+		return false
+	}
+	excess := float64(d.Expected(now))/float64(target) - yieldFrom
+	return Drawn(id) < min(excess/(yieldTo-yieldFrom), 1)*mostYield
+}
