--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -98,7 +98,7 @@
 		rank:    r.Policy.Rank,
 		tokens:  cost,
 	}
-	overdue := a.start(r.ID, r.Route.TargetLatency, class)
+	overdue := a.start(r.Route.TargetLatency, class)
 	defer a.release()
 	return next.Handle(withAdmission(ctx, a), r.WithOverdue(overdue), answerObserver{
 		Writer:    w,
--- a/internal/relay/held.go
+++ b/internal/relay/held.go
@@ -218,13 +218,13 @@
 
 // start counts the request as one without a first byte, and reports whether it must not
 // delay others.
-func (a *admission) start(id string, target time.Duration, c admit.Class) bool {
+func (a *admission) start(target time.Duration, c admit.Class) bool {
 	g := a.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := g.service(a.service)[a.rank]
 	a.since, a.target = g.now(), target
-	a.overdue = c == admit.Overdue || a.rank == policy.Urgent && l.delay.Yields(id, target, a.since)
+	a.overdue = c == admit.Overdue || a.rank == policy.Urgent && l.delay.Yields(target, a.since)
 	if !a.overdue {
 		a.open = true
 		l.delay = l.delay.WithBegun(a.since)
@@ -242,13 +242,13 @@
 	now := g.now()
 	took := now.Sub(a.since)
 	if a.overdue {
-		l.delay = l.delay.WithOverdue(took)
+		l.delay = l.delay.WithOverdue(took, now)
 	}
 	if !a.open {
 		return
 	}
 	a.close(l)
-	l.delay = l.delay.WithAnswer(took)
+	l.delay = l.delay.WithAnswer(took, now)
 	if a.rank == policy.Urgent {
 		return
 	}
--- a/pkg/admit/admit_test.go
+++ b/pkg/admit/admit_test.go
@@ -116,42 +116,32 @@
 	require.Equal(t, admit.Timely, class, "nothing is overdue while there is room")
 }
 
-// A share of urgent work gives way only while the engines are late, and soon after a
-// queue builds up, before the first late answer.
-func TestUrgentWorkYieldsWhileEnginesAreLate(t *testing.T) {
+// Urgent work gives way only while the engines are busy and beyond what they answer in
+// time, at the latest when a queue builds up, before the first late answer.
+func TestUrgentWorkYieldsWhileEnginesAreBusy(t *testing.T) {
 	t.Parallel()
 	const target = 500 * time.Millisecond
-	yields := func(d admit.Delay, now time.Time) int {
-		n := 0
-		for i := range 1000 {
-			if d.Yields(fmt.Sprint(i), target, now) {
-				n++
-			}
+	answers := func(took time.Duration) admit.Delay {
+		var d admit.Delay
+		for i := range 50 {
+			d = d.WithAnswer(took, start.Add(time.Duration(i)*100*time.Millisecond))
 		}
-		return n
-	}
-	var d admit.Delay
-	require.Zero(t, yields(d, start))
-	for range 50 {
-		d = d.WithAnswer(200 * time.Millisecond)
-	}
-	require.Zero(t, yields(d, start))
-	queued := d
-	for range 20 {
-		queued = queued.WithBegun(start)
+		return d
 	}
-	require.Positive(t, yields(queued, start.Add(300*time.Millisecond)))
-	late := d
-	for range 50 {
-		late = late.WithAnswer(time.Second)
-	}
-	require.InDelta(t, 800, yields(late, start), 60, "some shows whether there is room again")
-	for range 50 {
-		late = late.WithOverdue(200 * time.Millisecond)
-	}
-	require.Zero(t, yields(late, start))
-	for range 20 {
-		queued = queued.WithEnded(start)
+	now := start.Add(5 * time.Second)
+	open := func(d admit.Delay, n int) admit.Delay {
+		for range n {
+			d = d.WithBegun(now)
+		}
+		return d
 	}
-	require.Equal(t, 200*time.Millisecond, queued.Expected(start.Add(time.Hour)))
+	require.False(t, admit.Delay{}.Yields(target, now))
+	idle, busy := answers(200*time.Millisecond), answers(300*time.Millisecond)
+	require.False(t, open(idle, 20).Yields(target, now))
+	require.True(t, open(idle, 20).Yields(target, now.Add(200*time.Millisecond)), "a queue builds up")
+	require.False(t, open(busy, 3).Yields(target, now))
+	require.True(t, open(busy, 4).Yields(target, now), "10 a second in 0.35 s are 3.5")
+	require.False(t, busy.WithOverdue(100*time.Millisecond, now).WithOverdue(100*time.Millisecond, now).Yields(target, now))
+	closed := open(idle, 3).WithEnded(now).WithEnded(now).WithEnded(now)
+	require.Equal(t, 200*time.Millisecond, closed.Expected(now.Add(time.Hour)))
 }
--- a/pkg/admit/delay.go
+++ b/pkg/admit/delay.go
@@ -7,19 +7,21 @@
 	delaySmoothing = 0.15
 	// openWeight is the number of open requests that count half of their age.
 	openWeight = 4
-	// yieldFrom and yieldTo are the shares of the target between which the delay of
-	// urgent work makes none and nearly all of it give way.
-	yieldFrom = 0.6
-	yieldTo   = 1.2
-	// mostYield is the largest share of urgent work that gives way. What is left shows
+	// busyShare is the share of its target from which engines that take so long are
+	// busy, and openShare the one within which they have to answer what is open.
+	busyShare = 0.5
+	openShare = 0.7
+	// minOpen is the number of open requests that never give way, so that it shows
 	// whether the engines have room again.
-	mostYield = 0.8
+	minOpen = 2
 )
 
 // Delay is how long the engines of a service take to the first byte of the work of a
 // rank. The zero value knows nothing.
 type Delay struct {
 	typical time.Duration
+	// answers is the rate of answers a second.
+	answers Drain
 	// open is the number of requests without a first byte, and began the sum of when
 	// they began, after epoch.
 	open  int
@@ -45,8 +47,13 @@
 	return d
 }
 
-// WithAnswer returns d after a first byte that took the given time.
-func (d Delay) WithAnswer(took time.Duration) Delay {
+// WithAnswer returns d after a first byte at now that took the given time.
+func (d Delay) WithAnswer(took time.Duration, now time.Time) Delay {
+	d.answers = d.answers.With(1, now)
+	return d.withTook(took)
+}
+
+func (d Delay) withTook(took time.Duration) Delay {
 	if d.typical == 0 {
 		d.typical = took
 	}
@@ -54,13 +61,14 @@
 	return d
 }
 
-// WithOverdue returns d after a first byte, which took the given time, of work that other
-// work goes before. It says something only if it was fast.
-func (d Delay) WithOverdue(took time.Duration) Delay {
+// WithOverdue returns d after a first byte at now, which took the given time, of work that
+// other work goes before. Its time says something only if it was short.
+func (d Delay) WithOverdue(took time.Duration, now time.Time) Delay {
+	d.answers = d.answers.With(1, now)
 	if took >= d.typical {
 		return d
 	}
-	return d.WithAnswer(took)
+	return d.withTook(took)
 }
 
 // Typical returns how long first bytes took, as a moving average; 0 if that is not known.
@@ -77,14 +85,14 @@
 	return max(d.typical, 2*age*time.Duration(d.open)/time.Duration(d.open+openWeight))
 }
 
-// Yields reports whether the urgent request id, which the engines would have to answer
-// within target, is to give way to others. It answers a burst of urgent work: first come,
-// first served would make all of it late; so some is served behind the rest, in what room
-// that leaves.
-func (d Delay) Yields(id string, target time.Duration, now time.Time) bool {
-	if target <= 0 {
+// Yields reports whether one more urgent request, which the engines would have to answer
+// within target, is to give way to others: the engines are busy, and at the rate at which
+// they answer it would be late behind those that are open. It answers a burst of urgent
+// work: first come, first served would make all of it late; so what is too much is served
+// behind the rest, in what room that leaves.
+func (d Delay) Yields(target time.Duration, now time.Time) bool {
+	if target <= 0 || float64(d.Expected(now)) < busyShare*float64(target) {
 		return false
 	}
-	excess := float64(d.Expected(now))/float64(target) - yieldFrom
-	return Drawn(id) < min(excess/(yieldTo-yieldFrom), 1)*mostYield
+	return float64(d.open) >= max(openShare*target.Seconds()*d.answers.PerSecond(), minOpen)
 }
