relay, admit: urgent work beyond what busy engines answer waits at the gate and is refused

Change: it waits at the gate for a part of its target, then is refused with the time of its return; a caller that has come back waits up to half of the time it has left and goes behind the rest. A part of the slots that follows from sizes never waits.

--- a/internal/filter/gate.go
+++ b/internal/filter/gate.go
@@ -168,8 +168,8 @@
 	if !r.Deadline.IsZero() {
 		left = min(left, r.Deadline.Sub(f.now()))
 	}
-	after := time.Duration(0)
-	q.comeback, after = q.comeback.With(r.ID, max(wait, time.Second), admit.NewDrain(q.throughput), r.Cost(), left, f.now())
+	comeback, after := q.comeback.With(r.ID, max(wait, time.Second), admit.NewDrain(q.throughput), r.Cost(), left, f.now())
+	q.comeback = comeback
 	return fault.New(fault.Overload, "the wait (%s %s) is beyond the target: retry later or send less", reason, wait.Round(time.Millisecond)).WithRetry(after)
 }
 
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -47,9 +47,9 @@
 type lane struct {
 	// waiting holds timely work as urgent and overdue work as normal.
 	waiting queue.Queue
-	// admitted has a channel per item, which is closed when the item is
+	// admitted has a channel per item, which gets the time at which the item is
 	// admitted. Invariant: exactly the items of waiting have one.
-	admitted map[uint64]chan struct{}
+	admitted map[uint64]chan time.Time
 	next     uint64
 	// running is the work that was admitted and has not finished.
 	running ledger
@@ -60,6 +60,8 @@
 	delay  admit.Delay
 	// comeback is when the callers that were refused return.
 	comeback admit.Comeback
+	// target is the time to the first byte that the last request targets.
+	target time.Duration
 }
 
 // queueRank is the rank of a class in the queue of a lane.
@@ -88,7 +90,7 @@
 	}
 	service, _ := g.view.View().Routing.Site.Service(r.Service)
 	cost := sizeOfService(service).Need(r.Tokens, r.Output)
-	class, err := g.acquire(ctx, r, cost)
+	class, since, err := g.acquire(ctx, r, cost)
 	if err != nil {
 		return chain.Result{}, err
 	}
@@ -97,27 +99,30 @@
 		service: r.Service,
 		rank:    r.Policy.Rank,
 		tokens:  cost,
+		open:    true,
+		overdue: class == admit.Overdue,
+		since:   since,
+		target:  r.Route.TargetLatency,
 	}
-	overdue := a.start(r.Route.TargetLatency, class)
 	defer a.release()
-	return next.Handle(withAdmission(ctx, a), r.WithOverdue(overdue), answerObserver{
+	return next.Handle(withAdmission(ctx, a), r.WithOverdue(a.overdue), answerObserver{
 		Writer:    w,
 		admission: a,
 	})
 }
 
-// acquire returns the class of r when it is admitted; its cost then counts as running.
-// Urgent work is not queued.
-func (g *gate) acquire(ctx context.Context, r chain.Request, cost float64) (admit.Class, error) {
+// acquire returns the class of r and when it is admitted; its cost then counts as running.
+func (g *gate) acquire(ctx context.Context, r chain.Request, cost float64) (admit.Class, time.Time, error) {
 	g.mu.Lock()
 	l := g.service(r.Service)[r.Policy.Rank]
 	// A state from before the lock might miss a change whose update came first.
 	now := g.now()
 	free := g.roomOf(r.Service, r.Policy.Rank, now)
-	if !l.waits() && free.used+cost <= free.total || r.Policy.Rank == policy.Urgent {
+	l.target = r.Route.TargetLatency
+	if !l.waits() && free.used+cost <= free.total && !l.yields(r.Policy.Rank, free, now) {
 		l.admit(cost, free.total, now)
 		g.mu.Unlock()
-		return admit.Timely, nil
+		return admit.Timely, now, nil
 	}
 	item := queue.Item{
 		ID:     l.next,
@@ -135,45 +140,46 @@
 	}
 	if expected > limit || free.total <= 0 {
 		defer g.mu.Unlock()
-		return class, g.refuse(r, l, "expected", expected, cost)
+		return class, now, g.refuse(r, l, "expected", expected, cost)
 	}
-	admitted := make(chan struct{})
+	admitted := make(chan time.Time, 1)
 	l.admitted[item.ID] = admitted
 	waiting, place := l.waiting.With(item)
 	l.waiting = waiting
 	g.admitWaiting(r.Service)
 	g.mu.Unlock()
-	return class, g.await(ctx, r, l, pending{
+	since, err := g.await(ctx, r, l, pending{
 		item:     item,
 		place:    place,
 		admitted: admitted,
 		limit:    limit,
 	})
+	return class, since, err
 }
 
 // pending is a request that waits in the queue.
 type pending struct {
 	item     queue.Item
 	place    queue.Place
-	admitted <-chan struct{}
+	admitted <-chan time.Time
 	limit    time.Duration
 }
 
-// await returns nil when the request of p is admitted.
-func (g *gate) await(ctx context.Context, r chain.Request, l *lane, p pending) error {
+// await returns when the request of p is admitted.
+func (g *gate) await(ctx context.Context, r chain.Request, l *lane, p pending) (time.Time, error) {
 	begin := g.now()
 	timer := time.NewTimer(p.limit)
 	defer timer.Stop()
 	select {
-	case <-p.admitted:
-		g.meter.Waited(g.now().Sub(begin), true)
-		return nil
+	case since := <-p.admitted:
+		g.meter.Waited(since.Sub(begin), true)
+		return since, nil
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	if !g.withdraw(l, p.place, p.item.ID) {
 		// The request was admitted at the same moment.
-		return nil
+		return <-p.admitted, nil
 	}
 	wait := g.now().Sub(begin)
 	g.meter.Waited(wait, false)
@@ -182,12 +188,12 @@
 	switch {
 	case grace.Ended(ctx):
 		g.recordRefusal(r, "stopped", wait)
-		return grace.Fault(false)
+		return begin, grace.Fault(false)
 	case ctx.Err() != nil:
 		g.recordRefusal(r, "left", wait)
-		return fault.New(fault.Overload, "the caller left while the request waited: send it again")
+		return begin, fault.New(fault.Overload, "the caller left while the request waited: send it again")
 	}
-	return g.refuse(r, l, "waited", p.limit, p.item.Cost)
+	return begin, g.refuse(r, l, "waited", p.limit, p.item.Cost)
 }
 
 // askOf returns what package admit has to know of r.
@@ -212,8 +218,8 @@
 	if until := r.EffectiveDeadline(); !until.IsZero() {
 		left = max(until.Sub(now), 1)
 	}
-	after := time.Duration(0)
-	l.comeback, after = l.comeback.With(r.ID, wait, l.drain, cost, left, now)
+	comeback, after := l.comeback.With(r.ID, wait, l.drain, cost, left, now)
+	l.comeback = comeback
 	return fault.New(fault.Overload, "the wait (%s %s) is beyond the target: come back later or send less", reason, wait.Round(time.Millisecond)).WithRetry(after)
 }
 
@@ -268,13 +274,18 @@
 
 // admitWaiting admits requests of a service while there is room. The caller holds mu.
 func (g *gate) admitWaiting(service string) {
-	l := g.service(service)[policy.Normal]
-	if !l.waits() {
-		return
+	for rank, l := range g.service(service) {
+		if l.waits() {
+			g.admitRank(service, policy.Rank(rank), l)
+		}
 	}
+}
+
+// admitRank admits requests of a rank while there is room. The caller holds mu.
+func (g *gate) admitRank(service string, rank policy.Rank, l *lane) {
 	now := g.now()
-	free := g.roomOf(service, policy.Normal, now)
-	for {
+	free := g.roomOf(service, rank, now)
+	for !l.yields(rank, free, now) {
 		item, next, ok := l.waiting.Next(overdueFloor, queue.Any)
 		if !ok || !free.fits(item.Cost) {
 			return
@@ -282,7 +293,7 @@
 		l.waiting = next
 		l.admit(item.Cost, free.total, now)
 		free.used += item.Cost
-		close(l.admitted[item.ID])
+		l.admitted[item.ID] <- now
 		delete(l.admitted, item.ID)
 	}
 }
@@ -294,7 +305,7 @@
 		w = &serviceWork{}
 		for rank := range w {
 			w[rank] = &lane{
-				admitted: map[uint64]chan struct{}{},
+				admitted: map[uint64]chan time.Time{},
 				running:  ledger{},
 			}
 		}
@@ -310,11 +321,17 @@
 // says nothing about the drain.
 func (l *lane) admit(tokens, capacity float64, now time.Time) {
 	l.running.add("", tokens)
-	if !math.IsInf(capacity, 1) {
+	l.delay = l.delay.WithBegun(now)
+	if !math.IsInf(capacity, 1) || l.waits() {
 		l.drain = l.drain.With(tokens, now)
 	}
 }
 
+// yields reports whether one more request has to wait until engines have answered.
+func (l *lane) yields(rank policy.Rank, free room, now time.Time) bool {
+	return rank == policy.Urgent && l.delay.Yields(l.target, free.open, now)
+}
+
 // expectedWait estimates how long item would wait in the queue.
 func (l *lane) expectedWait(item queue.Item) time.Duration {
 	ahead := l.waiting.CostAhead(item) + item.Cost
--- a/internal/relay/held.go
+++ b/internal/relay/held.go
@@ -46,6 +46,8 @@
 type room struct {
 	total float64
 	used  float64
+	// open is how many urgent requests without a first byte never wait.
+	open float64
 }
 
 // fits reports whether work may begin. Work that exceeds the whole room has to wait
@@ -69,6 +71,7 @@
 	out := room{
 		total: math.Inf(1),
 		used:  used[rank],
+		open:  size.Open(),
 	}
 	if rank == policy.Normal {
 		out.total = w[rank].window.Limit(boundsOf(size, used))
@@ -151,7 +154,7 @@
 	attempts int
 	released bool
 	// open is true from since, when the request was admitted, to its first byte, which
-	// target is for. It is never true if overdue is.
+	// target is for.
 	open    bool
 	overdue bool
 	since   time.Time
@@ -216,22 +219,6 @@
 	a.gate.admitWaiting(a.service)
 }
 
-// start counts the request as one without a first byte, and reports whether it must not
-// delay others.
-func (a *admission) start(target time.Duration, c admit.Class) bool {
-	g := a.gate
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	l := g.service(a.service)[a.rank]
-	a.since, a.target = g.now(), target
-	a.overdue = c == admit.Overdue || a.rank == policy.Urgent && l.delay.Yields(target, a.since)
-	if !a.overdue {
-		a.open = true
-		l.delay = l.delay.WithBegun(a.since)
-	}
-	return a.overdue
-}
-
 // answered records the first byte of the answer.
 func (a *admission) answered() {
 	g := a.gate
@@ -241,15 +228,17 @@
 	l := w[a.rank]
 	now := g.now()
 	took := now.Sub(a.since)
-	if a.overdue {
-		l.delay = l.delay.WithOverdue(took, now)
-	}
 	if !a.open {
 		return
 	}
 	a.close(l)
-	l.delay = l.delay.WithAnswer(took, now)
+	if a.overdue {
+		l.delay = l.delay.WithOverdue(took, now)
+	} else {
+		l.delay = l.delay.WithAnswer(took, now)
+	}
 	if a.rank == policy.Urgent {
+		g.admitWaiting(a.service)
 		return
 	}
 	size, used := w.used(g.view.View(), a.service, now)
--- a/pkg/admit/delay.go
+++ b/pkg/admit/delay.go
@@ -11,9 +11,6 @@
 	// busy, and openShare the one within which they have to answer what is open.
 	busyShare = 0.5
 	openShare = 0.7
-	// minOpen is the number of open requests that never give way, so that it shows
-	// whether the engines have room again.
-	minOpen = 2
 )
 
 // Delay is how long the engines of a service take to the first byte of the work of a
@@ -86,13 +83,12 @@
 }
 
 // Yields reports whether one more urgent request, which the engines would have to answer
-// within target, is to give way to others: the engines are busy, and at the rate at which
-// they answer it would be late behind those that are open. It answers a burst of urgent
-// work: first come, first served would make all of it late; so what is too much is served
-// behind the rest, in what room that leaves.
-func (d Delay) Yields(target time.Duration, now time.Time) bool {
+// within target, has to wait: the engines are busy, and at the rate at which they answer
+// it would be late behind those that are open. Least open requests never wait. It answers
+// a burst of urgent work: first come, first served would make all of it late.
+func (d Delay) Yields(target time.Duration, least float64, now time.Time) bool {
 	if target <= 0 || float64(d.Expected(now)) < busyShare*float64(target) {
 		return false
 	}
-	return float64(d.open) >= max(openShare*target.Seconds()*d.answers.PerSecond(), minOpen)
+	return float64(d.open) >= max(openShare*target.Seconds()*d.answers.PerSecond(), least)
 }
--- a/pkg/admit/size.go
+++ b/pkg/admit/size.go
@@ -56,3 +56,16 @@
 func (s Size) Most(urgent float64) float64 {
 	return max(s.Total()-urgent*float64(max(s.Instances, 1)), s.Least())
 }
+
+const (
+	// openPart is the part of an equal part of the engines' slots that urgent requests
+	// without a first byte may always have, and minOpen the least number of them.
+	openPart = 0.15
+	minOpen  = 2
+)
+
+// Open returns how many urgent requests without a first byte this instance may always
+// have, so that engines which were slow for a moment are not left idle.
+func (s Size) Open() float64 {
+	return max(openPart*float64(s.Engines*s.Slots)/float64(max(s.Instances, 1)), minOpen)
+}
