--- a/internal/relay/allot.go
+++ b/internal/relay/allot.go
@@ -22,12 +22,12 @@
 const (
 	// askTimeout is how long an instance waits for a grant. It is less than the margin
 	// after which an instance out of touch spends a part of its own.
-	askTimeout = 250 * time.Millisecond
+	askTimeout = 450 * time.Millisecond
 	// creditWaitShare is the share of its latency target for which a request may wait
 	// for credit, within the bounds that follow.
 	creditWaitShare = 0.2
 	minCreditWait   = 20 * time.Millisecond
-	maxCreditWait   = askTimeout
+	maxCreditWait   = 250 * time.Millisecond
 	// unlimitedInterval is the time between two looks at a configuration without
 	// allotments.
 	unlimitedInterval = 500 * time.Millisecond
--- a/pkg/allot/pool.go
+++ b/pkg/allot/pool.go
@@ -11,7 +11,7 @@
 	// lineLife is how long a line of credit is valid, and lineSpan for how long the grantor
 	// reckons with it at least: until what was drawn was reported, or the instance is out of
 	// touch and counts as having drawn all of it.
-	lineLife = 800 * time.Millisecond
+	lineLife = 1200 * time.Millisecond
 	lineSpan = 2 * time.Second
 	// lineReserve is the share of a window that lines leave alone, and lineShare the share of
 	// the rest that they take.
