--- a/pkg/allot/fleet_test.go
+++ b/pkg/allot/fleet_test.go
@@ -322,7 +322,7 @@
 	})
 }
 
-// A limit that falls far below the demand binds at once.
+// A limit that falls far below the demand binds at once, and is granted at once.
 func TestLoweredLimitBindsAtOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := Limit{
@@ -336,6 +336,11 @@
 		from := len(f.admitted)
 		f.run(9*time.Second, arrivals)
 		require.LessOrEqual(t, f.worstWindow(from), f.bound(f.limit))
+		got := 0.0
+		for _, a := range f.admitted[from:] {
+			got += a
+		}
+		require.GreaterOrEqual(t, got, 0.9*f.limit.Rate*9)
 	})
 }
 
--- a/pkg/allot/grantor.go
+++ b/pkg/allot/grantor.go
@@ -229,6 +229,7 @@
 			give(need)
 		default:
 			grant.Short = true
+			b.short = now
 			refused += need
 		}
 	}
@@ -238,7 +239,7 @@
 	rate := p.Rate
 	if wide {
 		grant.LineLife = lineLife
-		b, grant.Line = b.withLine(p, g.instances, g.share)
+		b, grant.Line = b.withLine(p, g.instances, g.share, now)
 		rate = max(rate, p.Steady)
 	}
 	b.due = dueAfter(b.due, -b.credit(p, g.instances, wide), refused, rate*g.share, now)
--- a/pkg/allot/pool.go
+++ b/pkg/allot/pool.go
@@ -50,6 +50,8 @@
 	lines  [2]float64
 	period int64
 	lost   int
+	// short is when a need was last not granted.
+	short time.Time
 	// due is when the request that was refused last is told to come back.
 	due time.Time
 }
@@ -60,6 +62,7 @@
 	if b.rate > 0 && p.Rate < farFall*b.rate {
 		b.level = max(b.level, -p.Deficit)
 		b.steady = max(b.steady, -p.Deficit)
+		b.lines = [2]float64{}
 	}
 	// What may have accrued elsewhere before the last window does not matter.
 	since := now.Add(-p.Window - p.Life)
@@ -108,8 +111,12 @@
 	if !wide {
 		return b.level
 	}
-	rest := p.Most - p.Deficit - b.sum - float64(instances)*max(b.lines[0], b.lines[1])
-	return min(max(b.level, b.steady, b.left), rest)
+	rest := p.Most - p.Deficit - b.sum
+	credit := max(b.level, b.steady, min(b.left, rest))
+	if line := max(b.lines[0], b.lines[1]); line > 0 {
+		credit = min(credit, rest-float64(instances)*line)
+	}
+	return credit
 }
 
 // withPeriod returns the pool at the given time since the session began, at which so many
@@ -126,8 +133,12 @@
 }
 
 // withLine returns the pool after a line of credit was given to one of the given number of
-// instances, and the line. There is one only while the team has used little of the window.
-func (b pool) withLine(p Plan, instances int, share float64) (pool, float64) {
+// instances at now, and the line. There is one only while the team has used little of the
+// window and got all that it needed in it: what lines may draw is kept from others.
+func (b pool) withLine(p Plan, instances int, share float64, now time.Time) (pool, float64) {
+	if !b.short.IsZero() && now.Sub(b.short) < p.Window {
+		return b, 0
+	}
 	rest := (1-lineReserve)*p.Most - p.Deficit - b.sum
 	line := max(rest, 0) * lineShare * share / float64(max(instances, 1))
 	at := &b.lines[b.period%2]
