--- a/internal/peer/relay_test.go
+++ b/internal/peer/relay_test.go
@@ -258,3 +258,26 @@
 	got := DecodeHeartbeat(m)
 	require.Equal(t, []state.RecentEntry{sent.Relay.Entries[0], sent.Relay.Entries[2]}, got.Relay.Entries)
 }
+
+// The era decides whether a peer's versions count: it must arrive in heartbeats and in
+// snapshots, and builds before must not mind it.
+func TestEraIsSentToPeers(t *testing.T) {
+	r := decodeRelay(encodeRelay(state.Relay{
+		Era: 3,
+	}))
+	require.EqualValues(t, 3, r.Era)
+	require.EqualValues(t, 20, (&rpcapi.Relay{}).ProtoReflect().Descriptor().Fields().ByName("era").Number())
+	require.Zero(t, decodeRelay(&rpcapi.Relay{
+		Era: -1,
+	}).Era)
+	data, err := encodeSnapshot(&state.State{
+		Routing: state.Routing{
+			RegistryVersion: 7,
+			RegistryEra:     3,
+		},
+	})
+	require.NoError(t, err)
+	e, err := decodeSnapshot(data, "n1")
+	require.NoError(t, err)
+	require.EqualValues(t, 3, e.Era)
+}
--- a/internal/relay/problems_test.go
+++ b/internal/relay/problems_test.go
@@ -111,3 +111,14 @@
 	require.Len(t, lines, 1)
 	require.Contains(t, lines[0], `key="a\nlevel=error event=alarm"`)
 }
+
+// In a new era of the store a row that can't be used may have the version of another one.
+func TestProblemIsLoggedInEachEra(t *testing.T) {
+	r := newProblemRecorder()
+	r.read(true, problem("x", 7))
+	r.update(store.Batch{
+		Complete: true,
+		Era:      2,
+	}, []store.Problem{problem("x", 7)})
+	require.Equal(t, 2, r.count["registry"])
+}
