ctrl: an endpoint that has registered again is no leaver of the next era

Cause: the record of departures kept endpoints that had come back before the first change of the era, whose entries then counted as stale. Change: an entry ends it at any time.

--- a/internal/ctrl/eras.go
+++ b/internal/ctrl/eras.go
@@ -135,7 +135,7 @@
 // back, and s, which keeps those. A read of all rows does not show when an entry was
 // written. A change does: its endpoint wrote it in this era.
 func withoutStale(s state.State, e state.RegistrySnapshot, now time.Time) (state.State, state.RegistrySnapshot, []state.Action) {
-	if s.Routing.StoreEraSince.IsZero() || len(s.Routing.Left)+len(s.Routing.StaleEntries) == 0 {
+	if len(s.Routing.Left)+len(s.Routing.StaleEntries) == 0 {
 		return s, e, nil
 	}
 	before := s.Routing.StaleEntries
--- a/internal/ctrl/eras_test.go
+++ b/internal/ctrl/eras_test.go
@@ -111,6 +111,30 @@
 	require.Contains(t, c.pool(), "e2", "the platform would have removed the entry of a silent endpoint")
 }
 
+// An endpoint that has registered again is no leaver of the next era.
+func TestEndpointThatRegisteredAgainIsNotStale(t *testing.T) {
+	c := newTestInstance()
+	c.step(state.StoreStatus{
+		OK: true,
+	})
+	c.step(eraSnapshot(1, 100, "e1", "e2"))
+	c.run(5 * time.Second)
+	c.step(state.RegistrySnapshot{
+		Removed: []string{"e2"},
+		Version: 101,
+		Era:     1,
+	})
+	c.step(state.RegistrySnapshot{
+		Put:     eraSnapshot(1, 0, "e2").Put,
+		Version: 102,
+		Era:     1,
+	})
+	require.Empty(t, c.state.Routing.Left)
+	c.step(eraSnapshot(2, 50, "e1", "e2"))
+	require.Empty(t, c.state.Routing.StaleEntries)
+	require.Equal(t, []string{"e1", "e2"}, c.pool())
+}
+
 // Versions that a peer states do not compare across eras: neither the row of the lease, nor
 // departures, nor entries.
 func TestVersionsOfPeersCountInTheirEra(t *testing.T) {
