whole: a failed write tells a reset from an end

Change: an end of the connection is one unless a write on it has failed, which a pending write shows by itself. No system call is needed.

--- a/internal/whole/whole.go
+++ b/internal/whole/whole.go
@@ -5,23 +5,19 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
+	"sync"
 
 	"github.com/juju/errors"
-	"golang.org/x/sys/unix"
 )
 
 const (
 	// minStatus and maxStatus bound the statuses of responses that are not interim.
 	minStatus = 200
 	maxStatus = 599
-	// tcpClose is the state of a connection that was reset. One whose peer has ended it is
-	// in another state until it is closed here.
-	tcpClose = 7
 )
 
-// errReset means that a connection did not end, but was reset.
-const errReset = errors.ConstError("the connection was reset: check who answers at this address")
+// errReset means that a connection ended, or was reset, while it was written to.
+const errReset = errors.ConstError("the connection ended while a request was being sent: check who answers at this address")
 
 // dial opens a connection.
 type dial func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -33,42 +29,44 @@
 		if err != nil {
 			return nil, err
 		}
-		return conn{
+		return &conn{
 			Conn: nc,
 		}, nil
 	}
 }
 
+// conn is a connection that may be written to while it is read.
 type conn struct {
 	net.Conn
+	// mu is held by each write, and guards failed, which is true once one has failed.
+	mu     sync.Mutex
+	failed bool
 }
 
-// Read reads from the connection.
-func (c conn) Read(p []byte) (int, error) {
+// Read reads from the connection. An end after a failed write is a reset whose error the
+// write has taken, or an end in the middle of a request. Read waits for a pending write,
+// which fails at once in both cases.
+func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, io.EOF) && wasReset(c.Conn) {
+	if errors.Is(err, io.EOF) && c.writeFailed() {
 		return n, errReset
 	}
 	return n, err
 }
 
-// wasReset reports whether the peer has reset c. A connection that was closed here has
-// failed in a write.
-func wasReset(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	reset := false
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		reset = err == nil && info.State == tcpClose
-	})
-	return err != nil || reset
+func (c *conn) writeFailed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
+}
+
+// Write writes to the connection.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.failed = c.failed || err != nil
+	return n, err
 }
 
 // Transport returns next without responses whose status is none.
