httpd: test of many fields waits until the first request has set its bytes free

Cause: failed once beside load: the second connection came while the first request still held 1.5 MB, and found no room, as is allowed.

--- a/internal/httpd/holds_test.go
+++ b/internal/httpd/holds_test.go
@@ -192,6 +192,10 @@
 	require.NoError(t, err)
 	code, _ := status(t, r)
 	require.Equal(t, http.StatusOK, code)
+	require.Eventually(t, func() bool {
+		held, _, _ := keeper.Held()
+		return held <= 64<<10
+	}, 5*time.Second, time.Millisecond, "the connection alone must be held once the request has ended")
 	keeper.Keep("other", heldLimit-(200<<10))
 	c, r = dial(t, addr)
 	_, err = io.WriteString(c, header)
