--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -19,9 +19,6 @@
 const (
 	// updateInterval is the time between two updates of the gate.
 	updateInterval = 100 * time.Millisecond
-	// overdueFloor is the share of the service that overdue work gets at least while
-	// timely work waits too.
-	overdueFloor = 0.1
 	// imbalanceFactor is how much more than its equal share of a limit an instance may
 	// use.
 	imbalanceFactor = admit.Evenness
@@ -60,8 +57,10 @@
 	delay  admit.Delay
 	// comeback is when the callers that were refused return.
 	comeback admit.Comeback
-	// target is the time to the first byte that the last request targets.
+	// target is the time to the first byte that the last request targets, and prompt
+	// its prompt tokens.
 	target time.Duration
+	prompt int
 }
 
 // queueRank is the rank of a class in the queue of a lane.
@@ -105,7 +104,7 @@
 		target:  r.Route.TargetLatency,
 	}
 	defer a.release()
-	return next.Handle(withAdmission(ctx, a), r.WithOverdue(a.overdue), answerObserver{
+	return next.Handle(withAdmission(ctx, a), r.WithOverdue(a.overdue && a.rank == policy.Urgent), answerObserver{
 		Writer:    w,
 		admission: a,
 	})
@@ -118,7 +117,7 @@
 	// A state from before the lock might miss a change whose update came first.
 	now := g.now()
 	free := g.roomOf(r.Service, r.Policy.Rank, now)
-	l.target = r.Route.TargetLatency
+	l.target, l.prompt = r.Route.TargetLatency, r.Tokens
 	if !l.waits() && free.used+cost <= free.total && !l.yields(r.Policy.Rank, free, now) {
 		l.admit(cost, free.total, now)
 		g.mu.Unlock()
@@ -286,8 +285,8 @@
 	now := g.now()
 	free := g.roomOf(service, rank, now)
 	for !l.yields(rank, free, now) {
-		item, next, ok := l.waiting.Next(overdueFloor, queue.Any)
-		if !ok || !free.fits(item.Cost) {
+		item, next, ok := l.waiting.Next(0, queue.Any)
+		if !ok || !free.fits(item.Cost) || item.Rank == queueRank(admit.Overdue) && free.used+item.Cost > admit.OverdueShare*free.total {
 			return
 		}
 		l.waiting = next
@@ -329,7 +328,7 @@
 
 // yields reports whether one more request has to wait until engines have answered.
 func (l *lane) yields(rank policy.Rank, free room, now time.Time) bool {
-	return rank == policy.Urgent && l.delay.Yields(l.target, free.open, now)
+	return rank == policy.Urgent && l.delay.Yields(l.target, free.size.Open(l.prompt), now)
 }
 
 // expectedWait estimates how long item would wait in the queue.
--- a/internal/relay/held.go
+++ b/internal/relay/held.go
@@ -46,8 +46,8 @@
 type room struct {
 	total float64
 	used  float64
-	// open is how many urgent requests without a first byte never wait.
-	open float64
+	// size is that of the engines.
+	size admit.Size
 }
 
 // fits reports whether work may begin. Work that exceeds the whole room has to wait
@@ -71,7 +71,7 @@
 	out := room{
 		total: math.Inf(1),
 		used:  used[rank],
-		open:  size.Open(),
+		size:  size,
 	}
 	if rank == policy.Normal {
 		out.total = w[rank].window.Limit(boundsOf(size, used))
--- a/pkg/admit/size.go
+++ b/pkg/admit/size.go
@@ -58,14 +58,16 @@
 }
 
 const (
-	// openPart is the part of an equal part of the engines' slots that urgent requests
-	// without a first byte may always have, and minOpen the least number of them.
-	openPart = 0.15
+	// openPart is the part of an equal part of the engines' memory that the prompts of
+	// urgent requests without a first byte may always have, and minOpen the least number
+	// of such requests.
+	openPart = 0.27
 	minOpen  = 2
 )
 
-// Open returns how many urgent requests without a first byte this instance may always
-// have, so that engines which were slow for a moment are not left idle.
-func (s Size) Open() float64 {
-	return max(openPart*float64(s.Engines*s.Slots)/float64(max(s.Instances, 1)), minOpen)
+// Open returns how many urgent requests with the given prompt tokens and without a first
+// byte this instance may always have, so that engines which were slow for a moment are not
+// left idle. Short prompts hardly wait for each other.
+func (s Size) Open(prompt int) float64 {
+	return max(openPart*s.Equal()/float64(max(prompt, 1)), minOpen)
 }
--- a/pkg/admit/wait.go
+++ b/pkg/admit/wait.go
@@ -27,6 +27,9 @@
 	returnShare = 1.0 / 3
 	// minReturn is the shortest time after which a refused caller is asked to return.
 	minReturn = 500 * time.Millisecond
+	// OverdueShare is the share of the room up to which overdue work is admitted, so
+	// that timely work which comes next finds some.
+	OverdueShare = 0.5
 	// defaultWait is how long work without a target may wait.
 	defaultWait = 2 * time.Second
 )
