allot: an instance of a large fleet asks less often

Cause: at 66 instances the grantor got up to 660 asks a second of about 1 KB each way, more than the 10 Mbit/s of a small machine carry, and credit in advance expires before most of it is used. Answers came too late, and requests of teams that had used little were refused. Change: asks for waiting requests are 1.5 ms x instances apart, those for credit in advance 9 ms x instances, up to the bound of 600 ms.

--- a/pkg/allot/wallet.go
+++ b/pkg/allot/wallet.go
@@ -13,9 +13,9 @@
 	keepInterval     = 350 * time.Millisecond
 	maxInterval      = 600 * time.Millisecond
 	topUpInterval    = 100 * time.Millisecond
-	topUpPerInstance = 1500 * time.Microsecond
+	topUpPerInstance = 9 * time.Millisecond
 	needInterval     = 10 * time.Millisecond
-	needPerInstance  = 300 * time.Microsecond
+	needPerInstance  = 1500 * time.Microsecond
 	// failedInterval is the time between two asks while they are not answered.
 	failedInterval = 150 * time.Millisecond
 	// reserveLives is how much of its life the credit that is asked for in advance is
