--- a/internal/relay/allot.go
+++ b/internal/relay/allot.go
@@ -156,7 +156,6 @@
 // refuse returns the refusal of r. Heard is whether the last ask has ended. The caller
 // holds mu.
 func (a *allotter) refuse(r chain.Request, limit allot.Limit, cost float64, heard bool) error {
-	//nolint:gosec // The spread of refusals needs no secrecy.
 	wait := a.wallet.Refuse(r.Team, cost, rand.Float64(), a.now())
 	a.meter.Refused("allotment")
 	a.log.Warn().Str("event", "refuse").Str("request", r.ID).Str("team", r.Team).Str("route", r.Route.Name).
