--- a/internal/relay/held.go
+++ b/internal/relay/held.go
@@ -210,8 +210,15 @@
 func (a *admission) release() {
 	a.gate.mu.Lock()
 	defer a.gate.mu.Unlock()
-	l := a.gate.service(a.service)[a.rank]
+	w := a.gate.service(a.service)
+	l := w[a.rank]
 	a.released = true
+	now := a.gate.now()
+	if took := now.Sub(a.since); a.open && took > a.target {
+		// A request that never began shows that the engines have too much, more than
+		// one that began late.
+		a.learn(w, l, took, now)
+	}
 	a.close(l)
 	if a.attempts == 0 {
 		l.running.remove("", a.tokens)
@@ -231,6 +238,14 @@
 	if !a.open {
 		return
 	}
+	a.learn(w, l, took, now)
+	g.admitWaiting(a.service)
+}
+
+// learn records that the request had its answer begin, or ended without one, after took.
+// The caller holds mu.
+func (a *admission) learn(w *serviceWork, l *lane, took time.Duration, now time.Time) {
+	g := a.gate
 	a.close(l)
 	if a.overdue {
 		l.delay = l.delay.WithOverdue(took, now)
@@ -238,18 +253,16 @@
 		l.delay = l.delay.WithAnswer(took, now)
 	}
 	if a.rank == policy.Urgent {
-		g.admitWaiting(a.service)
 		return
 	}
 	size, used := w.used(g.view.View(), a.service, now)
 	l.window = l.window.With(admit.Answer{
 		At:     now,
-		Took:   l.delay.Typical(),
+		Took:   l.delay.Expected(now),
 		Target: a.target,
 		Cost:   a.tokens,
 		Used:   used[a.rank],
 	}, boundsOf(size, used))
-	g.admitWaiting(a.service)
 }
 
 // close ends the wait for the first byte. The caller holds mu.
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -126,6 +126,6 @@
 	if len(suspects) == 0 {
 		return nil
 	}
-	name := preferredEngine(uint64(suspects[0]), pool, "", 0)
+	name := preferredEngine(uint64(suspects[0]), pool)
 	return slices.DeleteFunc(slices.Clone(pool), func(e member.Endpoint) bool { return e.Node.Name != name })
 }
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -30,9 +30,6 @@
 	// preferredCachedShare is the share of the shared tokens not reported as
 	// cached that the preferred engine is assumed to have cached.
 	preferredCachedShare = 0.8
-	// maxDomainLoad is how much more than their equal share of the prompts the engines of
-	// one failure domain may be preferred for, because their store is there.
-	maxDomainLoad = 1.5
 	// storeTransferWeight is the cost of a token fetched from the store of
 	// cached prompts relative to one from an engine, because all engines share
 	// the store's link.
@@ -138,74 +135,41 @@
 	if len(shared) > 0 {
 		key = prefix.PartKey(p.salt(0), shared[len(shared)-1].ID)
 	}
-	store, share := p.preferredStore(key)
-	out := prompt{
+	return prompt{
 		picker:       p,
 		shared:       shared,
 		sharedTokens: prefix.TotalTokens(shared),
 		key:          key,
-		preferred:    preferredEngine(key, pool, store.Domain, share),
+		preferred:    preferredEngine(key, pool),
+		store:        p.preferredStore(key),
 		caches:       map[int64]cacheView{},
 	}
-	if store.Name != "" && p.links.hasCapacity(store, p.tokenBytes(), p.instanceCount(), p.now) {
-		out.store = store
-	}
-	return out
 }
 
-// preferredEngine returns the engine that rendezvous hashing selects for key. It is one of
-// the given failure domain, from whose store of cached prompts the engine fetches what it
-// lacks, unless the domain has too few engines: share is the part of all prompts whose
-// store is there.
-func preferredEngine(key uint64, pool []member.Endpoint, domain string, share float64) string {
-	all, near := &pool[0], (*member.Endpoint)(nil)
-	local := 0
-	for i := range pool {
-		e := &pool[i]
-		w := e.Weight(key)
-		if w > all.Weight(key) {
-			all = e
-		}
-		if e.Node.Domain != domain {
-			continue
-		}
-		local++
-		if near == nil || w > near.Weight(key) {
-			near = e
-		}
-	}
-	if near == nil || share*float64(len(pool)) > maxDomainLoad*float64(local) {
-		return all.Node.Name
-	}
-	return near.Node.Name
+// preferredEngine returns the engine that rendezvous hashing selects for key.
+func preferredEngine(key uint64, pool []member.Endpoint) string {
+	best := slices.MaxFunc(pool, func(a, b member.Endpoint) int { return cmp.Compare(a.Weight(key), b.Weight(key)) })
+	return best.Node.Name
 }
 
-// preferredStore returns the store of cached prompts that rendezvous hashing selects for key
-// among the stores that answer, and which part of all prompts has its store in the same
-// failure domain.
-func (p picker) preferredStore(key uint64) (site.Service, float64) {
+// preferredStore returns the store of cached prompts that rendezvous hashing
+// selects for key among the stores that answer. It returns none if that store's
+// link has no capacity left.
+func (p picker) preferredStore(key uint64) site.Service {
 	var best site.Service
 	most := uint64(0)
-	var answering []site.Service
 	for _, v := range p.state.Routing.Site.Stores() {
-		if p.state.Routing.UnreachableStores[v.Name] {
-			continue
-		}
-		answering = append(answering, v)
 		w := member.Endpoint{
 			Hash: xxhash.Sum64String(v.Name),
 		}.Weight(key)
-		if best.Name == "" || w > most {
+		if !p.state.Routing.UnreachableStores[v.Name] && (best.Name == "" || w > most) {
 			best, most = v, w
 		}
 	}
-	local := 0
-	for _, v := range answering {
-		if v.Domain == best.Domain {
-			local++
-		}
+	if best.Name != "" && !p.links.hasCapacity(best, p.tokenBytes(), p.instanceCount(), p.now) {
+		return site.Service{}
 	}
-	return best, float64(local) / float64(max(len(answering), 1))
+	return best
 }
 
 // tokenBytes is the size of a cached token of the request's service, in bytes.
--- a/internal/relay/prompt_test.go
+++ b/internal/relay/prompt_test.go
@@ -265,34 +265,3 @@
 	c, _ := chooseWithLinks(t, withLink(1000), newStoreLinks(), sharedPromptRequest())
 	require.NotEmpty(t, c.source)
 }
-
-// A prompt is preferably read where its store of cached prompts is: transfers to another
-// failure domain take twice as long, and the links of the stores are the bound in an
-// overload. With stores in a few domains only, all engines are used.
-func TestPreferredEngineIsNearTheStore(t *testing.T) {
-	domains := []string{"a", "b", "c"}
-	var pool []member.Endpoint
-	for i := range 90 {
-		pool = append(pool, member.Endpoint{
-			Node: member.Node{
-				Name:   "e" + strconv.Itoa(i),
-				Domain: domains[i%3],
-			},
-			Hash: uint64(i) * 0x9e3779b97f4a7c15,
-		})
-	}
-	engines := map[string]member.Endpoint{}
-	for _, e := range pool {
-		engines[e.Node.Name] = e
-	}
-	for key := range uint64(100) {
-		key *= 0xbf58476d1ce4e5b9
-		require.Equal(t, "b", engines[preferredEngine(key, pool, "b", 1.0/3)].Node.Domain)
-	}
-	used := map[string]int{}
-	for key := range uint64(300) {
-		used[engines[preferredEngine(key*0xbf58476d1ce4e5b9, pool, "b", 1)].Node.Domain]++
-	}
-	require.Len(t, used, 3, "a single store")
-	require.Equal(t, "e0", preferredEngine(1, pool[:1], "b", 1.0/3), "no engine is near the store")
-}
