--- a/internal/filter/gate.go
+++ b/internal/filter/gate.go
@@ -10,7 +10,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/baobabtally/baobabtally/internal/state"
-	"github.com/baobabtally/baobabtally/pkg/admit"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
 	"github.com/baobabtally/baobabtally/pkg/grace"
@@ -23,9 +22,9 @@
 const (
 	// maxQueueWait is the queue timeout of requests whose policy has no target.
 	maxQueueWait = 30 * time.Second
-	// returnsPerWait is how often a caller without a deadline comes back within its time:
-	// each time after maxQueueWait at most.
-	returnsPerWait = 3
+	// queueShareOfTarget is the share of its latency target that a request may
+	// spend in the queue.
+	queueShareOfTarget = 0.8
 	// defaultSlots is the number of slots assumed for an endpoint that has not
 	// reported it.
 	defaultSlots = 16
@@ -115,11 +114,11 @@
 func (f Gate) wait(ctx context.Context, r chain.Request) (bool, error) {
 	f.mu.Lock()
 	q := f.queueFor(r.Model)
+	timeout := queueTimeout(r.Policy)
 	expected := q.expectedWait(r, f.capacity(r.Model, q))
-	timeout := f.queueTimeout(r, expected)
 	if expected > timeout || len(q.admissions) >= maxQueued {
-		defer f.mu.Unlock()
-		return false, f.refuse(r, q, "expected", expected)
+		f.mu.Unlock()
+		return false, f.refuse(r, "expected", expected)
 	}
 	admitted, place, id := q.enqueue(r)
 	f.admitQueued(r.Model, q)
@@ -134,14 +133,14 @@
 	case <-ctx.Done():
 	}
 	if f.withdraw(q, place, id) {
-		return false, f.unadmitted(ctx, r, q, timeout)
+		return false, f.unadmitted(ctx, r, timeout)
 	}
 	// The request was admitted concurrently with the timeout, so it proceeds.
 	return <-admitted, nil
 }
 
 // unadmitted returns the reason why r was withdrawn from the queue.
-func (f Gate) unadmitted(ctx context.Context, r chain.Request, q *modelQueue, timeout time.Duration) error {
+func (f Gate) unadmitted(ctx context.Context, r chain.Request, timeout time.Duration) error {
 	switch {
 	case grace.Ended(ctx):
 		f.logRefusal(r, "stopped", f.now().Sub(r.Arrived))
@@ -150,9 +149,7 @@
 		f.logRefusal(r, "left", f.now().Sub(r.Arrived))
 		return fault.New(fault.Overload, "the caller left while the request waited: send it again")
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.refuse(r, q, "waited", timeout)
+	return f.refuse(r, "waited", timeout)
 }
 
 func (f Gate) logRefusal(r chain.Request, reason string, wait time.Duration) {
@@ -160,17 +157,10 @@
 		Str("rank", r.Policy.Rank.String()).Str("reason", reason).Stringer("wait", wait.Round(time.Millisecond)).Send()
 }
 
-// refuse returns the refusal of r with the time at which its caller is to return. The
-// caller holds mu.
-func (f Gate) refuse(r chain.Request, q *modelQueue, reason string, wait time.Duration) error {
+func (f Gate) refuse(r chain.Request, reason string, wait time.Duration) error {
 	f.logRefusal(r, reason, wait)
-	left := returnsPerWait * maxQueueWait
-	if !r.Deadline.IsZero() {
-		left = min(left, r.Deadline.Sub(f.now()))
-	}
-	comeback, after := q.comeback.With(r.ID, max(wait, time.Second), admit.NewDrain(q.throughput), r.Cost(), left, f.now())
-	q.comeback = comeback
-	return fault.New(fault.Overload, "the wait (%s %s) is beyond the target: retry later or send less", reason, wait.Round(time.Millisecond)).WithRetry(after)
+	retry := min(max(wait, time.Second), maxQueueWait)
+	return fault.New(fault.Overload, "the wait (%s %s) is beyond the target: retry later or send less", reason, wait.Round(time.Millisecond)).WithRetry(retry)
 }
 
 // release returns the capacity of r, corrects its estimated cost by the actual one
@@ -294,19 +284,12 @@
 	return q
 }
 
-// queueTimeout returns how long r may stay in the queue.
-func (f Gate) queueTimeout(r chain.Request, expected time.Duration) time.Duration {
-	if r.Policy.Target == 0 {
+// queueTimeout returns how long requests of p may stay in the queue.
+func queueTimeout(p policy.Policy) time.Duration {
+	if p.Target == 0 {
 		return maxQueueWait
 	}
-	ask := admit.Ask{
-		Target: r.Policy.Target,
-	}
-	if !r.Deadline.IsZero() {
-		ask.Left = max(r.Deadline.Sub(f.now()), 1)
-	}
-	_, limit := ask.Limit(expected)
-	return limit
+	return time.Duration(queueShareOfTarget * float64(p.Target))
 }
 
 func weight(r chain.Request) float64 {
--- a/internal/filter/queue.go
+++ b/internal/filter/queue.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/baobabtally/baobabtally/pkg/admit"
 	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/policy"
 	"github.com/baobabtally/baobabtally/pkg/queue"
@@ -26,8 +25,6 @@
 	nextID         uint64
 	// throughput is the cost served per second while requests were queued.
 	throughput float64
-	// comeback is when the callers that were refused return.
-	comeback admit.Comeback
 	// served is the cost served since measuredAt, the time of the last throughput
 	// measurement.
 	served     float64
--- a/pkg/chain/request.go
+++ b/pkg/chain/request.go
@@ -99,18 +99,12 @@
 	// Priority is the priority of the team or, if it has none, of the route. 0 is the
 	// highest.
 	Priority int
-	// Overdue is whether the request can't be answered within its target any more. It
-	// must not delay those that can.
-	Overdue bool
 }
 
 // CombinedPriority returns the scheduling priority of a relayed request among those of
 // its service; the lowest goes first. The team's priority takes precedence over the route's, which
-// decides among requests of equal teams. Overdue requests go after those of equal teams.
+// decides among requests of equal teams.
 func (r Request) CombinedPriority() int {
-	if r.Overdue {
-		return min(routePriorityLevels*(r.Priority+1), lastPriority)
-	}
 	return routePriorityLevels*r.Priority + min(r.Route.Priority, routePriorityLevels-1)
 }
 
@@ -118,9 +112,6 @@
 // within a team's priority. Engines support ten levels in all.
 const routePriorityLevels = 2
 
-// lastPriority is the priority that engines serve last.
-const lastPriority = 9
-
 // Resume identifies a stream and the offset of the next chunk that the caller wants.
 type Resume struct {
 	// Endpoint is the endpoint that generates the stream.
@@ -199,12 +190,6 @@
 	return deadline
 }
 
-// WithOverdue returns a copy of r that can or can't be answered within its target.
-func (r Request) WithOverdue(overdue bool) Request {
-	r.Overdue = overdue
-	return r
-}
-
 // WithDequeuedByFloor returns a copy of r that was or wasn't dequeued ahead of waiting urgent
 // requests because of the floor of its rank.
 func (r Request) WithDequeuedByFloor(floored bool) Request {
