--- a/pkg/allot/fleet_test.go
+++ b/pkg/allot/fleet_test.go
@@ -307,6 +307,7 @@
 			Burst: 1e6,
 		}
 		f := newFleet(t, 12, l, testBounds[1])
+		f.slow = rapid.Bool().Draw(t, "slow")
 		f.run(5*time.Second, f.demand(0, 12))
 		oneWay := rapid.Bool().Draw(t, "oneWay")
 		for _, in := range f.instances[:4] {
