ctrl, relay: a newer configuration and each transfer of one are logged

Callers saw requests handled by older configurations on fleets with narrow links. Neither logs nor metrics tell whether the news of a version, the store or the transfer between instances is late: a transfer that fails was logged at the level debug, and none with its time.

event=newer is written when a peer is known to have a newer configuration, and event=fetch for each transfer with its source, version, time and error.

--- a/internal/ctrl/sites.go
+++ b/internal/ctrl/sites.go
@@ -59,10 +59,22 @@
 		newer.Confirmed = later(newer.Confirmed, confirmedAt(e, e.Relay.SiteConfirmed, now))
 	}
 	s.Routing.NewerSite = newer
+	var actions []state.Action
+	if first {
+		actions = append(actions, state.Note{
+			Event: "newer",
+			Pairs: []string{
+				"version", strconv.FormatInt(newer.Version, 10),
+				"before", strconv.FormatInt(s.Routing.Site.Version(), 10),
+				"source", e.Name,
+			},
+		})
+	}
 	if first && (!s.Routing.StoreReachable || len(s.Routing.Peers) > storePeers) {
-		return s, c.fetchAction(s)
+		return s, append(actions, c.fetchAction(s)...)
 	}
-	return c.fetchOverdue(s, now)
+	s, overdue := c.fetchOverdue(s, now)
+	return s, append(actions, overdue...)
 }
 
 // fetchOverdue fetches a newer configuration from a peer if the store did not
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/baobabtally/baobabtally/internal/ctrl"
 	"github.com/baobabtally/baobabtally/internal/filter"
@@ -123,9 +124,11 @@
 }
 
 func (x *executor) fetchSite(ctx context.Context, a state.FetchSite) state.Event {
+	begun := x.parts.Now()
 	s, err := x.parts.Peers.Site(ctx, a.From)
+	x.parts.Log.Info().Str("event", "fetch").Str("name", "site").Str("source", a.From.Name).Int64("version", s.Version()).
+		Stringer("took", x.parts.Now().Sub(begun).Round(time.Millisecond)).Err(err).Send()
 	if err != nil {
-		x.logFailedCall("site", a.From.Name, err)
 		return nil
 	}
 	return state.SiteFound{
