watch, relay: instances take turns at reading the registry

Callers saw requests reach engines more than three seconds after these had said that they leave.

Cause: the interval between two reads of an instance grows with the fleet, so that all together read 3.3 times a second; but instances that start together read together, and a quarter of jitter needs many rounds of 27 s to spread them. Ruled out: late heartbeats, and a store that does not answer.

Change: the interval is divided into turns, one for each instance by rendezvous hashing, and the store's clock starts it for all.

TestRegistryIsReadAtAllTimesByAFleetThatStartedTogether failed before with 8 instances, 1.47 s between two reads with a bound of 1 s; now 0.34 s at the most with 8 to 340. TestRegistryIsReadInTimeAfterTheLossOfADomain failed before with 92, 9.8 s and a bound of 3 s; now 1.2 s.

--- a/internal/ctrl/follow.go
+++ b/internal/ctrl/follow.go
@@ -124,7 +124,7 @@
 	for _, v := range s.Routing.Site.Stores() {
 		r = r.WithEndpoint(v.Name)
 	}
-	r = r.WithEndpoint(state.OperatorsTable)
+	r = r.WithEndpoint(state.OperatorsTable).WithEndpoint(state.RegistryTable)
 	s.Routing.Ranks = r
 	return s
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -251,7 +251,7 @@
 	}, hedging, spread, watch.WithLongPoll(operatorLongPoll), watch.WithPause(func() time.Duration { return operatorPause(loop.View(), p.Now()) }))
 	registryTable := watch.New(p.Store, registry, registrySink{
 		controlSink: newSink("registry"),
-	}, hedging, spread, watch.WithLongPoll(registryLongPoll), watch.WithInterval(func() time.Duration { return registryReadInterval(loop.View(), p.Now()) }))
+	}, hedging, spread, registryReads(loop.View, p.Store.Clock, p.Now))
 	exec.operators, exec.registry = operatorsTable, registryTable
 	return &Relay{
 		Loop:      loop,
@@ -267,12 +267,42 @@
 	}
 }
 
-// registryReadInterval returns the time between two reads of the registry at now. It
-// is short while endpoints are missing that may reappear, while the store does not
-// answer, and while no peer is heard from, which would send changes.
+// registryReads sets when the registry is read.
+func registryReads(view func() *state.State, clock func() store.Clock, now func() time.Time) watch.Option {
+	return func(t *watch.Table) {
+		watch.WithLongPoll(registryLongPoll)(t)
+		watch.WithInterval(func() time.Duration { return registryReadInterval(view(), now()) })(t)
+		watch.WithTurns(func() (time.Duration, bool) { return registryTurn(view(), clock(), now()) })(t)
+	}
+}
+
+// registryTurn returns the time from now until the turn of this instance to read the
+// registry, and false while it does not rely on the turns of others. The turns are spread
+// over the interval, which the store's clock starts for all instances, by a ranking in
+// which those of one failure domain do not follow each other.
+func registryTurn(s *state.State, clock store.Clock, now time.Time) (time.Duration, bool) {
+	rank, ranked := s.Routing.Ranks.Of(state.RegistryTable)
+	if !ranked || clock.Reading == 0 || readsAlone(s, now) {
+		return 0, false
+	}
+	interval := registryReadInterval(s, now)
+	turn := interval * time.Duration(rank) / time.Duration(len(s.Routing.Peers)+1)
+	elapsed := (clock.Reading + now.Sub(clock.SentAt)) % interval
+	return (interval + turn - elapsed) % interval, true
+}
+
+// readsAlone reports whether the instance reads the registry as if it had no peers: while
+// endpoints are missing that may reappear, while the store does not answer, and while no
+// peer is heard from, which would send changes.
+func readsAlone(s *state.State, now time.Time) bool {
+	return len(s.Routing.Departing) > 0 || !s.Routing.StoreReachable || isolated(s, now)
+}
+
+// registryReadInterval returns the time between two reads of the registry at now. It is
+// short while the instance reads alone.
 func registryReadInterval(s *state.State, now time.Time) time.Duration {
 	peers := len(s.Routing.Peers)
-	if len(s.Routing.Departing) > 0 || !s.Routing.StoreReachable || isolated(s, now) {
+	if readsAlone(s, now) {
 		return min(registryInterval*time.Duration((peers+smallFleet)/smallFleet), maxStoreProbeInterval)
 	}
 	share := (peers + registryReaders) / registryReaders
--- a/internal/state/ranks.go
+++ b/internal/state/ranks.go
@@ -7,8 +7,12 @@
 	"github.com/baobabtally/baobabtally/pkg/member"
 )
 
-// OperatorsTable stands for the operators' table among the endpoints that are ranked.
-const OperatorsTable = "operators"
+// OperatorsTable and RegistryTable stand for these tables among the endpoints that are
+// ranked.
+const (
+	OperatorsTable = "operators"
+	RegistryTable  = "registry"
+)
 
 // Ranks holds how many instances go before this one, by rendezvous hash, for each
 // of some endpoints. All instances that know the same peers compute the same ranks
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -77,6 +77,9 @@
 	sink     Sink
 	longPoll time.Duration
 	interval func() time.Duration
+	// turn returns the time until the table is to be read next, and false where the interval
+	// counts; nil if that is always so.
+	turn func() (time.Duration, bool)
 	// pause returns the mean pause after a read of changes; nil if there is none.
 	pause func() time.Duration
 	// hedging returns how much longer than its wait a read of changes may take until
@@ -124,6 +127,13 @@
 	return func(t *Table) { t.interval = interval }
 }
 
+// WithTurns sets the function that returns the time until the next read, and false where
+// the interval counts. It is called after each read. Instances that take turns cover the
+// time evenly, also if they started together.
+func WithTurns(next func() (time.Duration, bool)) Option {
+	return func(t *Table) { t.turn = next }
+}
+
 // WithPause makes the table pause after each read of changes, so that at any time only
 // some of many instances wait for the same change. The function returns the mean pause;
 // once it returns 0, the pause ends. Pauses and waits are drawn at random, since
@@ -239,7 +249,7 @@
 	case <-t.ended:
 	default:
 	}
-	if due := begin.Add(withJitter(t.interval())); t.due.IsZero() || due.Before(t.due) {
+	if due := t.nextDue(begin); t.due.IsZero() || due.Before(t.due) {
 		t.due = due
 	}
 	if err := t.sleep(ctx, time.Until(t.due), renewed, t.ended); err != nil {
@@ -255,6 +265,16 @@
 	return t.rest(ctx, renewed)
 }
 
+// nextDue returns when the read is due that follows one that began at begin.
+func (t *Table) nextDue(begin time.Time) time.Time {
+	if t.turn != nil {
+		if d, ok := t.turn(); ok {
+			return time.Now().Add(d)
+		}
+	}
+	return begin.Add(withJitter(t.interval()))
+}
+
 // sleep waits for d or until renewed is closed or ended has a value. It fails if ctx ends.
 func (t *Table) sleep(ctx context.Context, d time.Duration, renewed, ended <-chan struct{}) error {
 	if d <= 0 {
