origin, relay: a stream goes on at the software version that began it

Callers whose streams broke off while engines of two versions of the software served got texts of which the first part was written by one version and the rest by the other.

Cause: the version in an engine's entry was not read, and any engine of the service could continue a stream, within a response and over the attempts of a caller. After all instances had been killed, nothing could tell which version had begun one.

Change: the version is part of an endpoint, and a stream is bound to that of its first event. The origin filter finds it for a caller that resumes a stream by the request that began it (Resumes): instances remember streams for each other while versions are mixed, and a row of the store lists the versions that may have begun any. A stream of unknown origin is refused as not run. The row outlives all instances; a version is listed before a stream that can be resumed begins at it.

--- a/internal/ctrl/mesh.go
+++ b/internal/ctrl/mesh.go
@@ -216,6 +216,9 @@
 	r.Weights = s.Routing.PendingWeights
 	r.Announcements = recentAnnouncements(s)
 	r.Entries = s.Routing.RecentEntries
+	if w := s.Routing.Software; w.Known && w.Row.Era == s.Routing.StoreEra {
+		r.Software = w.Row
+	}
 	r.DepartureVersions = make(map[string]int64, len(drained))
 	for _, name := range drained {
 		if v, ok := s.Routing.DepartureVersions[name]; ok {
--- a/internal/ctrl/step.go
+++ b/internal/ctrl/step.go
@@ -50,6 +50,7 @@
 			Every: heartbeatTicks,
 		},
 		Sites{},
+		Software{},
 		Follow{},
 		Poison{},
 		Leases{},
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -74,6 +74,12 @@
 		})
 	}
 	m.Poison = encodePoison(r.Poison)
+	if r.Software.Version > 0 {
+		m.Software = &rpcapi.Row{
+			Version: r.Software.Version,
+			Value:   r.Software.Value,
+		}
+	}
 	return m
 }
 
@@ -151,6 +157,13 @@
 	}
 	r.Peers = decodePeers(m.GetMates())
 	r.Poison = decodePoison(m.GetPoison())
+	if row := m.GetSoftware(); row.GetVersion() > 0 {
+		r.Software = store.Row{
+			Key:     state.SoftwareRow,
+			Value:   row.GetValue(),
+			Version: row.GetVersion(),
+		}
+	}
 	return r
 }
 
--- a/internal/peer/relay_test.go
+++ b/internal/peer/relay_test.go
@@ -19,7 +19,7 @@
 
 // encodedSnapshot is the encoding of a snapshot whose fields are all set.
 const encodedSnapshot = `{"Version":7,"Entries":[{` +
-	`"Node":{"Name":"n","Role":1,"Addr":"a","Domain":"d","Labels":{},"Models":["m"],"Fences":true,"Leaving":true,"Start":"s"},` +
+	`"Node":{"Name":"n","Role":1,"Addr":"a","Domain":"d","Labels":{},"Models":["m"],"Fences":true,"Software":"w","Leaving":true,"Start":"s"},` +
 	`"Report":{"Epoch":"e","Version":"v","Leaving":true,"Slots":1,"Prefill":2,"Step":3,"Busy":true,"Orders":4},` +
 	`"Weights":{"m":5}}]}`
 
@@ -38,6 +38,7 @@
 					Labels:    label.Of("k", "v"),
 					Models:    []string{"m"},
 					Fences:    true,
+					Software:  "w",
 					Departing: true,
 					Start:     "s",
 				},
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,6 +7,7 @@
 	"github.com/baobabtally/baobabtally/internal/rpcapi"
 	"github.com/baobabtally/baobabtally/internal/state"
 	"github.com/baobabtally/baobabtally/pkg/allot"
+	"github.com/baobabtally/baobabtally/pkg/origin"
 	"github.com/baobabtally/baobabtally/pkg/site"
 )
 
@@ -28,6 +29,13 @@
 	loop loop
 	// granter is nil if the instance divides no allotments.
 	granter granter
+	// tracer is nil if the instance traces no streams.
+	tracer tracer
+}
+
+// tracer remembers streams and the software that began them.
+type tracer interface {
+	Trace(known []origin.Stream, asked []string) []origin.Stream
 }
 
 // Option configures a Server.
@@ -38,6 +46,11 @@
 	return func(s *Server) { s.granter = g }
 }
 
+// WithTracer has t remember streams.
+func WithTracer(t tracer) Option {
+	return func(s *Server) { s.tracer = t }
+}
+
 // NewServer returns a server for the control thread l.
 func NewServer(l loop, opts ...Option) Server {
 	s := Server{
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -54,6 +54,10 @@
 	event string
 	// skipsIDs is whether the ids of the events are not consecutive numbers.
 	skipsIDs bool
+	// bound reports whether the stream may go on at engines with the given version of the
+	// software only.
+	bound    bool
+	software string
 }
 
 // WithChunk returns the position after c.
@@ -61,10 +65,16 @@
 	if c.Event == "" {
 		return p
 	}
-	return position{
-		event:    c.Event,
-		skipsIDs: p.skipsIDs || c.SkipsIDs,
-	}
+	p.event = c.Event
+	p.skipsIDs = p.skipsIDs || c.SkipsIDs
+	return p
+}
+
+// WithSoftware returns the position in a stream that engines with the given version began.
+func (p position) WithSoftware(version string) position {
+	p.bound = true
+	p.software = version
+	return p
 }
 
 // run makes attempts until one succeeds or no further attempt is allowed.
@@ -75,7 +85,7 @@
 			if x.deadlinePassed() {
 				return x.withRunState(errDeadline)
 			}
-			c, err := x.choose(ctx)
+			c, err := x.choose(ctx, x.received)
 			if err != nil {
 				return x.withRunState(err)
 			}
@@ -297,6 +307,10 @@
 			x.countPart(a, a.lastReceived.Sub(asked))
 		}
 		received := x.received.WithChunk(c)
+		begins := received.event != "" && !received.bound
+		if begins {
+			received = received.WithSoftware(a.choice.endpoint.Node.Software)
+		}
 		if !s.reset(received, true) {
 			// The attempt that replaces this one repeats the event.
 			return errIdleTimeout
@@ -305,6 +319,9 @@
 			return err
 		}
 		x.received = received
+		if begins && resumable(x.request) {
+			x.origins.begin(x.request.ID, received.software)
+		}
 		if err := x.writer.Write(c); err != nil {
 			return callerDisconnectedError(err)
 		}
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -74,6 +74,9 @@
 			links:     newStoreLinks(),
 			meter:     discardMeter{},
 			grace:     grace.New(),
+			origins: &origins{
+				now: time.Now,
+			},
 			bounds: Bounds{
 				StaleWeightsLimit: bound,
 			},
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/baobabtally/baobabtally/internal/ctrl"
@@ -11,6 +12,7 @@
 	"github.com/baobabtally/baobabtally/internal/watch"
 	"github.com/baobabtally/baobabtally/pkg/load"
 	"github.com/baobabtally/baobabtally/pkg/poison"
+	"github.com/baobabtally/baobabtally/pkg/store"
 )
 
 // executor carries out the actions of the controllers.
@@ -21,6 +23,8 @@
 	tally *filter.Tally
 	// served remembers the parts of prompts that endpoints have served.
 	served *poison.Served
+	// origins knows which software began the streams.
+	origins *origins
 	// rejoin holds a value while the instance has to look for its row in the store.
 	rejoin chan struct{}
 	// operators and registry are the tables of the store that the instance follows. They
@@ -42,6 +46,8 @@
 		return x.fetchRegistry(ctx, a)
 	case state.RunLeaseOp:
 		return x.runLeaseOp(ctx, a)
+	case state.SyncSoftware:
+		return x.syncSoftware(ctx, a)
 	case state.PollLoad:
 		if !x.quiet(a.Endpoint.Node) {
 			return x.pollLoad(ctx, a)
@@ -170,6 +176,26 @@
 	return e
 }
 
+// syncSoftware reads or writes the row of the versions of the engines' software.
+func (x *executor) syncSoftware(ctx context.Context, a state.SyncSoftware) state.Event {
+	e := state.SoftwareSynced{
+		Put: a.Put,
+		Row: a.Row,
+	}
+	if a.Put {
+		e.Row.Version, e.Err = x.parts.Store.Put(ctx, a.Row)
+	} else {
+		e.Row, e.Err = x.parts.Store.Get(ctx, state.SoftwareRow)
+	}
+	if errors.Is(e.Err, store.ErrMissing) {
+		e.Row, e.Err = store.Row{}, nil
+	}
+	if e.Err != nil {
+		x.logFailedCall("software", state.SoftwareRow, e.Err)
+	}
+	return e
+}
+
 func (x *executor) pollLoad(ctx context.Context, a state.PollLoad) state.Event {
 	report, work, err := x.parts.Endpoints.Load(ctx, a.Endpoint.Node)
 	if err != nil {
--- a/internal/relay/filters.go
+++ b/internal/relay/filters.go
@@ -30,7 +30,12 @@
 	if !ok {
 		return chain.Result{}, fault.New(fault.Missing, "no route of host %q begins this path: correct the host or the path", r.Host)
 	}
-	return next.Handle(ctx, r.WithRoute(route, route.Pick(xxhash.Sum64String(r.ID))), w)
+	// A stream goes on at the service that began it.
+	id := r.ID
+	if r.Resumes != "" {
+		id = r.Resumes
+	}
+	return next.Handle(ctx, r.WithRoute(route, route.Pick(xxhash.Sum64String(id))), w)
 }
 
 // teamFilter authenticates a request's team by its API key.
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -95,7 +95,7 @@
 			b.ReportAllocs()
 			x := newFleetExchange(s)
 			for b.Loop() {
-				if _, err := x.choose(b.Context()); err != nil {
+				if _, err := x.choose(b.Context(), position{}); err != nil {
 					b.Fatal(err)
 				}
 			}
@@ -108,7 +108,7 @@
 	allocs := func(instances, engines int) float64 {
 		x := newFleetExchange(fleetState(instances, engines))
 		return testing.AllocsPerRun(20, func() {
-			_, err := x.choose(t.Context())
+			_, err := x.choose(t.Context(), position{})
 			require.NoError(t, err)
 		})
 	}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -51,6 +51,11 @@
 	Detach(ctx context.Context) (context.Context, context.CancelFunc)
 }
 
+// beginner remembers which version of the engines' software began a stream.
+type beginner interface {
+	begin(id, software string)
+}
+
 // forwarder is the last handler of the chain. It has endpoints serve requests.
 type forwarder struct {
 	control   control
@@ -64,6 +69,7 @@
 	links     *storeLinks
 	meter     meter
 	grace     detacher
+	origins   beginner
 }
 
 func newForwarder(x *executor, p Parts) forwarder {
@@ -79,6 +85,7 @@
 		links:     newStoreLinks(),
 		meter:     p.Meter,
 		grace:     p.Grace,
+		origins:   x.origins,
 	}
 }
 
@@ -91,10 +98,8 @@
 		writer:    w,
 		caller:    ctx,
 		admission: admissionOf(ctx),
-		received: position{
-			event: r.LastEventID,
-		},
-		parts: promptParts(r),
+		received:  receivedBefore(r),
+		parts:     promptParts(r),
 	}
 	if r.Route.Kind == site.NonIdempotent {
 		// The attempt continues after the caller disconnects: its effect can't be
@@ -124,6 +129,17 @@
 	return result, err
 }
 
+// receivedBefore returns what the caller of r has received of a stream that it resumes.
+func receivedBefore(r chain.Request) position {
+	p := position{
+		event: r.LastEventID,
+	}
+	if resumes(r) {
+		return p.WithSoftware(r.Software)
+	}
+	return p
+}
+
 // logEnd logs the outcome of a request.
 func (f forwarder) logEnd(r chain.Request, result chain.Result, err error) {
 	line := f.log.Info()
--- a/internal/relay/look_test.go
+++ b/internal/relay/look_test.go
@@ -94,7 +94,7 @@
 		r.ID = fmt.Sprintf("r%d", len(waits))
 		x := newChoosingExchange(states[draw.IntN(domains)], r, begin)
 		x.endpoints = m
-		c, err := x.choose(t.Context())
+		c, err := x.choose(t.Context(), position{})
 		require.NoError(t, err)
 		waits = append(waits, m.call(c.endpoint.Node.Name))
 	}
@@ -152,17 +152,17 @@
 	s := fleetState(78, 78)
 	x := newChoosingExchange(s, sharedPromptRequest(), begin)
 	x.endpoints = m
-	first, err := x.choose(t.Context())
+	first, err := x.choose(t.Context(), position{})
 	require.NoError(t, err)
 	m.silent[first.endpoint.Node.Name] = true
-	second, err := x.choose(t.Context())
+	second, err := x.choose(t.Context(), position{})
 	require.NoError(t, err)
 	require.NotEqual(t, first.endpoint.Node.Name, second.endpoint.Node.Name)
 	for _, e := range s.Members.Pool("llm") {
 		m.silent[e.Node.Name] = true
 	}
 	m.looks = 0
-	_, err = x.choose(t.Context())
+	_, err = x.choose(t.Context(), position{})
 	require.NoError(t, err)
 	require.Equal(t, maxLooks, m.looks)
 }
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -9,8 +9,10 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobabtally/baobabtally/internal/state"
+	"github.com/baobabtally/baobabtally/pkg/chain"
 	"github.com/baobabtally/baobabtally/pkg/fault"
 	"github.com/baobabtally/baobabtally/pkg/member"
+	"github.com/baobabtally/baobabtally/pkg/origin"
 )
 
 const (
@@ -84,8 +86,9 @@
 	return now.Sub(c.behindSince).Round(time.Millisecond).String()
 }
 
-// choose picks an endpoint and logs the decision.
-func (x *exchange) choose(ctx context.Context) (choice, error) {
+// choose picks an endpoint for a request whose caller has received the given part of the
+// response, and logs the decision.
+func (x *exchange) choose(ctx context.Context, received position) (choice, error) {
 	s := x.control.View()
 	service, ok := s.Routing.Site.Service(x.request.Service)
 	if !ok {
@@ -95,6 +98,7 @@
 		exchange: x,
 		state:    s,
 		now:      x.now(),
+		software: softwareOf(x.request, received, s),
 	}
 	if v, ok := s.Routing.Poison.Verdict(x.parts); ok {
 		return choice{}, poisonError(v, p.now)
@@ -107,7 +111,7 @@
 	x.meter.Chosen(c.reason, c.sourceKind(), c.uncached)
 	x.log.Info().Str("event", "route").Str("request", x.request.ID).Str("team", x.request.Team).
 		Str("route", x.request.Route.Name).Int("order", x.request.CombinedPriority()).
-		Str("endpoint", c.endpoint.Node.Name).Str("reason", c.reason).Int("missed", c.uncached).Bool("kept", c.inStore).Str("source", c.source).
+		Str("endpoint", c.endpoint.Node.Name).Str("software", c.endpoint.Node.Software).Str("reason", c.reason).Int("missed", c.uncached).Bool("kept", c.inStore).Str("source", c.source).
 		Int64("weights", c.weights).Str("behind", c.lagText(p.now)).Int64("site", s.Routing.Site.Version()).Int64("listing", s.Routing.RegistryVersion).
 		Stringer("cost", c.cost.Round(time.Millisecond)).Int("attempt", x.attempts+1).Send()
 	return c, nil
@@ -131,6 +135,47 @@
 	*exchange
 	state *state.State
 	now   time.Time
+	// software bounds the endpoints by the version of their software.
+	software softwareBound
+}
+
+// softwareBound says which versions of the software a request may be sent to. The zero value
+// allows all.
+type softwareBound struct {
+	// exact is set if only version is allowed.
+	exact   bool
+	version string
+	// listed is set if only the versions that are listed for service are allowed.
+	listed  bool
+	list    origin.Listed
+	service string
+}
+
+// softwareOf returns the bound for a request whose caller has received the given part of the
+// response. A stream that callers may resume begins at a listed version only.
+func softwareOf(r chain.Request, received position, s *state.State) softwareBound {
+	list := s.Routing.Software.Listed
+	return softwareBound{
+		exact:   received.bound,
+		version: received.software,
+		listed:  resumable(r) && !list.Empty(r.Service),
+		list:    list,
+		service: r.Service,
+	}
+}
+
+// allows reports whether e may be used.
+func (b softwareBound) allows(e *member.Endpoint) bool {
+	if b.exact {
+		return e.Node.Software == b.version
+	}
+	return !b.listed || b.list.Contains(b.service, e.Node.Software)
+}
+
+// withoutList returns b without the bound to listed versions.
+func (b softwareBound) withoutList() softwareBound {
+	b.listed = false
+	return b
 }
 
 // best returns the endpoint with the lowest cost.
@@ -154,11 +199,13 @@
 func (p picker) hasPrompt() bool { return p.request.Route.Prompts && len(p.request.Parts) > 0 }
 
 // hasCandidate reports whether choose would find an endpoint.
-func (x *exchange) hasCandidate() bool {
+func (x *exchange) hasCandidate(received position) bool {
+	s := x.control.View()
 	p := picker{
 		exchange: x,
-		state:    x.control.View(),
+		state:    s,
 		now:      x.now(),
+		software: softwareOf(x.request, received, s),
 	}
 	pool := p.candidates()
 	if len(pool) == 0 || !p.hasPrompt() {
@@ -170,20 +217,28 @@
 
 // candidates returns the endpoints that may be called: those that were not
 // tried and are trusted or, if there are none, all that were not tried. None of
-// them wants no calls.
+// them wants no calls. Endpoints whose software is not listed yet are left out unless
+// there are no others.
 func (p picker) candidates() []member.Endpoint {
 	pool := p.state.Members.Pool(p.request.Service)
 	if trusted := p.untried(pool, false); len(trusted) > 0 {
 		return trusted
 	}
-	return p.untried(pool, true)
+	if all := p.untried(pool, true); len(all) > 0 {
+		return all
+	}
+	if !p.software.listed {
+		return nil
+	}
+	p.software = p.software.withoutList()
+	return p.candidates()
 }
 
 // untried returns the endpoints of pool that want calls and were not tried, with those
 // that are suspected or without them. In calm that is pool itself, which is not copied.
 func (p picker) untried(pool []member.Endpoint, suspected bool) []member.Endpoint {
 	excluded := func(e *member.Endpoint) bool {
-		return !suspected && e.SuspectUntil.After(p.now) || e.QuietUntil.After(p.now) || slices.Contains(p.tried, e.Node.Name)
+		return !p.software.allows(e) || !suspected && e.SuspectUntil.After(p.now) || e.QuietUntil.After(p.now) || slices.Contains(p.tried, e.Node.Name)
 	}
 	first := 0
 	for first < len(pool) && !excluded(&pool[first]) {
--- a/internal/relay/pick_test.go
+++ b/internal/relay/pick_test.go
@@ -75,7 +75,7 @@
 			c, ok := choose(t, s, r)
 			require.True(t, ok)
 			require.NotEqual(t, quiet, c.endpoint.Node.Name)
-			c, err := newChoosingExchange(s, r, begin.Add(time.Second)).choose(t.Context())
+			c, err := newChoosingExchange(s, r, begin.Add(time.Second)).choose(t.Context(), position{})
 			require.NoError(t, err)
 			require.Equal(t, quiet, c.endpoint.Node.Name)
 		})
@@ -87,7 +87,7 @@
 func TestRefusalNamesTheShortestQuiet(t *testing.T) {
 	s := withQuiet(fiveEngines(), begin.Add(3*time.Second), "e0", "e1", "e2", "e3")
 	s = withQuiet(s, begin.Add(1700*time.Millisecond), "e4")
-	_, err := newChoosingExchange(s, plainRequest(), begin).choose(t.Context())
+	_, err := newChoosingExchange(s, plainRequest(), begin).choose(t.Context(), position{})
 	f := fault.From(err)
 	require.Equal(t, fault.Unavailable, f.Kind)
 	require.Equal(t, fault.NotRun, f.Run)
@@ -99,7 +99,7 @@
 	s := withQuiet(fiveEngines(), begin.Add(30*time.Second), "e1", "e2", "e3", "e4")
 	x := newChoosingExchange(s, plainRequest(), begin)
 	x.tried = []string{"e0"}
-	_, err := x.choose(t.Context())
+	_, err := x.choose(t.Context(), position{})
 	require.Equal(t, busyRetryAfter, fault.From(err).Retry)
 }
 
@@ -128,7 +128,7 @@
 			x := newChoosingExchange(fiveEngines(), r, begin)
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, err := x.choose(b.Context()); err != nil {
+				if _, err := x.choose(b.Context(), position{}); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/internal/relay/prompt_test.go
+++ b/internal/relay/prompt_test.go
@@ -112,7 +112,7 @@
 		request: r,
 		tried:   tried,
 	}
-	c, err := x.choose(t.Context())
+	c, err := x.choose(t.Context(), position{})
 	return c, err == nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -113,6 +113,7 @@
 	RegistrySnapshot(ctx context.Context, from member.Node) (state.RegistrySnapshot, error)
 	// Grant asks a peer for credit of teams' allotments.
 	Grant(ctx context.Context, to member.Node, a allot.Ask) (allot.Answer, error)
+	tracer
 }
 
 // endpoints calls endpoints.
@@ -211,6 +212,7 @@
 	allotter  *allotter
 	operators *watch.Table
 	registry  *watch.Table
+	origins   *origins
 	// rejoin receives a value when the instance has to look for its row in the store.
 	rejoin <-chan struct{}
 	done   chan struct{}
@@ -233,6 +235,12 @@
 		ctrl.WithInterval(ctrl.ForwardInterval),
 		ctrl.WithControllers(ctrl.Forwarding()...))
 	exec.loop = loop
+	exec.origins = &origins{
+		view:  loop.View,
+		peers: p.Peers,
+		now:   p.Now,
+		log:   p.Log,
+	}
 	gate := newGate(loop, p.Now, p.Log, p.Meter)
 	allotter := newAllotter(loop, p)
 	operators, registry := p.Decoder.Tables()
@@ -256,12 +264,13 @@
 	return &Relay{
 		Loop:      loop,
 		Handler:   exec.chain(allotter, gate),
-		Peer:      peer.NewServer(loop, peer.WithGranter(allotter)),
+		Peer:      peer.NewServer(loop, peer.WithGranter(allotter), peer.WithTracer(exec.origins)),
 		parts:     p,
 		gate:      gate,
 		allotter:  allotter,
 		operators: operatorsTable,
 		registry:  registryTable,
+		origins:   exec.origins,
 		rejoin:    exec.rejoin,
 		done:      make(chan struct{}),
 	}
@@ -358,6 +367,9 @@
 			view: x.loop,
 			now:  p.Now,
 		}),
+		x.logRefusals(originFilter{
+			origins: x.origins,
+		}),
 		policyFilter{
 			view: x.loop,
 		},
@@ -386,7 +398,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group run.Group
-	for _, actor := range []func(context.Context) error{i.Loop.Run, i.operators.Run, i.registry.Run, i.join, i.gate.run, i.allotter.run} {
+	for _, actor := range []func(context.Context) error{i.Loop.Run, i.operators.Run, i.registry.Run, i.join, i.gate.run, i.allotter.run, i.origins.run} {
 		group.Add(func() error {
 			err := actor(ctx)
 			if err == nil {
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -194,7 +194,7 @@
 			return nil
 		}
 		s.logKept("no further attempt is allowed")
-	case !x.hasOther(s.attempt.choice.endpoint.Node.Name):
+	case !x.hasOther(s.attempt.choice.endpoint.Node.Name, s.received):
 		s.logKept("no other endpoint or no retry budget is left")
 		s.timer.Reset(s.limit)
 	default:
@@ -220,12 +220,13 @@
 }
 
 // hasOther reports whether the retry budget and the endpoints allow another attempt
-// while the one at endpoint goes on, which then gets no further attempt.
-func (x *exchange) hasOther(endpoint string) bool {
+// while the one at endpoint goes on, which then gets no further attempt. The caller has
+// received the given part.
+func (x *exchange) hasOther(endpoint string, received position) bool {
 	if !slices.Contains(x.tried, endpoint) {
 		x.tried = append(x.tried, endpoint)
 	}
-	return x.hasCandidate() && x.budgets.allowsRetry(x.request.Service, x.instanceCount(), x.now())
+	return x.hasCandidate(received) && x.budgets.allowsRetry(x.request.Service, x.instanceCount(), x.now())
 }
 
 // run seeks an endpoint that replaces the silent one, until one does or no further
@@ -239,7 +240,7 @@
 		Endpoint: s.attempt.choice.endpoint.Node.Name,
 		Failed:   true,
 	})
-	for !x.deadlinePassed() && x.attemptsLeft() && x.hasCandidate() && x.takeRetry() {
+	for !x.deadlinePassed() && x.attemptsLeft() && x.hasCandidate(q.received) && x.takeRetry() {
 		if !s.try(q) {
 			return
 		}
@@ -250,7 +251,7 @@
 // one.
 func (s *silence) try(q *search) bool {
 	x := s.exchange
-	c, err := x.choose(q.ctx)
+	c, err := x.choose(q.ctx, q.received)
 	if err != nil {
 		return false
 	}
--- a/internal/relay/turns_test.go
+++ b/internal/relay/turns_test.go
@@ -56,22 +56,23 @@
 
 func (discard) HandleResult(context.Context, watch.Result) {}
 
-// rankedState is the state of instance i of n in calm. Its failure domain is the first part
-// of its name.
+// rankedName is the name of instance i of n. Its failure domain is the first part.
+func rankedName(i, n int) string { return fmt.Sprintf("d%d-n%d", 3*i/n, i) }
+
+// rankedState is the state of instance i of n in calm.
 func rankedState(i, n int) *state.State {
 	var peers []member.Node
-	name := func(i int) string { return fmt.Sprintf("d%d-n%d", 3*i/n, i) }
 	for k := range n {
 		if k != i {
 			peers = append(peers, member.Node{
-				Name: name(k),
+				Name: rankedName(k, n),
 			})
 		}
 	}
 	s := state.State{}
 	s.Routing.StoreReachable = true
 	s.Routing.Peers = peers
-	s.Routing.Ranks = s.Routing.Ranks.WithPeers(name(i), peers, 1).WithEndpoint(state.RegistryTable)
+	s.Routing.Ranks = s.Routing.Ranks.WithPeers(rankedName(i, n), peers, 1).WithEndpoint(state.RegistryTable)
 	return &s
 }
 
--- a/internal/state/action.go
+++ b/internal/state/action.go
@@ -5,6 +5,7 @@
 	"github.com/baobabtally/baobabtally/pkg/lease"
 	"github.com/baobabtally/baobabtally/pkg/member"
 	"github.com/baobabtally/baobabtally/pkg/poison"
+	"github.com/baobabtally/baobabtally/pkg/store"
 	"github.com/baobabtally/baobabtally/pkg/weight"
 )
 
@@ -70,6 +71,15 @@
 	Op lease.Op
 }
 
+// SyncSoftware reads or writes the row of the versions of the engines' software. It results
+// in a [SoftwareSynced] event.
+type SyncSoftware struct {
+	// Put reports whether Row is written; else the row is read.
+	Put bool
+	// Row is the row to write, with the version that it must have in the store.
+	Row store.Row
+}
+
 // CheckServed looks up which of the given parts this instance has seen served. It
 // results in a [PartsServed] event.
 type CheckServed struct {
@@ -186,6 +196,9 @@
 // Key implements Action.
 func (a RunLeaseOp) Key() string { return "lease/" + a.Op.Row.Key }
 
+// Key implements Action.
+func (SyncSoftware) Key() string { return "software" }
+
 // Key implements Action.
 func (a Announce) Key() string { return "announce/" + a.Alarm.Objective }
 
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -172,6 +172,9 @@
 	Peers []member.Node
 	// Poison is the sender's evidence on parts of prompts that crash engines.
 	Poison poison.Evidence
+	// Software is the row of the versions of the engines' software; the zero value if the
+	// sender has none.
+	Software store.Row
 }
 
 // Confirmation tells when an instance last knew that it had the newest rows of a table. The
@@ -413,6 +416,16 @@
 	Clock store.Clock
 }
 
+// SoftwareSynced is the result of a [SyncSoftware] action.
+type SoftwareSynced struct {
+	// Put reports whether the row was written; else it was read.
+	Put bool
+	// Row is the row as it is now, if Err is nil. Its version is 0 if there is none.
+	Row store.Row
+	// Err is the error of the operation, or nil.
+	Err error
+}
+
 // Abandoned reports a stream that continues on another endpoint, so that this
 // one is no longer read.
 type Abandoned struct {
@@ -491,6 +504,9 @@
 // Event implements Event.
 func (Leased) Event() string { return "leased" }
 
+// Event implements Event.
+func (SoftwareSynced) Event() string { return "software" }
+
 // Event implements Event.
 func (Stopping) Event() string { return "stopping" }
 
--- a/internal/state/ranks.go
+++ b/internal/state/ranks.go
@@ -1,6 +1,9 @@
 package state
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/benbjohnson/immutable"
 	"github.com/cespare/xxhash/v2"
 
@@ -63,6 +66,26 @@
 	return r.ranks.Get(endpoint)
 }
 
+// First returns the first n peers for key, by rendezvous hashing. Instances that agree on who
+// belongs to the fleet differ in themselves only.
+func (r Ranks) First(key string, n int) []member.Node {
+	hash := xxhash.Sum64String(key)
+	weights := make([]uint64, 0, n)
+	out := make([]member.Node, 0, n)
+	for i, h := range r.hashes {
+		weight := member.Endpoint{
+			Hash: h,
+		}.Weight(hash)
+		at, _ := slices.BinarySearchFunc(weights, weight, func(a, b uint64) int { return cmp.Compare(b, a) })
+		if at >= n {
+			continue
+		}
+		weights = slices.Insert(weights[:min(len(weights), n-1)], at, weight)
+		out = slices.Insert(out[:min(len(out), n-1)], at, r.peers[i])
+	}
+	return out
+}
+
 // rank returns how many peers have a greater weight than this instance for the
 // endpoint with the given hash.
 func (r Ranks) rank(endpoint uint64) int {
--- /dev/null
+++ b/internal/state/software.go
@@ -0,0 +1,56 @@
+package state
+
+import (
+	"time"
+
+	"github.com/baobabtally/baobabtally/pkg/origin"
+	"github.com/baobabtally/baobabtally/pkg/store"
+)
+
+// SoftwareRow is the key of the row that holds the listed versions of the engines'
+// software.
+const SoftwareRow = "software/streams"
+
+// Software is what an instance knows of the versions of the engines' software.
+type Software struct {
+	// Listed holds the versions that may have begun streams. It is empty until Known is
+	// set for the first time.
+	Listed origin.Listed
+	// Known is set once Listed was read in the store's era, by this instance or a peer,
+	// and Row is the row that holds it; its version is 0 if there is none.
+	Known bool
+	Row   store.Row
+	// DueSince is when the row first was to be read or written, or when that was last
+	// tried; zero if it is not due.
+	DueSince time.Time
+	// Absent maps listed versions to the time since which no endpoint has them. Invariant:
+	// the map is never written in place.
+	Absent map[ServiceSoftware]time.Time
+}
+
+// ServiceSoftware is a version of the software of a service's endpoints.
+type ServiceSoftware struct {
+	Service string
+	Version string
+}
+
+// WithRow returns a copy of w in which row lists listed.
+func (w Software) WithRow(listed origin.Listed, row store.Row) Software {
+	w.Listed = listed
+	w.Known = true
+	w.Row = row
+	w.DueSince = time.Time{}
+	return w
+}
+
+// WithoutRow returns a copy of w whose row is to be read again.
+func (w Software) WithoutRow() Software {
+	w.Known = false
+	return w
+}
+
+// WithDue returns a copy of w whose row is to be read or written since at; zero if not.
+func (w Software) WithDue(at time.Time) Software {
+	w.DueSince = at
+	return w
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -186,6 +186,8 @@
 	Ranks Ranks
 	// Poison is the evidence on parts of prompts that crash engines.
 	Poison poison.Tracker
+	// Software is what is known of the versions of the engines' software.
+	Software Software
 }
 
 // RecentEntry is a registry entry that changed a short while ago.
--- a/pkg/chain/request.go
+++ b/pkg/chain/request.go
@@ -86,8 +86,14 @@
 	Header Header
 	// Parts are the prompt parts of a relayed request.
 	Parts []prefix.Part
-	// LastEventID is the id of the last event of a stream that the caller received.
+	// LastEventID is the id of the last event of a stream that the caller received, and
+	// Resumes the id of the request that brought its first event; empty if the caller does
+	// not say.
 	LastEventID string
+	Resumes     string
+	// Software is the version of the engines' software that began the stream which the
+	// request resumes. The origin filter sets it.
+	Software string
 	// Deadline is when the caller stops waiting; zero if it set no deadline.
 	Deadline time.Time
 	// Route is the route of a relayed request, and Service the one that was chosen of
@@ -175,6 +181,13 @@
 	return r
 }
 
+// WithSoftware returns a copy of r that resumes a stream which the given version of the
+// engines' software began.
+func (r Request) WithSoftware(version string) Request {
+	r.Software = version
+	return r
+}
+
 // EffectiveDeadline returns the time by which r must be answered: the caller's deadline
 // or the end of the route's timeout, whichever comes first. It is zero if there is neither.
 func (r Request) EffectiveDeadline() time.Time {
--- a/pkg/member/node.go
+++ b/pkg/member/node.go
@@ -61,6 +61,9 @@
 	Models []string `json:"Models"`
 	// Fences reports whether an endpoint rejects orders with an old fencing token.
 	Fences bool `json:"Fences"`
+	// Software is the version of the node's software; empty if the registry does not
+	// provide it.
+	Software string `json:"Software,omitempty"`
 	// Departing reports whether the registry marks the node as departing.
 	Departing bool `json:"Leaving"`
 	// Start distinguishes incarnations of a node under the same name; empty if the
@@ -114,6 +117,8 @@
 		return errors.New("its address is not that of one host: write an IP address and port such as 10.0.0.1:8080")
 	case r.Report.Slots < 0 || r.Report.Slots > maxSlots:
 		return errors.Errorf("its slots are not between 1 and %d: correct the program that wrote it", maxSlots)
+	case len(n.Software) > maxNameBytes:
+		return errors.New("the version of its software is too long: correct the program that wrote it")
 	case len(n.Domain) > maxNameBytes:
 		return errors.New("its failure domain is too long: correct the program that wrote it")
 	case len(n.Models) == 0 || slices.ContainsFunc(n.Models, invalidModel):
