ctrl, relay: the row of software versions is known as soon as the store answers

An instance that starts read the row of the listed versions at its turn, up to a second late, and refused streams that callers resumed until then, also with one version. It reads it with its first tick now; only writes take turns. A read that fails is repeated after a second. An instance without peers relies on its list while the store is away, and the list has room for 1,024 services.

--- a/internal/ctrl/software.go
+++ b/internal/ctrl/software.go
@@ -11,11 +11,13 @@
 )
 
 const (
-	// softwareTurn is the time between the instances, by rank, that read or write the row
-	// of the listed versions, and maxSoftwareTurn limits the time of the last one. All
-	// find a new version at the same moment, and the first one tells the others.
+	// softwareTurn is the time between the instances, by rank, that write the row of the
+	// listed versions, and maxSoftwareTurn limits the time of the last one. All find a new
+	// version at the same moment, and the first one tells the others.
 	softwareTurn    = 30 * time.Millisecond
 	maxSoftwareTurn = time.Second
+	// softwareRetry is the time between two reads of the row if the store does not answer.
+	softwareRetry = time.Second
 	// softwareTTL is for how long a version stays listed that no endpoint has any more:
 	// longer than the callers of its streams may come back.
 	softwareTTL = 2 * time.Minute
@@ -40,19 +42,27 @@
 	return s, nil
 }
 
-// sync reads or writes the row if that is due and the turn of this instance has come.
+// sync reads the row if it is not known, and writes it if it lacks a version or has one too
+// many and the turn of this instance has come.
 func (c Software) sync(s state.State, now time.Time) (state.State, []state.Action) {
-	if !s.Routing.On || !s.Routing.StoreReachable || s.Routing.RegistryVersion == 0 {
+	if !s.Routing.On || !s.Routing.StoreReachable {
 		return s, nil
 	}
 	w := s.Routing.Software
-	if w.Known && w.Row.Era != s.Routing.StoreEra && w.Row.Version > 0 {
-		w = w.WithoutRow()
+	if !w.Known || w.Row.Era != s.Routing.StoreEra && w.Row.Version > 0 {
+		s.Routing.Software = w.WithoutRow()
+		if now.Before(w.RetryAt) {
+			return s, nil
+		}
+		return s, []state.Action{state.SyncSoftware{}}
+	}
+	if s.Routing.RegistryVersion == 0 {
+		return s, nil
 	}
 	present := presentSoftware(s)
 	w = withAbsent(w, present, now)
 	wanted := wantedSoftware(w, present, now)
-	due := !w.Known || !wanted.Equal(w.Listed)
+	due := !wanted.Equal(w.Listed)
 	switch {
 	case !due:
 		w = w.WithDue(time.Time{})
@@ -64,9 +74,6 @@
 		return s, nil
 	}
 	s.Routing.Software = w.WithDue(now)
-	if !w.Known {
-		return s, []state.Action{state.SyncSoftware{}}
-	}
 	data, err := wanted.Marshal()
 	if err != nil {
 		return s, []state.Action{softwareNote("unwritten", err.Error())}
@@ -84,7 +91,7 @@
 	}
 }
 
-// softwareTurnOf returns after how long this instance reads or writes a row that is due.
+// softwareTurnOf returns after how long this instance writes a row that is due.
 func softwareTurnOf(s state.State) time.Duration {
 	rank, _ := s.Routing.Ranks.Of(state.RegistryTable)
 	return min(softwareTurn*time.Duration(rank), maxSoftwareTurn)
@@ -163,6 +170,9 @@
 	case errors.Is(e.Err, store.ErrConflict) || errors.Is(e.Err, store.ErrLost):
 		s.Routing.Software = w.WithoutRow()
 		return s, nil
+	case e.Err != nil && !e.Put:
+		s.Routing.Software = w.WithRetryAt(now.Add(softwareRetry))
+		return s, nil
 	case e.Err != nil || e.Row.Era != s.Routing.StoreEra && e.Row.Version > 0:
 		return s, nil
 	}
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -124,7 +124,7 @@
 	}
 	s := o.view()
 	w := s.Routing.Software
-	if v, ok := w.Listed.Only(service); ok && w.Known && (s.Routing.StoreReachable || !isolated(s, o.now())) {
+	if v, ok := w.Listed.Only(service); ok && w.Known && !cutOff(s, o.now()) {
 		return v, true
 	}
 	if !traceable(id) {
@@ -133,6 +133,12 @@
 	return o.ask(ctx, id, s.Routing.Ranks.First(id, streamHolders))
 }
 
+// cutOff reports whether neither the store nor a peer would tell this instance of a new
+// version.
+func cutOff(s *state.State, now time.Time) bool {
+	return !s.Routing.StoreReachable && len(s.Routing.Peers) > 0 && isolated(s, now)
+}
+
 // ask asks the holders for the stream id. The first that knows it answers.
 func (o *origins) ask(ctx context.Context, id string, holders []member.Node) (string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, traceTimeout)
--- a/internal/state/software.go
+++ b/internal/state/software.go
@@ -20,9 +20,11 @@
 	// and Row is the row that holds it; its version is 0 if there is none.
 	Known bool
 	Row   store.Row
-	// DueSince is when the row first was to be read or written, or when that was last
-	// tried; zero if it is not due.
+	// DueSince is when the row was first to be written, or when that was last tried; zero if
+	// it is not to be.
 	DueSince time.Time
+	// RetryAt is the earliest time to read the row again after a failure.
+	RetryAt time.Time
 	// Absent maps listed versions to the time since which no endpoint has them. Invariant:
 	// the map is never written in place.
 	Absent map[ServiceSoftware]time.Time
@@ -49,7 +51,13 @@
 	return w
 }
 
-// WithDue returns a copy of w whose row is to be read or written since at; zero if not.
+// WithRetryAt returns a copy of w whose row is not read before at.
+func (w Software) WithRetryAt(at time.Time) Software {
+	w.RetryAt = at
+	return w
+}
+
+// WithDue returns a copy of w whose row is to be written since at; zero if not.
 func (w Software) WithDue(at time.Time) Software {
 	w.DueSince = at
 	return w
--- a/pkg/origin/listed.go
+++ b/pkg/origin/listed.go
@@ -12,8 +12,8 @@
 	// maxVersions bounds the versions of a service and maxServices the services, so that
 	// the encoded form fits into a row of the store. Engines with a version beyond begin
 	// no streams that can be resumed.
-	maxVersions = 32
-	maxServices = 64
+	maxVersions = 16
+	maxServices = 1024
 	// maxVersionBytes bounds a version.
 	maxVersionBytes = 64
 )
