--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 	"unicode/utf8"
 
@@ -36,13 +37,16 @@
 }
 
 // origins knows which software began the streams. Where a service has one version, the list
-// of versions tells; else instances remember the streams for each other.
+// of versions tells; else instances remember the streams for each other. It is safe for
+// concurrent use.
 type origins struct {
 	view  func() *state.State
 	peers tracer
 	now   func() time.Time
 	log   zerolog.Logger
 	book  origin.Book
+	// calls are those that pass streams on.
+	calls sync.WaitGroup
 }
 
 // begin remembers that a version of the software began the stream id.
@@ -79,6 +83,7 @@
 
 // run passes streams on until ctx ends.
 func (o *origins) run(ctx context.Context) error {
+	defer o.calls.Wait()
 	ticker := time.NewTicker(passInterval)
 	defer ticker.Stop()
 	for {
@@ -107,13 +112,13 @@
 		}
 	}
 	for name, known := range streams {
-		go func() {
+		o.calls.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, traceTimeout)
 			defer cancel()
 			if _, err := o.peers.Trace(ctx, nodes[name], known, nil); err != nil {
 				o.log.Debug().Str("event", "unanswered").Str("reason", "trace").Str("name", name).Err(err).Send()
 			}
-		}()
+		})
 	}
 }
 
