relay: an instance that was paused relies on no list of software versions

Found by reading. An instance that was frozen, or that neither the store nor a peer answers while it takes the store for reachable, kept to a list with one version and could let a stream go on there that another version had begun.

It relies on the list only if the store or a peer has answered within the time after which it counts as isolated, by the clock of the request.

TestStreamOfUnknownSoftwareIsRefused: the case of a paused instance failed before, with the store taken for reachable.

--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -129,7 +129,7 @@
 	}
 	s := o.view()
 	w := s.Routing.Software
-	if v, ok := w.Listed.Only(service); ok && w.Known && !cutOff(s, o.now()) {
+	if v, ok := w.Listed.Only(service); ok && w.Known && informed(s, o.now()) {
 		return v, true
 	}
 	if !traceable(id) {
@@ -138,10 +138,11 @@
 	return o.ask(ctx, id, s.Routing.Ranks.First(id, streamHolders))
 }
 
-// cutOff reports whether neither the store nor a peer would tell this instance of a new
-// version.
-func cutOff(s *state.State, now time.Time) bool {
-	return !s.Routing.StoreReachable && len(s.Routing.Peers) > 0 && isolated(s, now)
+// informed reports whether this instance would know of a new version: a peer or the store
+// has answered it lately, also if it was paused since.
+func informed(s *state.State, now time.Time) bool {
+	r := s.Routing
+	return len(r.Peers) == 0 || now.Sub(r.PeerHeardAt) <= isolationTime(s) || now.Sub(r.StoreAnswered) <= isolationTime(s)
 }
 
 // ask asks the holders for the stream id. The first that knows it answers.
--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -134,7 +134,8 @@
 	for name, c := range map[string]struct {
 		request  chain.Request
 		versions []string
-		alone    bool
+		paused   bool
+		answered bool
 		refused  bool
 		software string
 	}{
@@ -152,12 +153,19 @@
 			versions: []string{"v1", "v2"},
 			refused:  true,
 		},
-		"one version at an instance that is cut off": {
+		"one version at an instance that was paused or is cut off": {
 			request:  resuming,
 			versions: []string{"v1"},
-			alone:    true,
+			paused:   true,
 			refused:  true,
 		},
+		"one version at an instance that hears the store alone": {
+			request:  resuming,
+			versions: []string{"v1"},
+			paused:   true,
+			answered: true,
+			software: "v1",
+		},
 		"no stream that can be resumed": {
 			request:  plain,
 			versions: []string{"v1", "v2"},
@@ -167,9 +175,11 @@
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				o := newTracedFleet(3, c.versions...).nodes[rankedName(1, 3)]
-				if c.alone {
-					o.view().Routing.StoreReachable = false
-					time.Sleep(time.Minute)
+				if c.paused {
+					time.Sleep(10 * time.Second)
+				}
+				if c.answered {
+					o.view().Routing.StoreAnswered = time.Now()
 				}
 				var got chain.Request
 				_, err := originFilter{
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -346,8 +346,13 @@
 // isolated reports whether no heartbeat has come from a peer for longer than the
 // rotation explains.
 func isolated(s *state.State, now time.Time) bool {
+	return now.Sub(s.Routing.PeerHeardAt) > isolationTime(s)
+}
+
+// isolationTime returns how long the heartbeats of peers may fail to arrive.
+func isolationTime(s *state.State) time.Duration {
 	gap := heartbeatInterval * time.Duration(max(1, len(s.Routing.Peers)/heartbeatsPerRound))
-	return now.Sub(s.Routing.PeerHeardAt) > isolationRounds*gap
+	return isolationRounds * gap
 }
 
 // chain builds the filter chain.
