--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -188,6 +188,7 @@
 					request: &got,
 				})
 				if c.refused {
+					require.Error(t, err)
 					require.Equal(t, fault.Unavailable, fault.From(err).Kind)
 					require.Equal(t, fault.NotRun, fault.From(err).Run)
 					return
