relay: a retry does not begin a stream at a version that is not listed yet

Found by reading. Where all endpoints with listed versions had been tried, the choice fell back to the others, as it should only where a service has none.

TestStreamsBeginAtListedSoftwareVersions failed before with a request that has tried the engines of the only listed version.

--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -264,6 +264,15 @@
 	require.Equal(t, "v2", chosen("v1", "v2"))
 	require.Equal(t, "v2", chosen("v0"))
 	require.Equal(t, "v2", chosen(), "nothing was listed yet")
+	require.Equal(t, "v1", chosen("v1"))
+	x := newChoosingExchange(s, r, begin)
+	for _, e := range s.Members.Nodes(member.Engine) {
+		if e.Node.Name != preferred {
+			x.tried = append(x.tried, e.Node.Name)
+		}
+	}
+	_, err := x.choose(t.Context(), position{})
+	require.Error(t, err, "a retry does not begin at another version either")
 }
 
 // withSoftware returns s in which the endpoints have the given versions of their software.
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -172,6 +172,16 @@
 	return !b.listed || b.list.Contains(b.service, e.Node.Software)
 }
 
+// allowsAny reports whether any endpoint of pool may be used.
+func (b softwareBound) allowsAny(pool []member.Endpoint) bool {
+	for i := range pool {
+		if b.allows(&pool[i]) {
+			return true
+		}
+	}
+	return false
+}
+
 // withoutList returns b without the bound to listed versions.
 func (b softwareBound) withoutList() softwareBound {
 	b.listed = false
@@ -217,8 +227,8 @@
 
 // candidates returns the endpoints that may be called: those that were not
 // tried and are trusted or, if there are none, all that were not tried. None of
-// them wants no calls. Endpoints whose software is not listed yet are left out unless
-// there are no others.
+// them wants no calls. Endpoints whose software is not listed yet are left out unless the
+// service has no others.
 func (p picker) candidates() []member.Endpoint {
 	pool := p.state.Members.Pool(p.request.Service)
 	if trusted := p.untried(pool, false); len(trusted) > 0 {
@@ -227,7 +237,7 @@
 	if all := p.untried(pool, true); len(all) > 0 {
 		return all
 	}
-	if !p.software.listed {
+	if !p.software.listed || p.software.allowsAny(pool) {
 		return nil
 	}
 	p.software = p.software.withoutList()
