httpd: a body in chunks that ends early is an error

The engine runs what had arrived as the whole body, with a length that fits.

Cause: ReadBody filled its blocks with io.ReadFull, which returns io.ErrUnexpectedEOF for a body that is shorter than the block. net/http returns the same error for a body in chunks that is cut, and both were taken for the end.

Change: the blocks are filled by a loop that returns the error of the body as it is, so that only io.EOF ends a body. Both front ends read bodies by this function.

--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -176,12 +176,12 @@
 			return nil, err
 		}
 		block := make([]byte, size)
-		n, err := io.ReadFull(in, block)
+		n, err := fill(in, block)
 		total += int64(n)
 		blocks = append(blocks, block[:n])
 		switch err {
 		case nil:
-		case io.EOF, io.ErrUnexpectedEOF:
+		case io.EOF:
 			return c.joined(blocks, total, copies, owner)
 		default:
 			return nil, err
@@ -189,6 +189,21 @@
 	}
 }
 
+// fill reads from r until block is full, and returns the error of r if that comes first.
+// io.ReadFull would return io.ErrUnexpectedEOF both for a body that is shorter than the
+// block and for one that is cut.
+func fill(r io.Reader, block []byte) (int, error) {
+	n := 0
+	for n < len(block) {
+		m, err := r.Read(block[n:])
+		n += m
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
 // joined returns blocks as one body that holds what it needs.
 func (c *conn) joined(blocks [][]byte, total, copies int64, owner string) ([]byte, error) {
 	body := bytes.Join(blocks, nil)
