httpd: a request of HTTP/1.0 without a length is refused

What callers would see: a request of HTTP/1.0 that is sent in chunks, which that version does not have, runs with an empty body.

Cause: net/http drops the Transfer-Encoding of a request of HTTP/1.0 and takes its body for empty, so that what follows the head is neither read nor checked.

Change: a POST, PUT or PATCH of HTTP/1.0 that has no Content-Length is refused as invalid and its connection closed, as RFC 1945 (7.2.2) has it. Other methods are served as before; what they might send as a body can't be told from its absence, since the library hides the header.

--- a/internal/front/cutbody_test.go
+++ b/internal/front/cutbody_test.go
@@ -85,3 +85,14 @@
 		require.Len(t, handled, 1)
 	}
 }
+
+// HTTP/1.0 has no chunks. A request whose caller sends some all the same has no known end.
+func TestChunksOfHTTP10AreNotHandled(t *testing.T) {
+	t.Parallel()
+	addr, handled := serveBodies(t)
+	const head = "/svc/billing/charge HTTP/1.0\r\nHost: h"
+	require.Equal(t, http.StatusBadRequest, post(t, addr, head+"\r\nTransfer-Encoding: chunked", "1\r\nx\r\n0\r\n\r\n"))
+	require.Empty(t, handled)
+	require.Equal(t, http.StatusServiceUnavailable, post(t, addr, head+"\r\nContent-Length: 1", "x"))
+	require.Equal(t, "x", <-handled)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -161,6 +161,8 @@
 		return r, fault.New(fault.Overload, "the instance holds too many bytes for callers: send the request again later").WithRetry(crowded.Wait)
 	case errors.As(err, &large):
 		return r, fault.New(fault.Large, "the body is over %d bytes: send less", maxBodyBytes)
+	case errors.Is(err, httpd.ErrNoLength):
+		return r, fault.New(fault.Invalid, "%v: send a Content-Length, or HTTP/1.1", err)
 	case err != nil:
 		return r, fault.New(fault.Invalid, "the body ended early: send the whole call again")
 	}
--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 const (
@@ -25,6 +27,9 @@
 	crowdedProblem  = `{"title":"overload","detail":"the instance holds too many bytes for callers: retry later","run":"not_run"}` + "\n"
 )
 
+// ErrNoLength is the error of a body whose end is not known: HTTP/1.0 has no chunks.
+const ErrNoLength = errors.ConstError("a request of HTTP/1.0 has no length")
+
 // Crowded is the error of a request that the server has no room to hold. It was not read
 // to its end.
 type Crowded struct {
@@ -128,6 +133,11 @@
 		}
 	}
 	if r.ContentLength == 0 {
+		if !lengthKnown(r) {
+			// What the caller may send as a body must not be taken for a request.
+			w.Header().Set("Connection", "close")
+			return nil, ErrNoLength
+		}
 		return []byte{}, nil
 	}
 	c, ok := r.Context().Value(connKey{}).(*conn)
@@ -145,6 +155,16 @@
 	return c.readUnknown(w, r, limit, copies, owner)
 }
 
+// lengthKnown reports whether a body that net/http takes for empty is known to be. net/http
+// drops the Transfer-Encoding of a request of HTTP/1.0, which may have one against the
+// protocol (RFC 9112, 6.1), and methods with a body need a length there (RFC 1945, 7.2.2).
+func lengthKnown(r *http.Request) bool {
+	if r.ProtoAtLeast(1, 1) || r.Header.Get("Content-Length") != "" {
+		return true
+	}
+	return r.Method != http.MethodPost && r.Method != http.MethodPut && r.Method != http.MethodPatch
+}
+
 // holdBody holds n bytes for the body of r in place of what it has held.
 func (c *conn) holdBody(w http.ResponseWriter, r *http.Request, n, limit int64, owner string) error {
 	c.mu.Lock()
