plat: an answer of the platform without a length is an error

What callers would see: an instance of the own front end takes a part of a row or of an object for the whole.

Cause: an answer that has neither a length nor chunks ends with its connection, however that came about. Clients of peers refuse such answers; those of the table, the object store and the list did not.

Change: send returns an error for them. A write that is answered so counts as one that may have happened.

Evidence: on the code before, TestUnframedAnswerIsAnError got a row in place of store.ErrUnavailable. net/http frames all answers of the stand-ins.

--- a/internal/plat/odd_test.go
+++ b/internal/plat/odd_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/baobabtally/baobabtally/internal/plat"
+	"github.com/baobabtally/baobabtally/pkg/store"
 )
 
 // answer answers the head of each request with response and resets the connection.
@@ -52,3 +53,45 @@
 		o.Close()
 	}
 }
+
+// An answer that has neither a length nor chunks may be a part: its end is that of the
+// connection, however it came about. A part of a row or of a list must not be taken for all.
+func TestUnframedAnswerIsAnError(t *testing.T) {
+	target := closing(t, "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nConnection: close\r\n\r\n[]")
+	table, objects, list := plat.NewTable(target), plat.NewObjectStore(target), plat.NewList(target)
+	defer table.Close()
+	defer objects.Close()
+	defer list.Close()
+	_, err := table.Get(t.Context(), "k")
+	require.ErrorIs(t, err, store.ErrUnavailable)
+	_, err = table.Put(t.Context(), store.Row{
+		Key: "k",
+	})
+	require.ErrorIs(t, err, store.ErrLost, "the write may have happened")
+	_, err = objects.Get(t.Context(), "k")
+	require.ErrorIs(t, err, store.ErrUnavailable)
+	_, err = objects.Last(t.Context(), "k", "1")
+	require.ErrorIs(t, err, store.ErrUnavailable)
+	_, err = list.Nodes(t.Context())
+	require.ErrorIs(t, err, store.ErrUnavailable)
+}
+
+// closing answers each request with response and closes the connection.
+func closing(t *testing.T, response string) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, response)
+			_ = c.Close()
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
--- a/internal/plat/table.go
+++ b/internal/plat/table.go
@@ -29,6 +29,10 @@
 	maxBodyBytes = 4 << 20
 )
 
+// errUnframed means that a response has neither a length nor chunks, so that a part of it
+// can't be told from all of it.
+const errUnframed = errors.ConstError("the answer has neither a length nor chunks: check who answers at this address")
+
 // Table is the platform's table service.
 type Table struct {
 	base  string
@@ -175,6 +179,9 @@
 		return response{}, sent.Load(), err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !whole.Framed(resp) {
+		return response{}, true, errUnframed
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
 	if err != nil {
 		return response{}, true, err
