--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -46,6 +46,7 @@
 	discarded       metric.Int64Counter
 	unreadableRows  metric.Int64Counter
 	signals         metric.Int64Counter
+	resumptions     metric.Int64Counter
 	admissionWait   metric.Float64Histogram
 	// otelMeter creates the observable gauges, whose values are read at each scrape.
 	otelMeter metric.Meter
@@ -107,6 +108,7 @@
 	m.discarded = counter("discarded_connections", "connections that were closed with what nobody has read, by the place of that")
 	m.crossings = counter("crossed_requests", "requests that arrived after their connection was closed and were not read, by reason")
 	m.unreadableRows = counter("unreadable_rows", "versions of rows of the store that can't be used, by table")
+	m.resumptions = counter("resumed_streams", "streams that callers took up again, by what told the version of the software that began them")
 	m.signals = counter("endpoint_signals", "answers in which endpoints said that they are departing or want no calls for a while, by kind")
 	m.violations = counter("invariant_breaches", "promises that did not hold, by rule")
 	firstToken, err := p.Float64Histogram("first_token_seconds",
@@ -239,3 +241,9 @@
 func (m *Meter) Violation(v invar.Violation) {
 	m.violations.Add(context.Background(), 1, metric.WithAttributes(attribute.String("rule", v.Rule.String())))
 }
+
+// Resumed counts a stream that a caller takes up again, by the source from which the version
+// of the software is known that began it.
+func (m *Meter) Resumed(source string) {
+	m.resumptions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("source", source)))
+}
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -64,6 +64,7 @@
 func (discardMeter) Refused(string)                              {}
 func (discardMeter) Unreadable(string)                           {}
 func (discardMeter) Signaled(string)                             {}
+func (discardMeter) Resumed(string)                              {}
 func (discardMeter) Waited(time.Duration, bool)                  {}
 
 func promptRequest(team string, rank policy.Rank) chain.Request {
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -36,6 +36,28 @@
 	Trace(ctx context.Context, to member.Node, known []origin.Stream, asked []string) ([]origin.Stream, error)
 }
 
+// source is what told which software began a stream.
+type source uint8
+
+const (
+	// unknown means that nothing did.
+	unknown source = iota
+	// fromBook is what this instance remembers.
+	fromBook
+	// fromList is the list of versions, which has just one for the service.
+	fromList
+	// fromPeer is another instance.
+	fromPeer
+)
+
+// String returns the name of the source in logs and metrics.
+func (s source) String() string { return [...]string{"none", "book", "list", "peer"}[s%4] }
+
+// resumeMeter counts the streams that callers take up again.
+type resumeMeter interface {
+	Resumed(source string)
+}
+
 // origins knows which software began the streams. Where a service has one version, the list
 // of versions tells; else instances remember the streams for each other. It is safe for
 // concurrent use.
@@ -44,6 +66,7 @@
 	peers tracer
 	now   func() time.Time
 	log   zerolog.Logger
+	meter resumeMeter
 	book  origin.Book
 	// calls are those that pass streams on.
 	calls sync.WaitGroup
@@ -122,20 +145,23 @@
 	}
 }
 
-// find returns the software that began the stream id at service.
-func (o *origins) find(ctx context.Context, id, service string) (string, bool) {
+// find returns the software that began the stream id at service, and what told it.
+func (o *origins) find(ctx context.Context, id, service string) (string, source) {
 	if v, ok := o.book.Find(id); ok {
-		return v, true
+		return v, fromBook
 	}
 	s := o.view()
 	w := s.Routing.Software
 	if v, ok := w.Listed.Only(service); ok && w.Known && informed(s, o.now()) {
-		return v, true
+		return v, fromList
 	}
 	if !traceable(id) {
-		return "", false
+		return "", unknown
+	}
+	if v, ok := o.ask(ctx, id, s.Routing.Ranks.First(id, streamHolders)); ok {
+		return v, fromPeer
 	}
-	return o.ask(ctx, id, s.Routing.Ranks.First(id, streamHolders))
+	return "", unknown
 }
 
 // informed reports whether this instance would know of a new version: a peer or the store
@@ -181,13 +207,25 @@
 	if !resumes(r) {
 		return next.Handle(ctx, r, w)
 	}
-	software, ok := f.origins.find(ctx, r.Resumes, r.Service)
-	if !ok {
+	software, told := f.origins.find(ctx, r.Resumes, r.Service)
+	f.origins.logResumed(r, software, told)
+	if told == unknown {
 		return chain.Result{}, fault.New(fault.Unavailable, "it is not known which version of the engines' software began stream %q: begin a new one", r.Resumes)
 	}
 	return next.Handle(ctx, r.WithSoftware(software), w)
 }
 
+// logResumed logs and counts a stream that a caller takes up again, with how long ago a peer
+// and the store were last heard.
+func (o *origins) logResumed(r chain.Request, software string, told source) {
+	o.meter.Resumed(told.String())
+	now, s := o.now(), o.view().Routing
+	o.log.Info().Str("event", "resume").Str("request", r.ID).Str("stream", r.Resumes).Str("software", software).
+		Stringer("source", told).Int64("list", s.Software.Row.Version).
+		Stringer("peers", now.Sub(s.PeerHeardAt).Round(time.Millisecond)).
+		Stringer("store", now.Sub(s.StoreAnswered).Round(time.Millisecond)).Send()
+}
+
 // resumes reports whether r resumes a stream.
 func resumes(r chain.Request) bool { return resumable(r) && r.LastEventID != "" }
 
--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -61,6 +61,7 @@
 			peers: f,
 			now:   time.Now,
 			log:   zerolog.Nop(),
+			meter: discardMeter{},
 		}
 	}
 	return f
@@ -83,14 +84,14 @@
 		}
 		found := 0
 		for i := range 20 {
-			if v, ok := f.nodes[rankedName(11, 12)].find(t.Context(), string(rune('a'+i)), "llm"); ok {
+			if v, told := f.nodes[rankedName(11, 12)].find(t.Context(), string(rune('a'+i)), "llm"); told != unknown {
 				require.Equal(t, "v2", v)
 				found++
 			}
 		}
 		require.GreaterOrEqual(t, found, 18, "four others remember each stream, and three of eleven have ended")
-		_, ok := f.nodes[rankedName(11, 12)].find(t.Context(), "other", "llm")
-		require.False(t, ok)
+		_, told := f.nodes[rankedName(11, 12)].find(t.Context(), "other", "llm")
+		require.Equal(t, unknown, told)
 	})
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -152,6 +152,9 @@
 	// Signaled counts an answer in which an endpoint said that it is departing or
 	// wants no calls for a while.
 	Signaled(kind string)
+	// Resumed counts a stream that a caller takes up again, by the source from which the
+	// version of the software is known that began it.
+	Resumed(source string)
 	// Waited records the time that a request waited in the queue, and whether
 	// it was admitted.
 	Waited(wait time.Duration, served bool)
@@ -240,6 +243,7 @@
 		peers: p.Peers,
 		now:   p.Now,
 		log:   p.Log,
+		meter: p.Meter,
 	}
 	gate := newGate(loop, p.Now, p.Log, p.Meter)
 	allotter := newAllotter(loop, p)
