relay: the only version of a list counts if the store confirms it

Cause: origins.find took the only listed version for the one that began a stream as long as a peer or the store had answered within the isolation time. None of that says that the list is complete. A pause of less than the isolation time is the same: it ends with an old list and recent answers.

Change: the version is concluded from a read of the row that begins after the caller has come back. A version is listed in the store before a stream begins at it, so that such a read lists it, whatever the instance has missed, and no clock or silence counts. Where the store does not answer within 50 ms, the holders of the stream are asked beside it; if neither tells, the request is refused as not run.

TestStreamOfUnknownSoftwareIsRefused had cases in which an instance relied on its list because the store had answered it lately; they asserted the fault. In their place are cases in which the store itself lists one version or two, or does not answer.

--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 	"unicode/utf8"
@@ -27,6 +28,10 @@
 	maxStreamID = 200
 	// traceTimeout bounds the time to pass streams on and to ask for one.
 	traceTimeout = 400 * time.Millisecond
+	// listPatience is how long a read of the list of versions takes before other instances
+	// are asked beside it, which a caller of a store that does not answer need not wait for
+	// twice. It is several times the duration of a read.
+	listPatience = 50 * time.Millisecond
 )
 
 // tracer asks other instances about streams.
@@ -58,11 +63,18 @@
 	Resumed(source string)
 }
 
+// lister reads the versions that may have begun streams.
+type lister interface {
+	// read returns the versions that are listed at some moment after its call.
+	read(ctx context.Context) (origin.Listed, error)
+}
+
 // origins knows which software began the streams. Where a service has one version, the list
-// of versions tells; else instances remember the streams for each other. It is safe for
-// concurrent use.
+// of versions tells, as the store has it; else instances remember the streams for each other.
+// It is safe for concurrent use.
 type origins struct {
 	view  func() *state.State
+	list  lister
 	peers tracer
 	now   func() time.Time
 	log   zerolog.Logger
@@ -145,34 +157,80 @@
 	}
 }
 
-// find returns the software that began the stream id at service, and what told it.
-func (o *origins) find(ctx context.Context, id, service string) (string, source) {
+// originAnswer is what is known of the software that began a stream.
+type originAnswer struct {
+	software string
+	// told is what told the software.
+	told source
+	// err is why the list of versions was not read; nil if it was, or need not be.
+	err error
+}
+
+// find returns which software began the stream id at service.
+//
+// An instance that was paused, or that hears only some of the others, may have missed a
+// version, and so may those that it hears. It can't conclude from their silence that its list
+// is complete, so that the only version of its list counts only if a read of the store
+// confirms it. A list with several versions needs no read: a stream is then known or not.
+func (o *origins) find(ctx context.Context, id, service string) originAnswer {
 	if v, ok := o.book.Find(id); ok {
-		return v, fromBook
+		return originAnswer{
+			software: v,
+			told:     fromBook,
+		}
 	}
 	s := o.view()
-	w := s.Routing.Software
-	if v, ok := w.Listed.Only(service); ok && w.Known && informed(s, o.now()) {
-		return v, fromList
+	holders := s.Routing.Ranks.First(id, streamHolders)
+	if s.Routing.Software.Listed.Several(service) {
+		return o.ask(ctx, id, holders)
 	}
-	if !traceable(id) {
-		return "", unknown
-	}
-	if v, ok := o.ask(ctx, id, s.Routing.Ranks.First(id, streamHolders)); ok {
-		return v, fromPeer
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan originAnswer, 2)
+	go func() { answers <- o.readOnly(ctx, service) }()
+	patience := time.NewTimer(listPatience)
+	defer patience.Stop()
+	var none originAnswer
+	for pending, asked := 1, false; pending > 0; {
+		select {
+		case a := <-answers:
+			if a.told != unknown {
+				return a
+			}
+			pending--
+			if a.err != nil {
+				none = a
+			}
+		case <-patience.C:
+		}
+		if !asked {
+			asked = true
+			pending++
+			go func() { answers <- o.ask(ctx, id, holders) }()
+		}
 	}
-	return "", unknown
+	return none
 }
 
-// informed reports whether this instance would know of a new version: a peer or the store
-// has answered it lately, also if it was paused since.
-func informed(s *state.State, now time.Time) bool {
-	r := s.Routing
-	return len(r.Peers) == 0 || now.Sub(r.PeerHeardAt) <= isolationTime(s) || now.Sub(r.StoreAnswered) <= isolationTime(s)
+// readOnly returns the only version of service, if the store lists just one.
+func (o *origins) readOnly(ctx context.Context, service string) originAnswer {
+	listed, err := o.list.read(ctx)
+	if v, ok := listed.Only(service); ok {
+		return originAnswer{
+			software: v,
+			told:     fromList,
+		}
+	}
+	return originAnswer{
+		err: err,
+	}
 }
 
 // ask asks the holders for the stream id. The first that knows it answers.
-func (o *origins) ask(ctx context.Context, id string, holders []member.Node) (string, bool) {
+func (o *origins) ask(ctx context.Context, id string, holders []member.Node) originAnswer {
+	if !traceable(id) {
+		return originAnswer{}
+	}
 	ctx, cancel := context.WithTimeout(ctx, traceTimeout)
 	defer cancel()
 	answers := make(chan []origin.Stream, len(holders))
@@ -189,11 +247,14 @@
 		for _, s := range <-answers {
 			if s.ID == id {
 				o.book.Keep([]origin.Stream{s}, o.now())
-				return s.Software, true
+				return originAnswer{
+					software: s.Software,
+					told:     fromPeer,
+				}
 			}
 		}
 	}
-	return "", false
+	return originAnswer{}
 }
 
 // originFilter finds the software that began the stream that a request resumes.
@@ -207,23 +268,37 @@
 	if !resumes(r) {
 		return next.Handle(ctx, r, w)
 	}
-	software, told := f.origins.find(ctx, r.Resumes, r.Service)
-	f.origins.logResumed(r, software, told)
-	if told == unknown {
-		return chain.Result{}, fault.New(fault.Unavailable, "it is not known which version of the engines' software began stream %q: begin a new one", r.Resumes)
+	a := f.origins.find(ctx, r.Resumes, r.Service)
+	f.origins.logResumed(r, a)
+	if a.told == unknown {
+		return chain.Result{}, unknownOrigin(r.Resumes, a.err)
+	}
+	return next.Handle(ctx, r.WithSoftware(a.software), w)
+}
+
+// unknownOrigin returns the fault for a stream of which nothing tells the software. The error
+// is that of the list of versions, or nil if the list does not tell.
+func unknownOrigin(stream string, err error) fault.Error {
+	if err == nil {
+		return fault.New(fault.Unavailable, "it is not known which version of the engines' software began stream %q: begin a new one", stream)
+	}
+	e := fault.New(fault.Unavailable, "it is not known which version of the engines' software began stream %q, since the list of versions can't be confirmed: try another instance", stream)
+	var pause listPause
+	if errors.As(err, &pause) {
+		return e.WithRetry(pause.wait)
 	}
-	return next.Handle(ctx, r.WithSoftware(software), w)
+	return e
 }
 
 // logResumed logs and counts a stream that a caller takes up again, with how long ago a peer
-// and the store were last heard.
-func (o *origins) logResumed(r chain.Request, software string, told source) {
-	o.meter.Resumed(told.String())
+// and the store were last heard, and why the list of versions was not read.
+func (o *origins) logResumed(r chain.Request, a originAnswer) {
+	o.meter.Resumed(a.told.String())
 	now, s := o.now(), o.view().Routing
-	o.log.Info().Str("event", "resume").Str("request", r.ID).Str("stream", r.Resumes).Str("software", software).
-		Stringer("source", told).Int64("list", s.Software.Row.Version).
+	o.log.Info().Str("event", "resume").Str("request", r.ID).Str("stream", r.Resumes).Str("software", a.software).
+		Stringer("source", a.told).Int64("list", s.Software.Row.Version).
 		Stringer("peers", now.Sub(s.PeerHeardAt).Round(time.Millisecond)).
-		Stringer("store", now.Sub(s.StoreAnswered).Round(time.Millisecond)).Send()
+		Stringer("store", now.Sub(s.StoreAnswered).Round(time.Millisecond)).Err(a.err).Send()
 }
 
 // resumes reports whether r resumes a stream.
--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -26,6 +26,17 @@
 	nodes map[string]*origins
 	// dead names the instances that do not answer.
 	dead map[string]bool
+	// listed is what the store lists, and silent is set if it does not answer.
+	listed origin.Listed
+	silent bool
+}
+
+// read implements lister.
+func (f *tracedFleet) read(context.Context) (origin.Listed, error) {
+	if f.silent {
+		return origin.Listed{}, errListLate
+	}
+	return f.listed, nil
 }
 
 // Trace implements tracer.
@@ -47,17 +58,17 @@
 		nodes: map[string]*origins{},
 		dead:  map[string]bool{},
 	}
-	var listed origin.Listed
 	for _, v := range versions {
-		listed = listed.With("llm", v)
+		f.listed = f.listed.With("llm", v)
 	}
 	for i := range n {
 		s := rankedState(i, n)
-		s.Routing.Software = s.Routing.Software.WithRow(listed, store.Row{})
+		s.Routing.Software = s.Routing.Software.WithRow(f.listed, store.Row{})
 		s.Routing.PeerHeardAt = time.Now()
 		name := rankedName(i, n)
 		f.nodes[name] = &origins{
 			view:  func() *state.State { return s },
+			list:  f,
 			peers: f,
 			now:   time.Now,
 			log:   zerolog.Nop(),
@@ -84,14 +95,13 @@
 		}
 		found := 0
 		for i := range 20 {
-			if v, told := f.nodes[rankedName(11, 12)].find(t.Context(), string(rune('a'+i)), "llm"); told != unknown {
-				require.Equal(t, "v2", v)
+			if a := f.nodes[rankedName(11, 12)].find(t.Context(), string(rune('a'+i)), "llm"); a.told != unknown {
+				require.Equal(t, "v2", a.software)
 				found++
 			}
 		}
 		require.GreaterOrEqual(t, found, 18, "four others remember each stream, and three of eleven have ended")
-		_, told := f.nodes[rankedName(11, 12)].find(t.Context(), "other", "llm")
-		require.Equal(t, unknown, told)
+		require.Equal(t, unknown, f.nodes[rankedName(11, 12)].find(t.Context(), "other", "llm").told)
 	})
 }
 
@@ -135,8 +145,10 @@
 	for name, c := range map[string]struct {
 		request  chain.Request
 		versions []string
-		paused   bool
-		answered bool
+		// missed is a version that the store lists and the instance does not know.
+		missed string
+		// silent is set if the store does not answer.
+		silent   bool
 		refused  bool
 		software string
 	}{
@@ -154,17 +166,27 @@
 			versions: []string{"v1", "v2"},
 			refused:  true,
 		},
-		"one version at an instance that was paused or is cut off": {
+		"one version at an instance that the store does not answer": {
 			request:  resuming,
 			versions: []string{"v1"},
-			paused:   true,
+			silent:   true,
 			refused:  true,
 		},
-		"one version at an instance that hears the store alone": {
+		"one version at an instance that has missed the second": {
 			request:  resuming,
 			versions: []string{"v1"},
-			paused:   true,
-			answered: true,
+			missed:   "v2",
+			refused:  true,
+		},
+		"several versions at an instance that the store does not answer": {
+			request:  resuming,
+			versions: []string{"v1", "v2"},
+			silent:   true,
+			refused:  true,
+		},
+		"one version at an instance that knows of none": {
+			request:  resuming,
+			missed:   "v1",
 			software: "v1",
 		},
 		"no stream that can be resumed": {
@@ -175,13 +197,12 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				o := newTracedFleet(3, c.versions...).nodes[rankedName(1, 3)]
-				if c.paused {
-					time.Sleep(10 * time.Second)
-				}
-				if c.answered {
-					o.view().Routing.StoreAnswered = time.Now()
+				f := newTracedFleet(3, c.versions...)
+				f.silent = c.silent
+				if c.missed != "" {
+					f.listed = f.listed.With("llm", c.missed)
 				}
+				o := f.nodes[rankedName(1, 3)]
 				var got chain.Request
 				_, err := originFilter{
 					origins: o,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -216,6 +216,7 @@
 	operators *watch.Table
 	registry  *watch.Table
 	origins   *origins
+	listing   *listing
 	// rejoin receives a value when the instance has to look for its row in the store.
 	rejoin <-chan struct{}
 	done   chan struct{}
@@ -238,8 +239,10 @@
 		ctrl.WithInterval(ctrl.ForwardInterval),
 		ctrl.WithControllers(ctrl.Forwarding()...))
 	exec.loop = loop
+	list := newListing(p.Store, loop.View, p.Now)
 	exec.origins = &origins{
 		view:  loop.View,
+		list:  list,
 		peers: p.Peers,
 		now:   p.Now,
 		log:   p.Log,
@@ -275,6 +278,7 @@
 		operators: operatorsTable,
 		registry:  registryTable,
 		origins:   exec.origins,
+		listing:   list,
 		rejoin:    exec.rejoin,
 		done:      make(chan struct{}),
 	}
@@ -407,7 +411,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group run.Group
-	for _, actor := range []func(context.Context) error{i.Loop.Run, i.operators.Run, i.registry.Run, i.join, i.gate.run, i.allotter.run, i.origins.run} {
+	for _, actor := range []func(context.Context) error{i.Loop.Run, i.operators.Run, i.registry.Run, i.join, i.gate.run, i.allotter.run, i.origins.run, i.listing.run} {
 		group.Add(func() error {
 			err := actor(ctx)
 			if err == nil {
--- a/pkg/origin/listed.go
+++ b/pkg/origin/listed.go
@@ -85,6 +85,9 @@
 	return "", false
 }
 
+// Several reports whether service has more than one version.
+func (l Listed) Several(service string) bool { return len(l.versions[service]) > 1 }
+
 // Empty reports whether no version is listed for service.
 func (l Listed) Empty(service string) bool { return len(l.versions[service]) == 0 }
 
