ctrl: an instance out of step withdraws no version of the software

What callers would see: streams joined from two versions.

Cause: the absence was counted from when the instance noticed it, whatever it missed since. After a pause, an outage of the store or a time without news of the registry it withdrew a version whose endpoints had long returned; until others listed it again, its streams were taken for those of the other version.

Change: the absence counts anew after two seconds without a look at the registry, and ends with a registry that was confirmed two minutes after it began.

Evidence: the three cases of TestInstanceOutOfStepWithdrawsNoVersion failed on the code before: paused, without the store, without news of the registry.

--- a/internal/ctrl/software.go
+++ b/internal/ctrl/software.go
@@ -21,6 +21,10 @@
 	// softwareTTL is for how long a version stays listed that no endpoint has any more:
 	// longer than the callers of its streams may come back.
 	softwareTTL = 2 * time.Minute
+	// absenceGap is the time between two ticks after which the absence of a version counts
+	// anew: its endpoints may have come and gone while the instance was paused or did not
+	// reach the store.
+	absenceGap = 2 * time.Second
 )
 
 // Software lists the versions of the engines' software that may have begun streams. The list
@@ -61,7 +65,7 @@
 	}
 	present := presentSoftware(s)
 	w = withAbsent(w, present, now)
-	wanted := wantedSoftware(w, present, now)
+	wanted := wantedSoftware(w, present, s.Routing.RegistryConfirmed)
 	due := !wanted.Equal(w.Listed)
 	switch {
 	case !due:
@@ -111,11 +115,11 @@
 }
 
 // wantedSoftware returns what is to be listed: what is, without the versions that have been
-// absent for long, and those that are present.
-func wantedSoftware(w state.Software, present origin.Listed, now time.Time) origin.Listed {
+// absent for long in a registry that was complete at confirmed, and those that are present.
+func wantedSoftware(w state.Software, present origin.Listed, confirmed time.Time) origin.Listed {
 	wanted := w.Listed
 	for v, since := range w.Absent {
-		if now.Sub(since) >= softwareTTL {
+		if confirmed.Sub(since) >= softwareTTL {
 			wanted = wanted.Without(v.Service, v.Version)
 		}
 	}
@@ -124,6 +128,7 @@
 
 // withAbsent returns w with the listed versions that are not present.
 func withAbsent(w state.Software, present origin.Listed, now time.Time) state.Software {
+	counted := now.Sub(w.CountedAt) <= absenceGap
 	var absent map[state.ServiceSoftware]time.Time
 	w.Listed.Each(func(service, version string) {
 		if present.Contains(service, version) {
@@ -137,12 +142,12 @@
 			absent = map[state.ServiceSoftware]time.Time{}
 		}
 		since, known := w.Absent[v]
-		if !known {
+		if !known || !counted {
 			since = now
 		}
 		absent[v] = since
 	})
-	w.Absent = absent
+	w.Absent, w.CountedAt = absent, now
 	return w
 }
 
--- a/internal/state/software.go
+++ b/internal/state/software.go
@@ -28,6 +28,8 @@
 	// Absent maps listed versions to the time since which no endpoint has them. Invariant:
 	// the map is never written in place.
 	Absent map[ServiceSoftware]time.Time
+	// CountedAt is when Absent was last brought up to date.
+	CountedAt time.Time
 }
 
 // ServiceSoftware is a version of the software of a service's endpoints.
