relay: no stream begins at mixed versions before their list is found

What callers would see: streams joined from two versions, after all instances ended while engines of a new version joined.

Cause: an instance that has just started and has not read the list took it for empty and let streams begin at any version. Until it had read the list and written the new version there, the list named another one alone.

Change: while the list was not found in the store or at a peer, streams that callers may resume begin only if all endpoints of the service have one version. The request is refused as not run, with a time to come back.

Evidence: TestNoStreamBeginsAtMixedVersionsBeforeTheListIsFound failed on the code before: an endpoint was chosen. TestSilentStreamStaysAtItsSoftwareVersion plays an instance that serves, which now has found a list; its checks are the same.

--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -238,6 +238,7 @@
 				}
 				return others
 			})
+			s.Routing.Software = s.Routing.Software.WithRow(origin.Listed{}, store.Row{})
 			e := &scriptedEndpoints{
 				scripts: []script{
 					{
@@ -297,6 +298,35 @@
 	require.Error(t, err, "a retry does not begin at another version either")
 }
 
+// Guards against streams that begin at a version which is not listed, at an instance that has
+// just started: another one would take them for the only listed version's.
+func TestNoStreamBeginsAtMixedVersionsBeforeTheListIsFound(t *testing.T) {
+	t.Parallel()
+	s := withSoftware(fiveEngines(), func(engine string) string {
+		if engine == "e0" {
+			return "v1"
+		}
+		return "v2"
+	})
+	r := sharedPromptRequest()
+	r.Route = newWaitingExchange(nil, nil, 0).request.Route
+	choose := func() error {
+		_, err := newChoosingExchange(s, r, begin).choose(t.Context(), position{})
+		return err
+	}
+	err := choose()
+	require.Error(t, err)
+	require.Equal(t, fault.NotRun, fault.From(err).Run)
+	require.Positive(t, fault.From(err).Retry)
+	r.Route.Resumable = false
+	require.NoError(t, choose(), "nobody resumes it")
+	r.Route.Resumable = true
+	s.Routing.Software = s.Routing.Software.WithRow(origin.Listed{}, store.Row{})
+	require.NoError(t, choose(), "no version was ever listed")
+	s = withSoftware(fiveEngines(), func(string) string { return "v2" })
+	require.NoError(t, choose(), "the engines have one version")
+}
+
 // withSoftware returns s in which the endpoints have the given versions of their software.
 func withSoftware(s state.State, version func(engine string) string) state.State {
 	var nodes []member.Node
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -145,21 +145,25 @@
 	// exact is set if only version is allowed.
 	exact   bool
 	version string
-	// listed is set if only the versions that are listed for service are allowed.
+	// listed is set if only the versions that are listed for service are allowed, and found
+	// once the list was found.
 	listed  bool
+	found   bool
 	list    origin.Listed
 	service string
 }
 
 // softwareOf returns the bound for a request whose caller has received the given part of the
-// response. A stream that callers may resume begins at a listed version only.
+// response. A stream that callers may resume begins at a listed version only: another instance
+// would take it for the only listed version's.
 func softwareOf(r chain.Request, received position, s *state.State) softwareBound {
-	list := s.Routing.Software.Listed
+	w := s.Routing.Software
 	return softwareBound{
 		exact:   received.bound,
 		version: received.software,
-		listed:  resumable(r) && !list.Empty(r.Service),
-		list:    list,
+		listed:  resumable(r) && (!w.Found || !w.Listed.Empty(r.Service)),
+		found:   w.Found,
+		list:    w.Listed,
 		service: r.Service,
 	}
 }
@@ -228,7 +232,7 @@
 // candidates returns the endpoints that may be called: those that were not
 // tried and are trusted or, if there are none, all that were not tried. None of
 // them wants no calls. Endpoints whose software is not listed yet are left out unless the
-// service has no others.
+// service has no others. While the list was not found, nothing tells which ones those are.
 func (p picker) candidates() []member.Endpoint {
 	pool := p.state.Members.Pool(p.request.Service)
 	if trusted := p.untried(pool, false); len(trusted) > 0 {
@@ -237,13 +241,23 @@
 	if all := p.untried(pool, true); len(all) > 0 {
 		return all
 	}
-	if !p.software.listed || p.software.allowsAny(pool) {
+	if !p.software.listed || p.software.allowsAny(pool) || !p.software.found && mixedSoftware(pool) {
 		return nil
 	}
 	p.software = p.software.withoutList()
 	return p.candidates()
 }
 
+// mixedSoftware reports whether the endpoints of pool have several versions of their software.
+func mixedSoftware(pool []member.Endpoint) bool {
+	for i := range pool {
+		if pool[i].Node.Software != pool[0].Node.Software {
+			return true
+		}
+	}
+	return false
+}
+
 // untried returns the endpoints of pool that want calls and were not tried, with those
 // that are suspected or without them. In calm that is pool itself, which is not copied.
 func (p picker) untried(pool []member.Endpoint, suspected bool) []member.Endpoint {
--- a/internal/state/software.go
+++ b/internal/state/software.go
@@ -20,6 +20,8 @@
 	// and Row is the row that holds it; its version is 0 if there is none.
 	Known bool
 	Row   store.Row
+	// Found is set once Known was set for the first time.
+	Found bool
 	// DueSince is when the row was first to be written, or when that was last tried; zero if
 	// it is not to be.
 	DueSince time.Time
@@ -41,7 +43,7 @@
 // WithRow returns a copy of w in which row lists listed.
 func (w Software) WithRow(listed origin.Listed, row store.Row) Software {
 	w.Listed = listed
-	w.Known = true
+	w.Known, w.Found = true, true
 	w.Row = row
 	w.DueSince = time.Time{}
 	return w
