ctrl: the list of software versions is read as soon as the store answers

Cause: the list was read at a tick, up to 0.2 s after the first answer of the store.

Change: an instance that has found no list reads it once the store answers.

Evidence: TestListOfSoftwareVersionsIsReadOnceTheStoreAnswers failed before.

--- a/internal/ctrl/software.go
+++ b/internal/ctrl/software.go
@@ -38,6 +38,11 @@
 	switch e := e.(type) {
 	case state.Tick:
 		return c.sync(s, now)
+	case state.StoreStatus:
+		if !s.Routing.Software.Found {
+			// Streams wait for the list at an instance that has just started.
+			return c.sync(s, now)
+		}
 	case state.Heartbeat:
 		return c.handleHeartbeat(s, e), nil
 	case state.SoftwareSynced:
--- a/internal/ctrl/software_test.go
+++ b/internal/ctrl/software_test.go
@@ -98,6 +98,24 @@
 	require.Empty(t, c.softwareSyncs())
 }
 
+// An instance that starts reads the list as soon as the store answers, since streams can't
+// begin at several versions before.
+func TestListOfSoftwareVersionsIsReadOnceTheStoreAnswers(t *testing.T) {
+	c := newTestInstance()
+	c.step(state.StoreStatus{})
+	require.Empty(t, c.softwareSyncs())
+	status := state.StoreStatus{
+		OK: true,
+	}
+	c.step(status)
+	require.Equal(t, []state.SyncSoftware{{}}, c.softwareSyncs())
+	c.step(state.SoftwareSynced{
+		Row: listing(t, 7, "v1"),
+	})
+	c.step(status)
+	require.Empty(t, c.softwareSyncs())
+}
+
 func TestPeersRowOfSoftwareVersionsIsTakenOver(t *testing.T) {
 	c := servingInstance(t, "e1")
 	c.withSoftware("v1", "e1")
