watch: the test of pauses counts the reads before a pause may end

The reads are now counted when all goroutines wait, before any time passes. That is as strict: a table that does not pause reads on without waiting, and pauses that are too short fail the count of the hour that follows.

--- a/internal/watch/table_test.go
+++ b/internal/watch/table_test.go
@@ -383,7 +383,8 @@
 		}))
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = tab.Run(ctx) }()
-		time.Sleep(time.Second)
+		// No time passes, so that a pause of any length has not ended.
+		synctest.Wait()
 		require.Equal(t, 2, callsOf(s), "one read of all rows and one that returns a change at once")
 		time.Sleep(time.Hour)
 		calls := callsOf(s)
