relay: streams are passed on while the store does not answer

Cause: instances remember streams for each other only where several versions are listed. Behind a cut, and in an outage of the store, the list can't be read.

Change: they also do while the store does not answer, and begin with the streams of the last minute.

Evidence: TestStreamsOfOneVersionAreFoundWhileTheStoreDoesNotAnswer failed before: the stream was not found. A caller that does not name the stream (Resumes) is refused in an outage as before.

--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -131,11 +131,11 @@
 	}
 }
 
-// pass passes on the streams that began since the last time, or since a minute ago if a
-// second version has just been listed.
+// pass passes on the streams that began since the last time, or since a minute ago if the
+// list has just ceased to tell which version began them: it has several, or can't be read.
 func (o *origins) pass(ctx context.Context) {
 	s := o.view()
-	if !s.Routing.Software.Listed.Mixed() {
+	if !s.Routing.Software.Listed.Mixed() && s.Routing.StoreReachable {
 		o.book.Forget(o.now())
 		return
 	}
--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -126,6 +126,31 @@
 	})
 }
 
+// While the store does not answer, instances remember the streams of a single version for each
+// other: nothing else tells that there is no other version.
+func TestStreamsOfOneVersionAreFoundWhileTheStoreDoesNotAnswer(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newTracedFleet(12, "v1")
+		f.silent = true
+		first, last := f.nodes[rankedName(0, 12)], f.nodes[rankedName(11, 12)]
+		f.dead[rankedName(0, 12)] = true
+		first.begin("before", "v1")
+		first.pass(t.Context())
+		synctest.Wait()
+		require.Equal(t, unknown, last.find(t.Context(), "before", "llm").told)
+		for _, o := range f.nodes {
+			o.view().Routing.StoreReachable = false
+		}
+		first.begin("since", "v1")
+		first.pass(t.Context())
+		synctest.Wait()
+		for _, id := range []string{"before", "since"} {
+			require.Equal(t, "v1", last.find(t.Context(), id, "llm").software, id)
+		}
+	})
+}
+
 // reached is the handler after a filter.
 type reached struct{ request *chain.Request }
 
