httpd: only io.EOF itself ends a body

The linter warns of a switch over errors in which a wrapped error fails. For the end of a body that is meant: only the error of the reader itself says that the body is whole. fill now says whether it ended, by a comparison that the linter knows.

The tests of bodies that end early pass as before.

--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -196,32 +196,33 @@
 			return nil, err
 		}
 		block := make([]byte, size)
-		n, err := fill(in, block)
+		n, ended, err := fill(in, block)
+		if err != nil {
+			return nil, err
+		}
 		total += int64(n)
 		blocks = append(blocks, block[:n])
-		switch err {
-		case nil:
-		case io.EOF:
+		if ended {
 			return c.joined(blocks, total, copies, owner)
-		default:
-			return nil, err
 		}
 	}
 }
 
-// fill reads from r until block is full, and returns the error of r if that comes first.
-// io.ReadFull would return io.ErrUnexpectedEOF both for a body that is shorter than the
-// block and for one that is cut.
-func fill(r io.Reader, block []byte) (int, error) {
-	n := 0
+// fill reads from r until block is full or r ends, which only io.EOF says. io.ReadFull would
+// return io.ErrUnexpectedEOF both for a body that is shorter than the block and for one that
+// is cut.
+func fill(r io.Reader, block []byte) (n int, ended bool, err error) {
 	for n < len(block) {
 		m, err := r.Read(block[n:])
 		n += m
+		if err == io.EOF {
+			return n, true, nil
+		}
 		if err != nil {
-			return n, err
+			return n, false, err
 		}
 	}
-	return n, nil
+	return n, false, nil
 }
 
 // joined returns blocks as one body that holds what it needs.
--- a/internal/httpd/cutbody_test.go
+++ b/internal/httpd/cutbody_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/baobabtally/baobabtally/internal/holds"
@@ -169,7 +170,8 @@
 					require.NoError(t, err)
 					got := <-reads
 					require.NoError(t, got.err)
-					require.True(t, got.body == want, "%d bytes in place of %d", len(got.body), size)
+					require.Len(t, got.body, size)
+					require.Equal(t, xxhash.Sum64String(want), xxhash.Sum64String(got.body), "other bytes")
 					code, _ := status(t, r)
 					require.Equal(t, http.StatusOK, code)
 				}
