relay: a missing list of software versions is an empty one

Cause: before the first version is listed there is no row, and a resumed stream was refused as one whose list can't be confirmed, which sends its caller to another instance.

Change: a missing row lists nothing.

Evidence: TestMissingListIsEmpty failed on the code before with the error of a missing row.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -209,6 +209,12 @@
 	m.unreadableRows.Add(context.Background(), 1, metric.WithAttributes(attribute.String("table", table)))
 }
 
+// Resumed counts a stream that a caller takes up again, by the source from which the version
+// of the software is known that began it.
+func (m *Meter) Resumed(source string) {
+	m.resumptions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("source", source)))
+}
+
 // Signaled counts an answer in which an endpoint said that it is departing or wants no
 // calls for a while, by kind.
 func (m *Meter) Signaled(kind string) {
@@ -241,9 +247,3 @@
 func (m *Meter) Violation(v invar.Violation) {
 	m.violations.Add(context.Background(), 1, metric.WithAttributes(attribute.String("rule", v.Rule.String())))
 }
-
-// Resumed counts a stream that a caller takes up again, by the source from which the version
-// of the software is known that began it.
-func (m *Meter) Resumed(source string) {
-	m.resumptions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("source", source)))
-}
--- a/internal/relay/listing.go
+++ b/internal/relay/listing.go
@@ -163,15 +163,16 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	row, err := l.rows.Get(ctx, state.SoftwareRow)
-	if err != nil {
+	switch {
+	case errors.Is(err, store.ErrMissing):
+		// No version was ever listed.
+	case err != nil:
 		r.err = err
-		return
-	}
-	if doubtful(row, l.view().Routing, l.now()) {
+	case doubtful(row, l.view().Routing, l.now()):
 		r.err = errListDoubt
-		return
+	default:
+		r.listed, r.err = origin.Unmarshal(row.Value)
 	}
-	r.listed, r.err = origin.Unmarshal(row.Value)
 }
 
 // doubtful reports whether a row that was just read may lack versions that were listed, as an
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -171,7 +171,8 @@
 // An instance that was paused, or that hears only some of the others, may have missed a
 // version, and so may those that it hears. It can't conclude from their silence that its list
 // is complete, so that the only version of its list counts only if a read of the store
-// confirms it. A list with several versions needs no read: a stream is then known or not.
+// confirms it. A list with several versions needs no read: a stream is then known or not. The
+// holders are asked once the list does not tell, or takes long.
 func (o *origins) find(ctx context.Context, id, service string) originAnswer {
 	if v, ok := o.book.Find(id); ok {
 		return originAnswer{
--- a/internal/relay/originmodel_test.go
+++ b/internal/relay/originmodel_test.go
@@ -260,13 +260,14 @@
 type slowRow struct {
 	reads atomic.Int64
 	row   store.Row
+	err   error
 }
 
 // Get implements rowGetter.
 func (s *slowRow) Get(context.Context, string) (store.Row, error) {
 	s.reads.Add(1)
 	time.Sleep(20 * time.Millisecond)
-	return s.row, nil
+	return s.row, s.err
 }
 
 // Requests that come while the store is being read wait for the next read together: the
@@ -313,6 +314,23 @@
 	}
 }
 
+// Before the first version is listed there is no row. That is known, and no failure.
+func TestMissingListIsEmpty(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := rankedState(0, 3)
+		l := newListing(&slowRow{
+			err: store.ErrMissing,
+		}, func() *state.State { return s }, time.Now)
+		go func() { _ = l.run(ctx) }()
+		listed, err := l.read(ctx)
+		require.NoError(t, err)
+		require.True(t, listed.Empty(modelService))
+	})
+}
+
 // A list that was read from an older copy of the store may lack a version until those that
 // knew it have written it again.
 func TestListOfANewEraIsNotReliedOnAtOnce(t *testing.T) {
