--- a/pkg/origin/doc.go
+++ b/pkg/origin/doc.go
@@ -6,11 +6,12 @@
 // A Book remembers the version of each stream for as long as its caller may come back.
 // Listed holds the versions that may have begun a stream at all. All instances share it and
 // keep it in the store, so that it outlives them: with one version, a stream that nobody
-// remembers can still go on.
+// remembers can still go on. Only a list that was read since the caller came back says so: an
+// instance may have missed a version.
 //
 //	listed = listed.With("chat", "v2")
 //	version, ok := book.Find(stream)
 //	if !ok {
-//		version, ok = listed.Only("chat")
+//		version, ok = read(ctx).Only("chat")
 //	}
 package origin
